--- /dev/null
+++ b/cell/types.ts
@@ -0,0 +1,252 @@
+/**
+ * The cell's typed records and messages: what callers ask for, what the cell answers, what it
+ * tells workers, and the inputs that its durable journal keeps.
+ *
+ * @example
+ * ```ts
+ * import type { RequestSpec } from "./types.ts";
+ * const spec: RequestSpec = { caller: "console-1", key: "k1", kind: "preview", ... };
+ * ```
+ *
+ * @module
+ */
+
+import type {
+    CustomerId,
+    InstanceId,
+    LeaseId,
+    RequestId,
+    Resources,
+    ServiceId,
+    TaskId,
+} from "../inventory/mod.ts";
+import type { RulesFile } from "../settings/rules_file.ts";
+
+/** What the stand-in worker is told to do with a task; opaque to the scheduler. */
+export interface WorkOrder {
+    /** True run time in ms; 0 runs until stopped (a long-running service). */
+    readonly runMs: number;
+    /** Real use as a share of the declared demand (1 = as declared). */
+    readonly usageFactor: number;
+    /** The task fails at the end instead of completing. */
+    readonly fail: boolean;
+}
+
+/** A caller's request. */
+export interface RequestSpec {
+    /** The caller (a merchandiser's tool, a chapel console). */
+    readonly caller: string;
+    /** The caller's idempotency key: a resend with the same key is the same request. */
+    readonly key: string;
+    readonly kind: string;
+    readonly service: ServiceId;
+    readonly customer: CustomerId;
+    /** One task's demand. */
+    readonly demand: Resources;
+    /** Tasks: gang size, or replicas of a service; 1 otherwise. */
+    readonly count: number;
+    /** Run time as the caller declares it, in ms (often far off). */
+    readonly declaredRunMs: number;
+    /** Give up when not started within this many ms; 0 waits for ever. */
+    readonly maxWaitMs: number;
+    readonly work: WorkOrder;
+}
+
+/** One line of a request's time line. */
+export interface FateEvent {
+    /** Time in ms since the epoch. */
+    readonly at: number;
+    readonly event: string;
+    readonly detail: string;
+}
+
+/** The state of one task of a request. */
+export type TaskState = "waiting" | "offered" | "running" | "ended";
+
+/** One task of a request. */
+export interface TaskRecord {
+    readonly id: TaskId;
+    state: TaskState;
+    lease: LeaseId | undefined;
+    /** How its last lease ended. */
+    outcome: TaskOutcome | undefined;
+}
+
+/** How a lease ended, for the task that ran under it. */
+export type TaskOutcome = "completed" | "failed" | "stopped" | "lost" | "declined";
+
+/** A request in the cell. */
+export interface RequestRecord {
+    readonly id: RequestId;
+    readonly seq: number;
+    readonly spec: RequestSpec;
+    state: string;
+    readonly acceptedAt: number;
+    startedAt: number | undefined;
+    endedAt: number | undefined;
+    reason: string | undefined;
+    /** Leases offered so far, all tasks together. */
+    attempts: number;
+    /** A worker confirmed a start. */
+    started: boolean;
+    /** A lease was offered and not declined: the work may have begun. */
+    mayHaveStarted: boolean;
+    /** An earlier attempt ended in a way that does not rule out a run (not declined). */
+    mayHaveRunBefore: boolean;
+    /** Why its leases are being stopped, while they are. */
+    stopping: "cancel" | "preempt" | "trouble" | undefined;
+    /** The first task outcome other than completed, since the last grant. */
+    trouble: TaskOutcome | undefined;
+    troubleDetail: string;
+    /** The last reason it could not be placed, told once. */
+    blockedBy: string | undefined;
+    readonly tasks: TaskRecord[];
+    readonly events: FateEvent[];
+}
+
+/** A lease of one task to one worker. */
+export interface LeaseRecord {
+    readonly id: LeaseId;
+    readonly task: TaskId;
+    readonly request: RequestId;
+    readonly worker: InstanceId;
+    /** Fencing token: above every earlier lease's epoch. */
+    readonly epoch: number;
+    state: string;
+    readonly grantedAt: number;
+    renewedAt: number;
+    readonly declared: Resources;
+    reported: Resources | undefined;
+    /** What it counts against the worker: the larger of declared and reported. */
+    held: Resources;
+    /** A stop was sent. */
+    stopSent: boolean;
+}
+
+/** What the cell answers about a request. */
+export interface Answer {
+    readonly requestId: RequestId;
+    readonly caller: string;
+    readonly key: string;
+    readonly kind: string;
+    readonly state: string;
+    readonly final: boolean;
+    readonly reason: string | undefined;
+    /** True only when a worker confirmed a start. */
+    readonly started: boolean;
+    /** False only when the cell knows that no worker ever began it. */
+    readonly mayHaveRun: boolean;
+    readonly attempts: number;
+    readonly acceptedAt: number;
+    readonly startedAt: number | undefined;
+    readonly endedAt: number | undefined;
+    /** For an answer that is not final: when asking again is worth it, in ms. */
+    readonly retryAfterMs: number | undefined;
+    readonly events: readonly FateEvent[];
+}
+
+/** A lease as the worker receives it. */
+export interface LeaseMessage {
+    readonly lease: LeaseId;
+    readonly task: TaskId;
+    readonly request: RequestId;
+    readonly instance: InstanceId;
+    readonly epoch: number;
+    readonly demand: Resources;
+    readonly ttlMs: number;
+    readonly work: WorkOrder;
+}
+
+/** What the cell asks the process around it to do. */
+export type Effect =
+    | { readonly type: "grant"; readonly address: string; readonly lease: LeaseMessage }
+    | {
+          readonly type: "stop";
+          readonly address: string;
+          readonly instance: InstanceId;
+          readonly lease: LeaseId;
+          readonly epoch: number;
+          readonly mode: "stop" | "checkpoint";
+      }
+    | { readonly type: "fate"; readonly request: RequestId; readonly event: FateEvent }
+    | {
+          readonly type: "started";
+          readonly request: RequestId;
+          readonly className: string;
+          readonly waitMs: number;
+      }
+    | { readonly type: "final"; readonly request: RequestId; readonly state: string };
+
+/** A lease as a worker lists it in a heartbeat. */
+export interface HeldLease {
+    readonly lease: LeaseId;
+    readonly epoch: number;
+    readonly usage: Resources | undefined;
+}
+
+/** What a worker reports of a task. */
+export type TaskReport = "started" | "completed" | "failed" | "stopped";
+
+/** A rules change as an operator sends it. */
+export interface RulesChange {
+    readonly changeId: string;
+    /** The version the change replaces; equal versions race, and one wins. */
+    readonly expectedVersion: number;
+    readonly rules: RulesFile;
+}
+
+/** The answer to a rules change. */
+export type RulesChangeResult =
+    | { readonly status: "applied"; readonly version: number }
+    | { readonly status: "conflict"; readonly version: number; readonly reason: string };
+
+/** Everything that changes the cell; the journal keeps these, and replay gives the same cell. */
+export type CellInput =
+    | { readonly type: "submit"; readonly at: number; readonly spec: RequestSpec }
+    | { readonly type: "cancel"; readonly at: number; readonly request: RequestId }
+    | { readonly type: "tick"; readonly at: number }
+    | {
+          readonly type: "announce";
+          readonly at: number;
+          readonly instance: InstanceId;
+          readonly address: string;
+      }
+    | { readonly type: "leave"; readonly at: number; readonly instance: InstanceId }
+    | { readonly type: "drain"; readonly at: number; readonly instance: InstanceId }
+    | {
+          readonly type: "heartbeat";
+          readonly at: number;
+          readonly instance: InstanceId;
+          readonly leases: readonly HeldLease[];
+      }
+    | {
+          readonly type: "grantReply";
+          readonly at: number;
+          readonly lease: LeaseId;
+          readonly accepted: boolean;
+          readonly reason: string;
+      }
+    | {
+          readonly type: "report";
+          readonly at: number;
+          readonly lease: LeaseId;
+          readonly epoch: number;
+          readonly report: TaskReport;
+          readonly detail: string;
+      }
+    | { readonly type: "setRules"; readonly at: number; readonly change: RulesChange };
+
+/** Thrown when a caller reuses an idempotency key for a different request. */
+export class KeyConflictError extends Error {
+    /**
+     * @param caller The caller.
+     * @param key The reused key.
+     * @param existing The request that holds the key.
+     */
+    constructor(caller: string, key: string, existing: RequestId) {
+        super(
+            `key "${key}" of caller "${caller}" already names request ${existing} with other contents`,
+        );
+        this.name = "KeyConflictError";
+    }
+}
--- /dev/null
+++ b/examples/build_examples.ts
@@ -0,0 +1,95 @@
+/**
+ * Writes the two example deployments of the brief (Umhlanga's studio-intake floor, Caruaru's
+ * cerimonia service) as asset-register inventories: 3 zones, 30 workers of 16 cores and 32 GB,
+ * 8 to a rack, one executor of 8 slots and 60 connections on each. Run with
+ * `npx tsx examples/build_examples.ts`; the output is committed.
+ *
+ * @example
+ * ```sh
+ * npx tsx examples/build_examples.ts
+ * ```
+ *
+ * @module
+ */
+
+import { writeFileSync } from "node:fs";
+import { stringify } from "yaml";
+
+interface Deployment {
+    readonly cell: string;
+    readonly zones: readonly string[];
+    readonly service: string;
+    readonly workers: number;
+}
+
+const DEPLOYMENTS: readonly Deployment[] = [
+    {
+        cell: "umhlanga",
+        zones: ["hall-a", "hall-b", "hall-c"],
+        service: "studio-intake",
+        workers: 30,
+    },
+    {
+        cell: "caruaru",
+        zones: ["capela-norte", "capela-sul", "sede"],
+        service: "cerimonia",
+        workers: 30,
+    },
+];
+const WORKERS_PER_RACK = 8;
+
+/**
+ * Builds an inventory file's data for a deployment.
+ *
+ * @param deployment The deployment.
+ * @param workers How many workers (instances).
+ * @returns The inventory as plain data.
+ */
+export function buildInventory(deployment: Deployment, workers = deployment.workers): object {
+    const racks: { id: string; zone: string; instances: object[] }[] = [];
+    const executors: object[] = [];
+    const perZone = Math.ceil(workers / deployment.zones.length);
+    let made = 0;
+    deployment.zones.forEach((zone) => {
+        for (let i = 0; i < perZone && made < workers; i++, made++) {
+            const rackIndex = Math.floor(i / WORKERS_PER_RACK) + 1;
+            const rackId = `${zone}-r${rackIndex}`;
+            let rack = racks.find((r) => r.id === rackId);
+            if (rack === undefined) {
+                rack = { id: rackId, zone, instances: [] };
+                racks.push(rack);
+            }
+            const id = `${rackId}-w${(i % WORKERS_PER_RACK) + 1}`;
+            rack.instances.push({ id, cores: 16, memoryMb: 32768, accelerators: 0 });
+            executors.push({
+                service: deployment.service,
+                instance: id,
+                slots: 8,
+                connections: 60,
+            });
+        }
+    });
+    return {
+        cell: deployment.cell,
+        zones: deployment.zones,
+        services: [{ id: deployment.service, zones: deployment.zones }],
+        racks,
+        executors,
+    };
+}
+
+/** Writes both deployments under examples/. */
+export function writeExamples(): void {
+    for (const deployment of DEPLOYMENTS) {
+        const url = new URL(`./${deployment.cell}/inventory.yaml`, import.meta.url);
+        const header = `# ${deployment.cell}: written by examples/build_examples.ts; edit that, not this.\n`;
+        writeFileSync(
+            url,
+            header + stringify(buildInventory(deployment), { aliasDuplicateObjects: false }),
+        );
+    }
+}
+
+if (import.meta.url === `file://${process.argv[1]}`) {
+    writeExamples();
+}
--- /dev/null
+++ b/settings/inventory_file.ts
@@ -0,0 +1,153 @@
+/**
+ * The inventory file: what operators export from their asset register.
+ *
+ * @example
+ * ```ts
+ * import { loadInventoryText } from "./inventory_file.ts";
+ * const inventory = loadInventoryText("inventory.yaml", text);
+ * ```
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import {
+    createId,
+    type ExecutorId,
+    type Instance,
+    type InstanceId,
+    type Inventory,
+    type RackId,
+    type ServiceId,
+    type ZoneId,
+} from "../inventory/mod.ts";
+import { checkSource, checkUnique, type ReportFinding } from "./checked.ts";
+import { parseYamlSource } from "./yaml_source.ts";
+
+const NAME = z.string().regex(/^[a-z0-9][a-z0-9_.-]*$/, "use lower-case letters, digits, . _ -");
+
+const instanceSchema = z
+    .object({
+        id: NAME,
+        cores: z.number().positive(),
+        memoryMb: z.number().int().positive(),
+        accelerators: z.number().int().nonnegative().default(0),
+    })
+    .strict();
+
+/** The schema of an inventory file. */
+export const inventorySchema = z
+    .object({
+        cell: NAME,
+        zones: z.array(NAME).min(1),
+        services: z.array(z.object({ id: NAME, zones: z.array(NAME).min(1) }).strict()).min(1),
+        racks: z
+            .array(
+                z
+                    .object({ id: NAME, zone: NAME, instances: z.array(instanceSchema).min(1) })
+                    .strict(),
+            )
+            .min(1),
+        executors: z.array(
+            z
+                .object({
+                    service: NAME,
+                    instance: NAME,
+                    slots: z.number().int().positive(),
+                    connections: z.number().int().nonnegative(),
+                })
+                .strict(),
+        ),
+    })
+    .strict();
+
+/** The inventory file as written. */
+export type InventoryFile = z.infer<typeof inventorySchema>;
+
+/**
+ * Parses and checks an inventory file; every bad line is reported, and nothing is loaded then.
+ *
+ * @param file The file's path, used in findings.
+ * @param text The YAML text.
+ * @returns The inventory.
+ * @throws {FindingsError} With every finding.
+ */
+export function loadInventoryText(file: string, text: string): Inventory {
+    const value = checkSource(parseYamlSource(file, text), inventorySchema, checkReferences);
+    return createInventory(value);
+}
+
+function checkReferences(value: InventoryFile, report: ReportFinding): void {
+    const zones = new Set(value.zones);
+    checkUnique(value.zones, (z) => z, ["zones"], report);
+    checkUnique(value.services, (s) => s.id, ["services"], report);
+    checkUnique(value.racks, (r) => r.id, ["racks"], report);
+    const instanceIds = new Set<string>();
+    value.racks.forEach((rack, r) => {
+        if (!zones.has(rack.zone)) {
+            report(["racks", r, "zone"], `unknown availability zone "${rack.zone}"`);
+        }
+        rack.instances.forEach((instance, i) => {
+            if (instanceIds.has(instance.id)) {
+                report(["racks", r, "instances", i, "id"], `duplicate instance "${instance.id}"`);
+            }
+            instanceIds.add(instance.id);
+        });
+    });
+    value.services.forEach((service, s) => {
+        service.zones.forEach((zone, z) => {
+            if (!zones.has(zone)) {
+                report(["services", s, "zones", z], `unknown availability zone "${zone}"`);
+            }
+        });
+    });
+    const services = new Set(value.services.map((s) => s.id));
+    const pairs = new Set<string>();
+    value.executors.forEach((executor, e) => {
+        if (!services.has(executor.service)) {
+            report(["executors", e, "service"], `unknown service "${executor.service}"`);
+        }
+        if (!instanceIds.has(executor.instance)) {
+            report(["executors", e, "instance"], `unknown instance "${executor.instance}"`);
+        }
+        const pair = `${executor.service}@${executor.instance}`;
+        if (pairs.has(pair)) {
+            report(
+                ["executors", e],
+                `a second executor of ${executor.service} on ${executor.instance}`,
+            );
+        }
+        pairs.add(pair);
+    });
+}
+
+function createInventory(value: InventoryFile): Inventory {
+    const instances: Instance[] = value.racks.flatMap((rack) =>
+        rack.instances.map((instance) => ({
+            id: createId<InstanceId>(instance.id),
+            rack: createId<RackId>(rack.id),
+            zone: createId<ZoneId>(rack.zone),
+            capacity: {
+                cores: instance.cores,
+                memoryMb: instance.memoryMb,
+                accelerators: instance.accelerators,
+            },
+        })),
+    );
+    return {
+        cell: value.cell,
+        zones: value.zones.map((zone) => createId<ZoneId>(zone)),
+        instances,
+        services: value.services.map((service) => ({
+            id: createId<ServiceId>(service.id),
+            zones: service.zones.map((zone) => createId<ZoneId>(zone)),
+        })),
+        executors: value.executors.map((executor) => ({
+            id: createId<ExecutorId>(`${executor.service}@${executor.instance}`),
+            service: createId<ServiceId>(executor.service),
+            instance: createId<InstanceId>(executor.instance),
+            slots: executor.slots,
+            connections: executor.connections,
+        })),
+    };
+}
--- /dev/null
+++ b/settings/rules_file.ts
@@ -0,0 +1,109 @@
+/**
+ * The rules file: precedence classes, kinds, quotas.
+ *
+ * @example
+ * ```ts
+ * import { loadRulesText } from "./rules_file.ts";
+ * const rules = loadRulesText("rules.yaml", text);
+ * ```
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import { createId, type CustomerId } from "../inventory/mod.ts";
+import { PLACEMENTS, type Placement, type Rules } from "../rules/mod.ts";
+import { checkSource, checkUnique, type ReportFinding } from "./checked.ts";
+import { parseYamlSource } from "./yaml_source.ts";
+
+const NAME = z.string().regex(/^[a-z0-9][a-z0-9_-]*$/, "use lower-case letters, digits, _ -");
+
+/** The schema of a rules file. */
+export const rulesSchema = z
+    .object({
+        version: z.number().int().nonnegative(),
+        classes: z
+            .array(
+                z
+                    .object({
+                        name: NAME,
+                        precedence: z.number().int(),
+                        preemptible: z.boolean().default(false),
+                    })
+                    .strict(),
+            )
+            .min(1),
+        kinds: z
+            .array(
+                z
+                    .object({
+                        name: NAME,
+                        class: NAME,
+                        placement: z.enum(PLACEMENTS as [string, ...string[]]),
+                        idempotent: z.boolean(),
+                    })
+                    .strict(),
+            )
+            .min(1),
+        quotas: z
+            .array(z.object({ customer: NAME, cores: z.number().positive() }).strict())
+            .default([]),
+    })
+    .strict();
+
+/** The rules file as written. */
+export type RulesFile = z.infer<typeof rulesSchema>;
+
+/**
+ * Parses and checks a rules file; every bad line is reported, and nothing is loaded then.
+ *
+ * @param file The file's path, used in findings.
+ * @param text The YAML text.
+ * @returns The rules.
+ * @throws {FindingsError} With every finding.
+ */
+export function loadRulesText(file: string, text: string): Rules {
+    return createRules(checkSource(parseYamlSource(file, text), rulesSchema, checkReferences));
+}
+
+/**
+ * Builds rules from a checked rules file.
+ *
+ * @param value The checked file.
+ * @returns The rules.
+ */
+export function createRules(value: RulesFile): Rules {
+    return {
+        version: value.version,
+        classes: new Map(value.classes.map((c) => [c.name, c])),
+        kinds: new Map(
+            value.kinds.map((k) => [
+                k.name,
+                {
+                    name: k.name,
+                    className: k.class,
+                    placement: k.placement as Placement,
+                    idempotent: k.idempotent,
+                },
+            ]),
+        ),
+        quotas: new Map(
+            value.quotas.map((q) => [
+                createId<CustomerId>(q.customer),
+                { customer: createId<CustomerId>(q.customer), cores: q.cores },
+            ]),
+        ),
+    };
+}
+
+function checkReferences(value: RulesFile, report: ReportFinding): void {
+    checkUnique(value.classes, (c) => c.name, ["classes"], report);
+    checkUnique(value.kinds, (k) => k.name, ["kinds"], report);
+    checkUnique(value.quotas, (q) => q.customer, ["quotas"], report);
+    const classes = new Set(value.classes.map((c) => c.name));
+    value.kinds.forEach((kind, k) => {
+        if (!classes.has(kind.class)) {
+            report(["kinds", k, "class"], `unknown class "${kind.class}"`);
+        }
+    });
+}
