Serve requests end to end: entry instance, stand-in workers, command line, demo

Stand-in workers (standin/): many per process, epoch check per task, capacity check, self-fencing when a lease is not renewed within its time to live, lagged usage, fail-everything mode; a caller that resends with the same key. clipanion commands: demo, entry, workers, check, submit, fate, cancel, drain, rules set, status, logs merge.

--- /dev/null
+++ b/bin/poplarhead_entry.ts
@@ -0,0 +1,9 @@
+#!/usr/bin/env -S node --import tsx
+/**
+ * The entry instance binary: `poplarhead_entry --inventory ... --rules ...`.
+ *
+ * @module
+ */
+import { runCli } from "../cli/mod.ts";
+
+process.exitCode = await runCli(["entry", ...process.argv.slice(2)]);
--- /dev/null
+++ b/bin/poplarhead_worker.ts
@@ -0,0 +1,9 @@
+#!/usr/bin/env -S node --import tsx
+/**
+ * The stand-in worker host binary: `poplarhead_worker --entry ... --inventory ... --zone ...`.
+ *
+ * @module
+ */
+import { runCli } from "../cli/mod.ts";
+
+process.exitCode = await runCli(["workers", ...process.argv.slice(2)]);
--- a/cell/cell.ts
+++ b/cell/cell.ts
@@ -127,7 +127,7 @@
      * @param options The inventory, the rules and timings; see {@link CellOptions}.
      */
     constructor(options: CellOptions) {
-        this.#options = { ...DEFAULTS, ...stripUndefined(options) };
+        this.#options = { ...DEFAULTS, ...removeUndefined(options) };
         this.#inventory = options.inventory;
         this.#rules = options.rules;
         for (const instance of options.inventory.instances) {
@@ -253,9 +253,9 @@
         );
         const refusal = this.#findRefusal(spec);
         if (refusal !== undefined) {
-            this.#moveRequest(request, "refuse", at, refusal);
+            this.#applyRequestEvent(request, "refuse", at, refusal);
         } else {
-            this.#enqueue(request);
+            this.#addToQueue(request);
         }
         return this.describeRequest(id) as Answer;
     }
@@ -273,7 +273,7 @@
             return undefined;
         }
         if (request.state === "queued") {
-            this.#moveRequest(
+            this.#applyRequestEvent(
                 request,
                 "cancel",
                 at,
@@ -282,7 +282,7 @@
                     : "cancelled before it started",
             );
         } else if (request.state === "leased" || request.state === "running") {
-            this.#moveRequest(request, "cancel", at, "cancel asked; stopping");
+            this.#applyRequestEvent(request, "cancel", at, "cancel asked; stopping");
             request.stopping = "cancel";
             this.#stopLeases(request, "stop", at);
         }
@@ -459,7 +459,7 @@
             return;
         }
         this.counters.declines += 1;
-        this.#endLease(
+        this.#closeLease(
             lease,
             "decline",
             "declined",
@@ -515,7 +515,7 @@
         } else if (report === "completed") {
             worker.failuresInARow = 0;
         }
-        this.#endLease(lease, "release", report, detail, at);
+        this.#closeLease(lease, "release", report, detail, at);
     }
 
     /**
@@ -566,7 +566,7 @@
         for (const lease of this.#leases.values()) {
             if (!leaseChart.finalStates.has(lease.state) && at - lease.renewedAt > deadline) {
                 this.counters.expiries += 1;
-                this.#endLease(
+                this.#closeLease(
                     lease,
                     "expire",
                     "lost",
@@ -588,7 +588,7 @@
                 if (budget <= 0) {
                     return;
                 }
-                if (this.#giveUpIfLate(request, at)) {
+                if (this.#checkDeadline(request, at)) {
                     continue;
                 }
                 const shape = `${request.spec.service}|${request.spec.kind}|${JSON.stringify(request.spec.demand)}|${request.spec.count}`;
@@ -609,15 +609,20 @@
         }
     }
 
-    #giveUpIfLate(request: RequestRecord, at: number): boolean {
+    #checkDeadline(request: RequestRecord, at: number): boolean {
         if (request.spec.maxWaitMs <= 0 || at - request.acceptedAt <= request.spec.maxWaitMs) {
             return false;
         }
         const reason = `not started within ${request.spec.maxWaitMs} ms`;
         if (request.mayHaveStarted) {
-            this.#moveRequest(request, "give_up", at, `${reason}; an earlier attempt may have run`);
+            this.#applyRequestEvent(
+                request,
+                "give_up",
+                at,
+                `${reason}; an earlier attempt may have run`,
+            );
         } else {
-            this.#moveRequest(request, "refuse", at, reason);
+            this.#applyRequestEvent(request, "refuse", at, reason);
         }
         return true;
     }
@@ -629,7 +634,7 @@
         if (quota !== undefined) {
             const used = this.#customerCores.get(request.spec.customer) ?? 0;
             if (used + request.spec.demand.cores * request.spec.count > quota.cores + 1e-9) {
-                this.#noteBlocked(
+                this.#recordBlocked(
                     request,
                     at,
                     `quota of ${request.spec.customer}: ${used} of ${quota.cores} cores in use`,
@@ -643,13 +648,18 @@
             return true;
         }
         if (request.spec.count === 1) {
-            this.#preemptFor(request, ask, precedence, at);
+            this.#startPreemption(request, ask, precedence, at);
         }
-        this.#noteBlocked(request, at, "no worker has room now");
+        this.#recordBlocked(request, at, "no worker has room now");
         return false;
     }
 
-    #preemptFor(request: RequestRecord, ask: PlacementAsk, precedence: number, at: number): void {
+    #startPreemption(
+        request: RequestRecord,
+        ask: PlacementAsk,
+        precedence: number,
+        at: number,
+    ): void {
         const plan = planPreemption(
             this.#workerList,
             ask,
@@ -764,7 +774,7 @@
         });
         request.mayHaveStarted = true;
         const where = [...new Set(chosen.map((w) => w.instance.id))].join(",");
-        this.#moveRequest(request, "grant", at, `leased on ${where}`);
+        this.#applyRequestEvent(request, "grant", at, `leased on ${where}`);
     }
 
     #handleTaskStarted(request: RequestRecord, at: number): void {
@@ -774,7 +784,7 @@
         if (request.state === "leased") {
             request.started = true;
             request.startedAt ??= at;
-            this.#moveRequest(request, "start", at, "started");
+            this.#applyRequestEvent(request, "start", at, "started");
             const rule = this.#getRule(request);
             this.#effects.push({
                 type: "started",
@@ -792,7 +802,7 @@
      * A request goes back to the queue only after every lease of its last attempt has ended
      * (released, declined, or expired past the grace): so no task runs in two places at once.
      */
-    #endLease(
+    #closeLease(
         lease: LeaseRecord,
         event: string,
         outcome: TaskOutcome,
@@ -832,11 +842,11 @@
             this.#stopLeases(request, "stop", at);
         }
         if (request.tasks.every((t) => t.state === "ended")) {
-            this.#settleRequest(request, at);
+            this.#closeAttempt(request, at);
         }
     }
 
-    #settleRequest(request: RequestRecord, at: number): void {
+    #closeAttempt(request: RequestRecord, at: number): void {
         const allCompleted = request.tasks.every((t) => t.outcome === "completed");
         const allDeclined = request.tasks.every((t) => t.outcome === "declined");
         if (!allDeclined) {
@@ -884,9 +894,9 @@
             task.state = "waiting";
             task.lease = undefined;
         }
-        this.#moveRequest(request, event, at, reason);
+        this.#applyRequestEvent(request, event, at, reason);
         if (request.state === "queued") {
-            this.#enqueue(request);
+            this.#addToQueue(request);
         }
     }
 
@@ -910,7 +920,7 @@
         void at;
     }
 
-    #moveRequest(request: RequestRecord, event: string, at: number, reason: string): void {
+    #applyRequestEvent(request: RequestRecord, event: string, at: number, reason: string): void {
         const guards = this.#getGuards(request);
         const before = request.state;
         request.state = applyChartEvent(requestChart, request.state, event, guards);
@@ -935,7 +945,7 @@
         return retryable ? RETRYABLE : AT_MOST_ONCE;
     }
 
-    #noteBlocked(request: RequestRecord, at: number, why: string): void {
+    #recordBlocked(request: RequestRecord, at: number, why: string): void {
         if (request.blockedBy !== why) {
             request.blockedBy = why;
             this.#recordFate(request, at, "waiting", why);
@@ -969,7 +979,7 @@
         return { demand: s.demand, service: s.service, placement: rule.placement, count: s.count };
     }
 
-    #enqueue(request: RequestRecord): void {
+    #addToQueue(request: RequestRecord): void {
         const rule = this.#getRule(request);
         const precedence = getKindClass(this.#rules, rule).precedence;
         const bucket = this.#queue.get(precedence) ?? [];
@@ -1022,7 +1032,7 @@
 const RETRYABLE: ReadonlySet<string> = new Set(["retryable"]);
 const AT_MOST_ONCE: ReadonlySet<string> = new Set(["at_most_once"]);
 
-function stripUndefined<T extends object>(value: T): Partial<T> {
+function removeUndefined<T extends object>(value: T): Partial<T> {
     return Object.fromEntries(
         Object.entries(value).filter(([, v]) => v !== undefined),
     ) as Partial<T>;
--- /dev/null
+++ b/cli/demo_command.ts
@@ -0,0 +1,108 @@
+/**
+ * `poplarhead demo`: brings up a local cell per example deployment as real processes, sends
+ * each its request mix, waits for every request to end, prints a summary and shuts down.
+ *
+ * @example
+ * ```sh
+ * poplarhead demo --requests 200
+ * ```
+ *
+ * @module
+ */
+
+import { mkdtempSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { Command, Option } from "clipanion";
+import * as hdr from "hdr-histogram-js";
+import type { Answer } from "../cell/mod.ts";
+import { buildMix } from "../load/mix.ts";
+import { spawnCell } from "../load/cell_runner.ts";
+import { Caller } from "../standin/mod.ts";
+
+const DEPLOYMENTS = [
+    { name: "umhlanga", zones: ["hall-a", "hall-b", "hall-c"] },
+    { name: "caruaru", zones: ["capela-norte", "capela-sul", "sede"] },
+];
+
+/** `poplarhead demo`. */
+export class DemoCommand extends Command {
+    static override paths = [["demo"]];
+    static override usage = Command.Usage({
+        description:
+            "Run both example deployments on a local cell with stand-in workers and print every request's end.",
+    });
+    requests = Option.String("--requests", "200");
+    dir = Option.String("--dir");
+
+    /** @returns 0 when every request reached an end state. */
+    async execute(): Promise<number> {
+        const base = this.dir ?? mkdtempSync(join(tmpdir(), "poplarhead-demo-"));
+        let allFinal = true;
+        for (const deployment of DEPLOYMENTS) {
+            const examples = fileURLToPath(
+                new URL(`../examples/${deployment.name}/`, import.meta.url),
+            );
+            const cell = await spawnCell({
+                inventoryFile: join(examples, "inventory.yaml"),
+                rulesFile: join(examples, "rules.yaml"),
+                dir: join(base, deployment.name),
+                zones: deployment.zones,
+            });
+            try {
+                const started = Date.now();
+                const answers = await new Caller({ entry: cell.entry, deadlineMs: 60_000 }).runAll(
+                    buildMix(deployment.name, Number(this.requests), 7),
+                );
+                this.context.stdout.write(
+                    formatSummary(deployment.name, answers, Date.now() - started),
+                );
+                allFinal &&= answers.every((a) => a.final);
+            } finally {
+                await cell.stop();
+            }
+            this.context.stdout.write(`  logs: ${cell.logFiles.join(" ")}\n`);
+        }
+        this.context.stdout.write(
+            allFinal ? "every request reached an end state\n" : "SOME REQUESTS DID NOT END\n",
+        );
+        return allFinal ? 0 : 1;
+    }
+}
+
+/**
+ * Formats end states and waiting times per kind.
+ *
+ * @param name The deployment.
+ * @param answers The last answers.
+ * @param elapsedMs How long the run took.
+ * @returns The summary text.
+ */
+export function formatSummary(name: string, answers: readonly Answer[], elapsedMs: number): string {
+    const states = new Map<string, number>();
+    const waits = new Map<string, hdr.Histogram>();
+    for (const answer of answers) {
+        states.set(answer.state, (states.get(answer.state) ?? 0) + 1);
+        if (answer.startedAt !== undefined) {
+            const histogram =
+                waits.get(answer.kind) ??
+                hdr.build({
+                    lowestDiscernibleValue: 1,
+                    highestTrackableValue: 3_600_000,
+                    numberOfSignificantValueDigits: 3,
+                });
+            histogram.recordValue(Math.max(1, answer.startedAt - answer.acceptedAt));
+            waits.set(answer.kind, histogram);
+        }
+    }
+    const lines = [
+        `${name}: ${answers.length} requests in ${elapsedMs} ms; ${[...states].map(([s, n]) => `${s} ${n}`).join(", ")}`,
+    ];
+    for (const [kind, histogram] of waits) {
+        lines.push(
+            `  wait ${kind.padEnd(11)} p50 ${histogram.getValueAtPercentile(50)} ms  p99 ${histogram.getValueAtPercentile(99)} ms  max ${histogram.maxValue} ms  (n=${histogram.totalCount})`,
+        );
+    }
+    return `${lines.join("\n")}\n`;
+}
--- /dev/null
+++ b/cli/operator_commands.ts
@@ -0,0 +1,197 @@
+/**
+ * Operators' commands against a running entry instance, and offline checks.
+ *
+ * @example
+ * ```sh
+ * poplarhead check --inventory inv.yaml --rules rules.yaml
+ * poplarhead submit --entry 127.0.0.1:7000 --caller console --key k1 --kind preview --service studio-intake --customer retailer-a --cores 1 --memory-mb 1024
+ * poplarhead fate --entry 127.0.0.1:7000 r1
+ * ```
+ *
+ * @module
+ */
+
+import { readFileSync } from "node:fs";
+import { Command, Option } from "clipanion";
+import { parse } from "yaml";
+import { createRpcClient } from "../rpc/mod.ts";
+import { FindingsError, formatFindings } from "../settings/findings.ts";
+import { formatEvent, mergeTimeline } from "../telemetry/mod.ts";
+import { loadSettingsFiles } from "./files.ts";
+
+abstract class EntryClientCommand extends Command {
+    entry = Option.String("--entry", {
+        required: true,
+        description: "host:port of an entry instance",
+    });
+
+    /** Calls the entry instance and prints the result as JSON. */
+    async sendCall(method: string, params: object): Promise<number> {
+        const result = await createRpcClient(this.entry).call(method, params);
+        this.context.stdout.write(`${JSON.stringify(result, null, 2)}\n`);
+        return 0;
+    }
+}
+
+/** `poplarhead check`: checks an inventory and rules file, reporting every bad line. */
+export class CheckCommand extends Command {
+    static override paths = [["check"]];
+    static override usage = Command.Usage({
+        description: "Check an inventory and a rules file; every bad line is reported.",
+    });
+    inventory = Option.String("--inventory", { required: true });
+    rules = Option.String("--rules", { required: true });
+
+    /** @returns 0 when both files are good, 1 with findings. */
+    async execute(): Promise<number> {
+        try {
+            const { inventory, rules } = loadSettingsFiles(this.inventory, this.rules);
+            this.context.stdout.write(
+                `ok: ${inventory.instances.length} instances, ${inventory.executors.length} executors, ${rules.kinds.size} kinds, rules version ${rules.version}\n`,
+            );
+            return 0;
+        } catch (error) {
+            if (error instanceof FindingsError) {
+                this.context.stderr.write(
+                    `${formatFindings(error.findings)}\n${error.findings.length} finding(s); nothing loaded\n`,
+                );
+                return 1;
+            }
+            throw error;
+        }
+    }
+}
+
+/** `poplarhead submit`. */
+export class SubmitCommand extends EntryClientCommand {
+    static override paths = [["submit"]];
+    static override usage = Command.Usage({
+        description: "Submit a request; resending with the same key returns the same request.",
+    });
+    caller = Option.String("--caller", "operator");
+    key = Option.String("--key", { required: true });
+    kind = Option.String("--kind", { required: true });
+    service = Option.String("--service", { required: true });
+    customer = Option.String("--customer", { required: true });
+    cores = Option.String("--cores", "1");
+    memoryMb = Option.String("--memory-mb", "1024");
+    count = Option.String("--count", "1");
+    runMs = Option.String("--run-ms", "500");
+
+    /** @returns The exit code. */
+    async execute(): Promise<number> {
+        return this.sendCall("request.submit", {
+            spec: {
+                caller: this.caller,
+                key: this.key,
+                kind: this.kind,
+                service: this.service,
+                customer: this.customer,
+                demand: { cores: Number(this.cores), memoryMb: Number(this.memoryMb) },
+                count: Number(this.count),
+                declaredRunMs: Number(this.runMs),
+                work: { runMs: Number(this.runMs) },
+            },
+        });
+    }
+}
+
+/** `poplarhead fate`. */
+export class FateCommand extends EntryClientCommand {
+    static override paths = [["fate"]];
+    static override usage = Command.Usage({
+        description: "Tell a request's end state and its time line of events.",
+    });
+    requestId = Option.String();
+    waitMs = Option.String("--wait-ms", "0");
+
+    /** @returns The exit code. */
+    async execute(): Promise<number> {
+        return this.sendCall("request.wait", {
+            requestId: this.requestId,
+            timeoutMs: Number(this.waitMs),
+        });
+    }
+}
+
+/** `poplarhead cancel`. */
+export class CancelCommand extends EntryClientCommand {
+    static override paths = [["cancel"]];
+    static override usage = Command.Usage({ description: "Cancel a request." });
+    requestId = Option.String();
+
+    /** @returns The exit code. */
+    async execute(): Promise<number> {
+        return this.sendCall("request.cancel", { requestId: this.requestId });
+    }
+}
+
+/** `poplarhead drain`. */
+export class DrainCommand extends EntryClientCommand {
+    static override paths = [["drain"]];
+    static override usage = Command.Usage({
+        description: "Drain an instance: it keeps its tasks and gets no new ones.",
+    });
+    instance = Option.String();
+
+    /** @returns The exit code. */
+    async execute(): Promise<number> {
+        return this.sendCall("instance.drain", { instance: this.instance });
+    }
+}
+
+/** `poplarhead rules set`. */
+export class RulesSetCommand extends EntryClientCommand {
+    static override paths = [["rules", "set"]];
+    static override usage = Command.Usage({
+        description:
+            "Replace the rules; names the version it replaces, and a change id that makes a resend safe.",
+    });
+    file = Option.String("--file", { required: true });
+    expectedVersion = Option.String("--expected-version", { required: true });
+    changeId = Option.String("--change-id", { required: true });
+
+    /** @returns The exit code. */
+    async execute(): Promise<number> {
+        const rules = parse(readFileSync(this.file, "utf8")) as object;
+        return this.sendCall("rules.set", {
+            change: {
+                changeId: this.changeId,
+                expectedVersion: Number(this.expectedVersion),
+                rules,
+            },
+        });
+    }
+}
+
+/** `poplarhead status`. */
+export class StatusCommand extends EntryClientCommand {
+    static override paths = [["status"]];
+    static override usage = Command.Usage({
+        description: "Requests per state, workers alive, packing.",
+    });
+
+    /** @returns The exit code. */
+    async execute(): Promise<number> {
+        return this.sendCall("cell.status", {});
+    }
+}
+
+/** `poplarhead logs merge`. */
+export class LogsMergeCommand extends Command {
+    static override paths = [["logs", "merge"]];
+    static override usage = Command.Usage({
+        description: "Merge the JSON logs of every process into one time line.",
+    });
+    request = Option.String("--request");
+    files = Option.Rest({ required: 1 });
+
+    /** @returns The exit code. */
+    async execute(): Promise<number> {
+        const texts = this.files.map((file) => readFileSync(file, "utf8"));
+        for (const event of mergeTimeline(texts, { request: this.request })) {
+            this.context.stdout.write(`${formatEvent(event)}\n`);
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/cli/process_commands.ts
@@ -0,0 +1,113 @@
+/**
+ * Commands that run a process of the cell: an entry instance, a host of stand-in workers.
+ *
+ * @example
+ * ```sh
+ * poplarhead entry --inventory examples/umhlanga/inventory.yaml --rules examples/umhlanga/rules.yaml
+ * poplarhead workers --entry 127.0.0.1:7000 --inventory examples/umhlanga/inventory.yaml --zone hall-a
+ * ```
+ *
+ * @module
+ */
+
+import { Command, Option } from "clipanion";
+import { EntryInstance } from "../entry/mod.ts";
+import { createId, type InstanceId } from "../inventory/mod.ts";
+import { WorkerHost } from "../standin/mod.ts";
+import { createLogger } from "../telemetry/mod.ts";
+import { loadSettingsFiles } from "./files.ts";
+
+/** `poplarhead entry`: runs an entry instance until SIGTERM or SIGINT. */
+export class EntryCommand extends Command {
+    static override paths = [["entry"]];
+    static override usage = Command.Usage({
+        description: "Run an entry instance: API, scheduler and journal.",
+    });
+    inventory = Option.String("--inventory", { required: true });
+    rules = Option.String("--rules", { required: true });
+    port = Option.String("--port", "0");
+    host = Option.String("--host", "127.0.0.1");
+    zone = Option.String("--zone", "local");
+    id = Option.String("--id", "entry-1");
+    dataDir = Option.String("--data-dir");
+    log = Option.String("--log");
+
+    /** @returns The exit code. */
+    async execute(): Promise<number> {
+        const { inventory, rules } = loadSettingsFiles(this.inventory, this.rules);
+        const logger = createLogger({ process: this.id, zone: this.zone, file: this.log });
+        const entry = new EntryInstance({
+            inventory,
+            rules,
+            host: this.host,
+            port: Number(this.port),
+            zone: this.zone,
+            processId: this.id,
+            dataDir: this.dataDir,
+            logger,
+        });
+        const address = await entry.start();
+        this.context.stdout.write(`${JSON.stringify({ listening: address })}\n`);
+        await waitForSignal();
+        await entry.stop();
+        return 0;
+    }
+}
+
+/** `poplarhead workers`: runs stand-in workers for the instances of one zone (or all). */
+export class WorkersCommand extends Command {
+    static override paths = [["workers"]];
+    static override usage = Command.Usage({
+        description: "Run stand-in workers for the inventory's instances, many in one process.",
+    });
+    entry = Option.String("--entry", { required: true });
+    inventory = Option.String("--inventory", { required: true });
+    rules = Option.String("--rules", { required: true });
+    zone = Option.String("--zone");
+    failing = Option.String("--failing", "", {
+        description: "comma-separated instances that fail everything",
+    });
+    id = Option.String("--id", "workers-1");
+    log = Option.String("--log");
+
+    /** @returns The exit code. */
+    async execute(): Promise<number> {
+        const { inventory } = loadSettingsFiles(this.inventory, this.rules);
+        const instances = inventory.instances.filter(
+            (i) => this.zone === undefined || i.zone === this.zone,
+        );
+        const failing = new Set(
+            this.failing
+                .split(",")
+                .filter((s) => s !== "")
+                .map((s) => createId<InstanceId>(s)),
+        );
+        const logger = createLogger({ process: this.id, zone: this.zone ?? "all", file: this.log });
+        const host = new WorkerHost({
+            entry: this.entry,
+            instances,
+            failing,
+            processId: this.id,
+            logger,
+        });
+        const address = await host.start();
+        this.context.stdout.write(
+            `${JSON.stringify({ listening: address, workers: instances.length })}\n`,
+        );
+        await waitForSignal();
+        await host.stop();
+        return 0;
+    }
+}
+
+/**
+ * Waits for SIGTERM or SIGINT.
+ *
+ * @returns When one arrives.
+ */
+export function waitForSignal(): Promise<void> {
+    return new Promise((resolve) => {
+        process.once("SIGTERM", () => resolve());
+        process.once("SIGINT", () => resolve());
+    });
+}
--- /dev/null
+++ b/entry/api_schema.ts
@@ -0,0 +1,114 @@
+/**
+ * Schemas of what callers, operators and workers send to an entry instance; every message is
+ * checked before the cell sees it, and a bad one gets a clear error with every finding.
+ *
+ * @example
+ * ```ts
+ * import { parseParams, submitSchema } from "./api_schema.ts";
+ * const { spec } = parseParams(submitSchema, params);
+ * ```
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import { MethodError } from "../rpc/mod.ts";
+import { rulesSchema } from "../settings/rules_file.ts";
+
+const resources = z.object({
+    cores: z.number().nonnegative(),
+    memoryMb: z.number().int().nonnegative(),
+    accelerators: z.number().int().nonnegative().default(0),
+});
+
+/** `request.submit`. */
+export const submitSchema = z.object({
+    spec: z.object({
+        caller: z.string().min(1),
+        key: z.string().min(1).max(200),
+        kind: z.string().min(1),
+        service: z.string().min(1),
+        customer: z.string().min(1),
+        demand: resources,
+        count: z.number().int().positive().max(1_000).default(1),
+        declaredRunMs: z.number().nonnegative().default(1_000),
+        maxWaitMs: z.number().nonnegative().default(0),
+        work: z
+            .object({
+                runMs: z.number().nonnegative().default(100),
+                usageFactor: z.number().positive().default(1),
+                fail: z.boolean().default(false),
+            })
+            .default({}),
+    }),
+});
+
+/** `request.fate`, `request.cancel`, `request.wait`. */
+export const requestRefSchema = z.object({
+    requestId: z.string().optional(),
+    caller: z.string().optional(),
+    key: z.string().optional(),
+    timeoutMs: z.number().nonnegative().max(60_000).default(0),
+});
+
+/** `instance.drain`. */
+export const drainSchema = z.object({ instance: z.string().min(1) });
+
+/** `rules.set`. */
+export const rulesChangeSchema = z.object({
+    change: z.object({
+        changeId: z.string().min(1),
+        expectedVersion: z.number().int(),
+        rules: rulesSchema,
+    }),
+});
+
+const heldLease = z.object({
+    lease: z.string(),
+    epoch: z.number().int(),
+    usage: resources.optional(),
+});
+
+/** `workers.announce`. */
+export const announceSchema = z.object({
+    workers: z.array(z.object({ instance: z.string(), address: z.string() })),
+});
+
+/** `workers.heartbeat`. */
+export const heartbeatSchema = z.object({
+    beats: z.array(z.object({ instance: z.string(), leases: z.array(heldLease) })),
+});
+
+/** `workers.report`. */
+export const reportSchema = z.object({
+    reports: z.array(
+        z.object({
+            lease: z.string(),
+            epoch: z.number().int(),
+            report: z.enum(["started", "completed", "failed", "stopped"]),
+            detail: z.string().default(""),
+        }),
+    ),
+});
+
+/** `workers.leave`. */
+export const leaveSchema = z.object({ instances: z.array(z.string()) });
+
+/**
+ * Checks params against a schema.
+ *
+ * @param schema The method's schema.
+ * @param params What arrived.
+ * @returns The typed params.
+ * @throws {MethodError} Listing every finding (-32602, invalid params).
+ */
+export function parseParams<S extends z.ZodTypeAny>(schema: S, params: unknown): z.infer<S> {
+    const parsed = schema.safeParse(params ?? {});
+    if (!parsed.success) {
+        const findings = parsed.error.issues.map(
+            (i) => `${i.path.join(".") || "(params)"}: ${i.message}`,
+        );
+        throw new MethodError(`invalid params: ${findings.join("; ")}`, -32602);
+    }
+    return parsed.data;
+}
--- /dev/null
+++ b/entry/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * The entry instance process: API, cell, journal and worker connections.
+ *
+ * @example
+ * ```ts
+ * import { EntryInstance } from "./mod.ts";
+ * ```
+ *
+ * @module
+ */
+
+export * from "./api_schema.ts";
+export * from "./entry.ts";
--- /dev/null
+++ b/rpc/http_rpc.ts
@@ -0,0 +1,268 @@
+/**
+ * JSON-RPC 2.0 over Node's `http`, both sides, between poplarhead's own processes and towards
+ * callers and operators. The server also serves plain routes (`/metrics`, `/readyz`).
+ *
+ * @example
+ * ```ts
+ * import { startRpcServer, createRpcClient } from "./http_rpc.ts";
+ * const server = await startRpcServer({ methods: { "cell.status": () => ({ ok: true }) } });
+ * const client = createRpcClient(server.address);
+ * await client.call("cell.status", {});
+ * ```
+ *
+ * @module
+ */
+
+import {
+    Agent,
+    createServer,
+    request as sendHttp,
+    type IncomingMessage,
+    type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import {
+    JSONRPCClient,
+    JSONRPCServer,
+    createJSONRPCErrorResponse,
+    type JSONRPCRequest,
+} from "json-rpc-2.0";
+
+/** A method: takes the params object, returns the result (or a promise of it). */
+export type RpcMethod = (params: unknown) => unknown;
+
+/** A plain route: writes its own response. */
+export type Route = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
+
+/** Options of {@link startRpcServer}. */
+export interface RpcServerOptions {
+    /** Defaults to 127.0.0.1. */
+    readonly host?: string;
+    /** 0 (the default) takes a free port. */
+    readonly port?: number;
+    readonly methods: Readonly<Record<string, RpcMethod>>;
+    /** GET routes by path. */
+    readonly routes?: Readonly<Record<string, Route>>;
+    /** The largest request body taken, in bytes (default 8 MiB). */
+    readonly maxBodyBytes?: number;
+}
+
+/** A running server. */
+export interface RpcServer {
+    /** `host:port` it listens on. */
+    readonly address: string;
+    /** Requests being served now. */
+    readonly inFlight: () => number;
+    /** Bytes received and sent since start. */
+    readonly bytes: () => { received: number; sent: number };
+    /** Stops taking connections and waits for the requests in flight to end. */
+    readonly close: () => Promise<void>;
+}
+
+/** Thrown by a client call when the server answered with an error or could not be reached. */
+export class RpcError extends Error {
+    /** The JSON-RPC error code, or 0 for a transport failure. */
+    readonly code: number;
+
+    /**
+     * @param message What failed.
+     * @param code The JSON-RPC error code, 0 for transport.
+     */
+    constructor(message: string, code: number) {
+        super(message);
+        this.name = "RpcError";
+        this.code = code;
+    }
+}
+
+/** An error that a method throws to give the caller a JSON-RPC error with a code. */
+export class MethodError extends Error {
+    readonly code: number;
+
+    /**
+     * @param message What is wrong, for the caller.
+     * @param code A JSON-RPC application error code (-32000 and below).
+     */
+    constructor(message: string, code = -32000) {
+        super(message);
+        this.name = "MethodError";
+        this.code = code;
+    }
+}
+
+/**
+ * Starts a JSON-RPC server on `POST /rpc`, with plain GET routes beside it.
+ *
+ * @param options Host, port, methods and routes.
+ * @returns The running server, once it listens.
+ */
+export async function startRpcServer(options: RpcServerOptions): Promise<RpcServer> {
+    const rpc = new JSONRPCServer({ errorListener: () => {} });
+    for (const [name, method] of Object.entries(options.methods)) {
+        rpc.addMethod(name, (params: unknown) => method(params));
+    }
+    rpc.applyMiddleware(async (next, request, serverParams) => {
+        try {
+            return await next(request, serverParams);
+        } catch (error) {
+            const code = error instanceof MethodError ? error.code : -32603;
+            return createJSONRPCErrorResponse(request.id ?? null, code, (error as Error).message);
+        }
+    });
+    const maxBody = options.maxBodyBytes ?? 8 * 1024 * 1024;
+    let inFlight = 0;
+    let received = 0;
+    let sent = 0;
+    const server = createServer((req, res) => {
+        inFlight += 1;
+        res.on("close", () => {
+            inFlight -= 1;
+        });
+        const route = req.method === "GET" ? options.routes?.[req.url ?? ""] : undefined;
+        if (route !== undefined) {
+            void route(req, res);
+            return;
+        }
+        if (req.method !== "POST" || req.url !== "/rpc") {
+            res.writeHead(404).end();
+            return;
+        }
+        const chunks: Buffer[] = [];
+        let size = 0;
+        req.on("data", (chunk: Buffer) => {
+            size += chunk.length;
+            if (size <= maxBody) {
+                chunks.push(chunk);
+            }
+        });
+        req.on("end", () => {
+            received += size;
+            if (size > maxBody) {
+                res.writeHead(413).end();
+                return;
+            }
+            void handleRpcBody(rpc, Buffer.concat(chunks).toString("utf8")).then((body) => {
+                sent += Buffer.byteLength(body);
+                res.writeHead(200, { "content-type": "application/json" }).end(body);
+            });
+        });
+    });
+    server.keepAliveTimeout = 5_000;
+    await new Promise<void>((resolve) =>
+        server.listen(options.port ?? 0, options.host ?? "127.0.0.1", resolve),
+    );
+    const info = server.address() as AddressInfo;
+    return {
+        address: `${info.address}:${info.port}`,
+        inFlight: () => inFlight,
+        bytes: () => ({ received, sent }),
+        close: () =>
+            new Promise<void>((resolve) => {
+                server.close(() => resolve());
+                server.closeIdleConnections();
+            }),
+    };
+}
+
+async function handleRpcBody(rpc: JSONRPCServer, body: string): Promise<string> {
+    let parsed: JSONRPCRequest;
+    try {
+        parsed = JSON.parse(body) as JSONRPCRequest;
+    } catch {
+        return JSON.stringify(createJSONRPCErrorResponse(null, -32700, "parse error"));
+    }
+    const answer = await rpc.receive(parsed);
+    return answer === null ? "" : JSON.stringify(answer);
+}
+
+/** A client of one server. */
+export interface RpcClient {
+    /**
+     * Calls a method.
+     *
+     * @param method The method's name.
+     * @param params Its params object.
+     * @returns The result.
+     * @throws {RpcError} On an error answer, a timeout or a transport failure.
+     */
+    readonly call: <T>(method: string, params: object) => Promise<T>;
+    /** Bytes sent and received by this client. */
+    readonly bytes: () => { received: number; sent: number };
+}
+
+const sharedAgent = new Agent({ keepAlive: true, maxSockets: 64 });
+
+/**
+ * Creates a client of the server at `address`.
+ *
+ * @param address `host:port`.
+ * @param timeoutMs How long one call may take, in ms (default 5 s).
+ * @returns The client.
+ */
+export function createRpcClient(address: string, timeoutMs = 5_000): RpcClient {
+    const [host, port] = parseAddress(address);
+    let received = 0;
+    let sent = 0;
+    const client = new JSONRPCClient(
+        (payload) =>
+            new Promise<void>((resolve, reject) => {
+                const body = JSON.stringify(payload);
+                sent += Buffer.byteLength(body);
+                const req = sendHttp(
+                    {
+                        host,
+                        port,
+                        method: "POST",
+                        path: "/rpc",
+                        agent: sharedAgent,
+                        timeout: timeoutMs,
+                        headers: { "content-type": "application/json" },
+                    },
+                    (res) => {
+                        const chunks: Buffer[] = [];
+                        res.on("data", (c: Buffer) => chunks.push(c));
+                        res.on("end", () => {
+                            const text = Buffer.concat(chunks).toString("utf8");
+                            received += Buffer.byteLength(text);
+                            if (text !== "") {
+                                client.receive(JSON.parse(text));
+                            }
+                            resolve();
+                        });
+                    },
+                );
+                req.on("timeout", () =>
+                    req.destroy(
+                        new RpcError(`timeout after ${timeoutMs} ms calling ${address}`, 0),
+                    ),
+                );
+                req.on("error", (error) =>
+                    reject(
+                        error instanceof RpcError
+                            ? error
+                            : new RpcError(`${address}: ${error.message}`, 0),
+                    ),
+                );
+                req.end(body);
+            }),
+    );
+    return {
+        call: async <T>(method: string, params: object): Promise<T> => {
+            try {
+                return (await client.timeout(timeoutMs).request(method, params)) as T;
+            } catch (error) {
+                if (error instanceof RpcError) {
+                    throw error;
+                }
+                const code = (error as { code?: number }).code ?? 0;
+                throw new RpcError((error as Error).message, code);
+            }
+        },
+        bytes: () => ({ received, sent }),
+    };
+}
+
+function parseAddress(address: string): [string, number] {
+    const at = address.lastIndexOf(":");
+    return [address.slice(0, at), Number(address.slice(at + 1))];
+}
--- /dev/null
+++ b/rpc/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * JSON-RPC 2.0 over Node `http` between poplarhead's processes.
+ *
+ * @example
+ * ```ts
+ * import { createRpcClient } from "./mod.ts";
+ * ```
+ *
+ * @module
+ */
+
+export * from "./http_rpc.ts";
--- a/scheduler/select.ts
+++ b/scheduler/select.ts
@@ -48,7 +48,7 @@
     if (!isTakingWork(worker, now) || getFreeSlots(worker, ask.service) <= already) {
         return false;
     }
-    const after = addResources(worker.held, scaleResources(ask.demand, already + 1));
+    const after = addResources(worker.held, computeScaled(ask.demand, already + 1));
     return isFitting(after, worker.instance.capacity);
 }
 
@@ -136,7 +136,7 @@
  * @param times How many tasks.
  * @returns The total.
  */
-export function scaleResources(resources: Resources, times: number): Resources {
+export function computeScaled(resources: Resources, times: number): Resources {
     return {
         cores: resources.cores * times,
         memoryMb: resources.memoryMb * times,
--- /dev/null
+++ b/telemetry/logger.ts
@@ -0,0 +1,53 @@
+/**
+ * Structured JSON logs (winston), one object a line, each with the time in ms, the process,
+ * its availability zone and, where there is one, the request: the lines of every process merge
+ * into one time line (`poplarhead logs merge`).
+ *
+ * @example
+ * ```ts
+ * import { createLogger } from "./logger.ts";
+ * const log = createLogger({ process: "entry-1", zone: "hall-a" });
+ * log.info("placed", { request: "r1", worker: "w3" });
+ * ```
+ *
+ * @module
+ */
+
+import { createLogger as createWinston, format, transports, type Logger } from "winston";
+
+/** Options of {@link createLogger}. */
+export interface LoggerOptions {
+    readonly process: string;
+    readonly zone: string;
+    /** A file to append to; standard error when absent. */
+    readonly file?: string;
+    /** Defaults to `info`. */
+    readonly level?: string;
+    /** Writes nothing (benchmarks). */
+    readonly silent?: boolean;
+}
+
+/**
+ * Creates a JSON logger whose every line carries time (ms), process and zone.
+ *
+ * @param options Process, zone, where to write.
+ * @returns The logger.
+ */
+export function createLogger(options: LoggerOptions): Logger {
+    const stamp = format((info) => {
+        info["t"] = Date.now();
+        info["process"] = options.process;
+        info["zone"] = options.zone;
+        return info;
+    });
+    return createWinston({
+        level: options.level ?? "info",
+        silent: options.silent ?? false,
+        format: format.combine(stamp(), format.json()),
+        transports: [
+            options.file === undefined
+                ? new transports.Stream({ stream: process.stderr })
+                : new transports.File({ filename: options.file }),
+        ],
+    });
+}
--- /dev/null
+++ b/telemetry/metrics.ts
@@ -0,0 +1,73 @@
+/**
+ * The entry instance's Prometheus metrics (prom-client): waiting time per class, placements,
+ * refusals, packing and the queue.
+ *
+ * @example
+ * ```ts
+ * import { createEntryMetrics } from "./metrics.ts";
+ * const metrics = createEntryMetrics();
+ * metrics.waitSeconds.observe({ class: "interactive" }, 0.012);
+ * ```
+ *
+ * @module
+ */
+
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from "prom-client";
+
+/** The metrics of one entry instance. */
+export interface EntryMetrics {
+    readonly registry: Registry;
+    readonly waitSeconds: Histogram<"class">;
+    readonly placements: Counter;
+    readonly finals: Counter<"state">;
+    readonly packingCores: Gauge;
+    readonly queued: Gauge;
+    readonly journalSyncSeconds: Histogram;
+}
+
+/**
+ * Creates the metrics in a registry of their own, with Node's default process metrics.
+ *
+ * @returns The metrics.
+ */
+export function createEntryMetrics(): EntryMetrics {
+    const registry = new Registry();
+    collectDefaultMetrics({ register: registry });
+    return {
+        registry,
+        waitSeconds: new Histogram({
+            name: "poplarhead_wait_seconds",
+            help: "Time from request to start, per precedence class.",
+            labelNames: ["class"],
+            buckets: [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5.7, 10, 30, 120],
+            registers: [registry],
+        }),
+        placements: new Counter({
+            name: "poplarhead_placements_total",
+            help: "Leases offered.",
+            registers: [registry],
+        }),
+        finals: new Counter({
+            name: "poplarhead_requests_final_total",
+            help: "Requests that reached an end state, per state.",
+            labelNames: ["state"],
+            registers: [registry],
+        }),
+        packingCores: new Gauge({
+            name: "poplarhead_packing_cores_ratio",
+            help: "Share of the cell's cores held by leases.",
+            registers: [registry],
+        }),
+        queued: new Gauge({
+            name: "poplarhead_queued_requests",
+            help: "Requests waiting.",
+            registers: [registry],
+        }),
+        journalSyncSeconds: new Histogram({
+            name: "poplarhead_journal_sync_seconds",
+            help: "Time of one journal write and fsync.",
+            buckets: [0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1],
+            registers: [registry],
+        }),
+    };
+}
--- /dev/null
+++ b/telemetry/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * Logs, metrics and the merged time line.
+ *
+ * @example
+ * ```ts
+ * import { createLogger, mergeTimeline } from "./mod.ts";
+ * ```
+ *
+ * @module
+ */
+
+export * from "./logger.ts";
+export * from "./metrics.ts";
+export * from "./timeline.ts";
