Prove the invariants: failure tests, property and differential tests, loopback tests

Failure tests: a billed batch whose worker goes silent fails as 'may have run' and is not leased again; a preview is leased again only after its first lease expired; a resend returns the same request and key reuse is refused; never-fit work is refused at once; preemption takes an idempotent hero, never a billed batch; a worker failing everything is quarantined. fast-check drives random streams of submits, ticks, starts, completions, failures, declines, silences and cancels (200 runs) checking every invariant after each step; a differential test runs the same stream through the naive first-fit reference and the cell.

--- a/cell/cell.ts
+++ b/cell/cell.ts
@@ -351,6 +351,15 @@
         return this.#workerList;
     }
 
+    /**
+     * Lists every lease ever made, live or ended.
+     *
+     * @returns The leases.
+     */
+    listLeases(): LeaseRecord[] {
+        return [...this.#leases.values()];
+    }
+
     /**
      * Lists the leases that still hold resources.
      *
--- /dev/null
+++ b/cell/cell_test.ts
@@ -0,0 +1,160 @@
+import test from "ava";
+import { createId, type InstanceId, type LeaseId } from "../inventory/mod.ts";
+import { buildCell, buildSpec } from "./_fixtures.ts";
+import { listViolations } from "./_invariants.ts";
+import type { Cell, Effect } from "./mod.ts";
+
+function takeGrants(cell: Cell): Extract<Effect, { type: "grant" }>[] {
+    return cell
+        .takeEffects()
+        .filter((e): e is Extract<Effect, { type: "grant" }> => e.type === "grant");
+}
+
+function startAll(
+    cell: Cell,
+    grants: readonly Extract<Effect, { type: "grant" }>[],
+    at: number,
+    started: Set<LeaseId>,
+): void {
+    for (const grant of grants) {
+        cell.handleGrantReply(grant.lease.lease, true, "", at);
+        cell.handleReport(grant.lease.lease, grant.lease.epoch, "started", "", at);
+        started.add(grant.lease.lease);
+    }
+}
+
+test("a billed batch whose worker goes silent fails as 'may have run' and is never leased again", (t) => {
+    // The caller sees: failed, mayHaveRun true, one attempt. Order: the batch is leased and
+    // started, its worker stops heartbeating, the lease passes ttl + grace, the cell expires it.
+    // A retry could bill the client twice; an at-most-once kind must never be retried blind.
+    const cell = buildCell({ workers: 2, leaseTtlMs: 100, leaseGraceMs: 50 });
+    const started = new Set<LeaseId>();
+    const answer = cell.submit(buildSpec({ kind: "batch" }), 0);
+    cell.tick(1);
+    startAll(cell, takeGrants(cell), 2, started);
+    cell.tick(500);
+    cell.tick(600);
+    const fate = cell.describeRequest(answer.requestId);
+    t.is(fate?.state, "failed");
+    t.true(fate?.mayHaveRun);
+    t.is(fate?.attempts, 1);
+    t.is(takeGrants(cell).length, 0);
+    t.deepEqual(listViolations(cell, started), []);
+});
+
+test("an idempotent preview is leased again only after its first lease has expired", (t) => {
+    // The caller sees: the preview completes on a second worker. Order: leased on w1, w1 goes
+    // silent; until ttl + grace pass, the cell keeps the first lease and offers no second; after,
+    // it expires the first and leases again. Two leases at once could run it in two places.
+    const cell = buildCell({ workers: 2, leaseTtlMs: 100, leaseGraceMs: 50 });
+    const started = new Set<LeaseId>();
+    const answer = cell.submit(buildSpec({ kind: "preview" }), 0);
+    cell.tick(1);
+    startAll(cell, takeGrants(cell), 2, started);
+    cell.handleHeartbeat(createId("w2"), [], 120);
+    cell.tick(140);
+    t.is(takeGrants(cell).length, 0, "no second lease while the first may still run");
+    cell.handleHeartbeat(createId("w2"), [], 200);
+    cell.tick(200);
+    const second = takeGrants(cell);
+    t.is(second.length, 1);
+    t.is(second[0]?.lease.instance, createId<InstanceId>("w2"));
+    t.true((second[0]?.lease.epoch ?? 0) > 1, "the new lease carries a higher epoch");
+    startAll(cell, second, 201, started);
+    cell.handleReport(second[0]!.lease.lease, second[0]!.lease.epoch, "completed", "", 250);
+    t.is(cell.describeRequest(answer.requestId)?.state, "completed");
+    t.deepEqual(listViolations(cell, started), []);
+});
+
+test("a resend with the same key returns the same request; other contents under it are refused", (t) => {
+    // The caller sees its first answer again after a lost reply, and an error for a key reused
+    // with another request. Two requests under one key would run a reel twice.
+    const cell = buildCell();
+    const spec = buildSpec({ kind: "reel" });
+    const first = cell.submit(spec, 0);
+    const again = cell.submit(spec, 5);
+    t.is(again.requestId, first.requestId);
+    t.is(cell.listRequests().length, 1);
+    t.throws(
+        () => cell.submit({ ...spec, demand: { cores: 3, memoryMb: 1, accelerators: 0 } }, 6),
+        { name: "KeyConflictError" },
+    );
+});
+
+test("work that can never fit is refused at once, with the reason", (t) => {
+    // The caller sees refused at once, not a request waiting for ever: no instance has 64 cores.
+    const cell = buildCell();
+    const answer = cell.submit(
+        buildSpec({ demand: { cores: 64, memoryMb: 1, accelerators: 0 } }),
+        0,
+    );
+    t.is(answer.state, "refused");
+    t.true(answer.final);
+    t.false(answer.mayHaveRun);
+    t.regex(answer.reason ?? "", /could ever hold/);
+});
+
+test("a preview preempts an idempotent overnight hero, never a billed batch", (t) => {
+    // The caller of the preview sees it start on a full worker; the hero is stopped, requeued
+    // only once its worker confirms the stop; the billed batch is never chosen, since it could
+    // not run again. One worker of 8 cores: a 4-core batch and a 4-core hero fill it.
+    const cell = buildCell({ workers: 1, cores: 8 });
+    const started = new Set<LeaseId>();
+    const batch = cell.submit(
+        buildSpec({ kind: "batch", demand: { cores: 4, memoryMb: 1, accelerators: 0 } }),
+        0,
+    );
+    const hero = cell.submit(
+        buildSpec({ kind: "hero", demand: { cores: 4, memoryMb: 1, accelerators: 0 } }),
+        0,
+    );
+    cell.tick(1);
+    startAll(cell, takeGrants(cell), 2, started);
+    const preview = cell.submit(
+        buildSpec({ kind: "preview", demand: { cores: 4, memoryMb: 1, accelerators: 0 } }),
+        3,
+    );
+    cell.tick(4);
+    const stops = cell.takeEffects().filter((e) => e.type === "stop");
+    t.is(stops.length, 1);
+    const heroLease = cell.listLeases().find((l) => l.request === hero.requestId);
+    t.is(stops[0]?.type === "stop" ? stops[0].lease : undefined, heroLease?.id);
+    cell.handleReport(heroLease!.id, heroLease!.epoch, "stopped", "", 5);
+    cell.tick(6);
+    const grants = takeGrants(cell);
+    t.is(grants[0]?.lease.request, preview.requestId);
+    t.is(cell.describeRequest(hero.requestId)?.state, "queued");
+    t.is(cell.describeRequest(batch.requestId)?.state, "running");
+    t.deepEqual(listViolations(cell, started), []);
+});
+
+test("a cancelled queued reel says it never ran; a worker that fails everything is quarantined", (t) => {
+    // The caller sees cancelled with mayHaveRun false: nothing was leased. A worker failing
+    // three previews in a row gets no fourth: without it, every retry would land there again.
+    const cell = buildCell({ workers: 2, quotaCores: 1_000 });
+    const reel = cell.submit(
+        buildSpec({ kind: "reel", demand: { cores: 100, memoryMb: 1, accelerators: 0 }, count: 1 }),
+        0,
+    );
+    t.is(reel.state, "refused");
+    cell.drainWorker(createId("w1"), 0, "drained");
+    cell.drainWorker(createId("w2"), 0, "drained");
+    const queued = cell.submit(buildSpec({ kind: "reel" }), 0);
+    cell.tick(1);
+    const cancelled = cell.cancel(queued.requestId, 2);
+    t.is(cancelled?.state, "cancelled");
+    t.false(cancelled?.mayHaveRun);
+    const other = buildCell({ workers: 2 });
+    for (let i = 0; i < 3; i++) {
+        other.submit(
+            buildSpec({ kind: "preview", demand: { cores: 15, memoryMb: 1, accelerators: 0 } }),
+            10 * i,
+        );
+        other.tick(10 * i + 1);
+        for (const grant of takeGrants(other)) {
+            other.handleReport(grant.lease.lease, grant.lease.epoch, "started", "", 10 * i + 2);
+            other.handleReport(grant.lease.lease, grant.lease.epoch, "failed", "boom", 10 * i + 3);
+        }
+    }
+    t.true(other.listWorkers().some((w) => w.quarantinedUntil > 100));
+});
--- /dev/null
+++ b/entry/entry_test.ts
@@ -0,0 +1,96 @@
+import { mkdtempSync, appendFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import test from "ava";
+import { buildInventoryFixture, buildRulesFixture, buildSpec } from "../cell/_fixtures.ts";
+import { createRpcClient, RpcError } from "../rpc/mod.ts";
+import { Caller, WorkerHost } from "../standin/mod.ts";
+import { createLogger } from "../telemetry/mod.ts";
+import { EntryInstance, SHUTTING_DOWN_CODE } from "./entry.ts";
+
+function buildQuietLogger(): ReturnType<typeof createLogger> {
+    return createLogger({ process: "test", zone: "test", silent: true });
+}
+
+test("requests run end to end over loopback, and a restarted entry instance remembers them", async (t) => {
+    // The caller sees every request completed; after the entry instance stops and a new one
+    // replays the journal from the same data folder, the same request ids tell the same fates.
+    const dataDir = mkdtempSync(join(tmpdir(), "poplarhead-test-"));
+    const inventory = buildInventoryFixture({ workers: 3 });
+    const rules = buildRulesFixture();
+    const entry = new EntryInstance({ inventory, rules, dataDir, logger: buildQuietLogger() });
+    const address = await entry.start();
+    const host = new WorkerHost({
+        entry: address,
+        instances: inventory.instances,
+        heartbeatMs: 50,
+        logger: buildQuietLogger(),
+    });
+    await host.start();
+    const specs = [
+        buildSpec({ kind: "preview", work: { runMs: 20, usageFactor: 1, fail: false } }),
+        buildSpec({ kind: "reel", work: { runMs: 30, usageFactor: 1, fail: false } }),
+    ];
+    const answers = await new Caller({ entry: address, deadlineMs: 10_000 }).runAll(specs);
+    t.deepEqual(
+        answers.map((a) => a.state),
+        ["completed", "completed"],
+    );
+    await host.stop();
+    await entry.stop();
+    const again = new EntryInstance({ inventory, rules, dataDir, logger: buildQuietLogger() });
+    const second = await again.start();
+    const fate = await createRpcClient(second).call<{ state: string }>("request.fate", {
+        requestId: answers[1]?.requestId,
+    });
+    t.is(fate.state, "completed");
+    await again.stop();
+});
+
+test("a stopping entry instance answers new submits at once with a code that says resend elsewhere", async (t) => {
+    // The caller of a submit that arrives during shutdown gets an immediate error it can act
+    // on (resend to another entry instance), never a hung connection; readiness is false first.
+    const inventory = buildInventoryFixture({ workers: 1 });
+    const entry = new EntryInstance({
+        inventory,
+        rules: buildRulesFixture(),
+        logger: buildQuietLogger(),
+    });
+    const address = await entry.start();
+    const client = createRpcClient(address);
+    const stopping = entry.stop();
+    const error = await t.throwsAsync(client.call("request.submit", { spec: buildSpec() }));
+    await stopping;
+    t.true(error instanceof RpcError && (error.code === SHUTTING_DOWN_CODE || error.code === 0));
+});
+
+test("a journal whose last line was torn by a crash replays the rest", async (t) => {
+    // The process died mid-write: the torn line was never fsynced, so no caller was answered for
+    // it. Replay drops it and keeps every earlier input.
+    const dataDir = mkdtempSync(join(tmpdir(), "poplarhead-torn-"));
+    const inventory = buildInventoryFixture({ workers: 1 });
+    const entry = new EntryInstance({
+        inventory,
+        rules: buildRulesFixture(),
+        dataDir,
+        logger: buildQuietLogger(),
+    });
+    const address = await entry.start();
+    const answer = await createRpcClient(address).call<{ requestId: string }>("request.submit", {
+        spec: buildSpec(),
+    });
+    await entry.stop();
+    appendFileSync(join(dataDir, "journal.jsonl"), '{"type":"submit","at":1,"sp');
+    const again = new EntryInstance({
+        inventory,
+        rules: buildRulesFixture(),
+        dataDir,
+        logger: buildQuietLogger(),
+    });
+    const second = await again.start();
+    const fate = await createRpcClient(second).call<{ requestId: string }>("request.fate", {
+        requestId: answer.requestId,
+    });
+    t.is(fate.requestId, answer.requestId);
+    await again.stop();
+});
--- /dev/null
+++ b/reference/differential_test.ts
@@ -0,0 +1,153 @@
+import test from "ava";
+import fc from "fast-check";
+import {
+    buildCell,
+    buildInventoryFixture,
+    buildRulesFixture,
+    buildSpec,
+} from "../cell/_fixtures.ts";
+import { listViolations } from "../cell/_invariants.ts";
+import type { Effect } from "../cell/mod.ts";
+import type { LeaseId } from "../inventory/mod.ts";
+import { ReferenceScheduler } from "./reference.ts";
+
+const KINDS = ["preview", "batch", "reel", "hero", "gang", "service", "unknown"] as const;
+
+const opArb = fc.oneof(
+    fc.record({
+        op: fc.constant("submit" as const),
+        kind: fc.constantFrom(...KINDS),
+        cores: fc.integer({ min: 1, max: 20 }),
+        count: fc.integer({ min: 1, max: 4 }),
+    }),
+    fc.record({
+        op: fc.constantFrom(
+            "tick" as const,
+            "start" as const,
+            "complete" as const,
+            "fail" as const,
+            "decline" as const,
+            "silence" as const,
+            "cancel" as const,
+        ),
+        pick: fc.nat(),
+    }),
+);
+
+test("the cell keeps every invariant over random request streams and worker faults", (t) => {
+    // What is checked after every step: no worker holds more than it has, no task has two live
+    // leases, no at-most-once task starts twice, no request says "did not run" after a start, no
+    // final request keeps a live lease. The worker side (starts) is kept by the test itself.
+    fc.assert(
+        fc.property(fc.array(opArb, { minLength: 5, maxLength: 80 }), (ops) => {
+            const cell = buildCell({ workers: 3, leaseTtlMs: 100, leaseGraceMs: 50 });
+            const started = new Set<LeaseId>();
+            const offered: Extract<Effect, { type: "grant" }>[] = [];
+            let now = 0;
+            for (const op of ops) {
+                now += 10;
+                const live = offered.filter((g) =>
+                    cell.listLiveLeases().some((l) => l.id === g.lease.lease),
+                );
+                const chosen = "pick" in op ? live[op.pick % Math.max(1, live.length)] : undefined;
+                if (op.op === "submit") {
+                    cell.submit(
+                        buildSpec({
+                            kind: op.kind,
+                            demand: { cores: op.cores, memoryMb: 1_024, accelerators: 0 },
+                            count: op.kind === "gang" || op.kind === "service" ? op.count : 1,
+                        }),
+                        now,
+                    );
+                } else if (op.op === "tick") {
+                    cell.tick(now);
+                } else if (op.op === "silence") {
+                    now += 200;
+                    cell.tick(now);
+                } else if (op.op === "cancel") {
+                    const ids = cell.listRequests();
+                    const id = ids[op.pick % Math.max(1, ids.length)];
+                    if (id !== undefined) {
+                        cell.cancel(id, now);
+                    }
+                } else if (chosen !== undefined) {
+                    const { lease, epoch } = chosen.lease;
+                    if (op.op === "decline") {
+                        if (!started.has(lease)) {
+                            cell.handleGrantReply(lease, false, "full", now);
+                        }
+                    } else if (op.op === "start") {
+                        started.add(lease);
+                        cell.handleReport(lease, epoch, "started", "", now);
+                    } else if (started.has(lease)) {
+                        cell.handleReport(
+                            lease,
+                            epoch,
+                            op.op === "complete" ? "completed" : "failed",
+                            "",
+                            now,
+                        );
+                    }
+                }
+                for (const effect of cell.takeEffects()) {
+                    if (effect.type === "grant") {
+                        offered.push(effect);
+                    }
+                }
+                const violations = listViolations(cell, started);
+                if (violations.length > 0) {
+                    t.log(violations);
+                    return false;
+                }
+            }
+            return true;
+        }),
+        { numRuns: 200, seed: 42 },
+    );
+    t.pass();
+});
+
+test("the cell and the naive reference agree on what can never run, and neither overcommits", (t) => {
+    // Differential: one stream through both. A request the reference refuses (no rule, fits no
+    // instance) the cell must refuse too, and the reverse; both place only what fits.
+    fc.assert(
+        fc.property(
+            fc.array(
+                fc.record({
+                    kind: fc.constantFrom(...KINDS),
+                    cores: fc.integer({ min: 1, max: 24 }),
+                }),
+                { minLength: 1, maxLength: 60 },
+            ),
+            (items) => {
+                const inventory = buildInventoryFixture({ workers: 3 });
+                const rules = buildRulesFixture();
+                const reference = new ReferenceScheduler(inventory, rules);
+                const cell = buildCell({ inventory, rules });
+                const specs = items.map((item) =>
+                    buildSpec({
+                        kind: item.kind,
+                        demand: { cores: item.cores, memoryMb: 1_024, accelerators: 0 },
+                    }),
+                );
+                const answers = specs.map((spec, i) => {
+                    reference.submit(spec);
+                    return cell.submit(spec, i);
+                });
+                reference.placeAll();
+                cell.tick(1_000);
+                const cellRefused = new Set(
+                    answers.flatMap((a, i) => (a.state === "refused" ? [i] : [])),
+                );
+                const violations = listViolations(cell, new Set());
+                return (
+                    violations.length === 0 &&
+                    [...reference.refused].every((i) => cellRefused.has(i)) &&
+                    [...cellRefused].every((i) => reference.refused.has(i))
+                );
+            },
+        ),
+        { numRuns: 200, seed: 7 },
+    );
+    t.pass();
+});
--- /dev/null
+++ b/reference/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * The naive single-process reference scheduler used by the differential tests.
+ *
+ * @example
+ * ```ts
+ * import { ReferenceScheduler } from "./mod.ts";
+ * ```
+ *
+ * @module
+ */
+
+export * from "./reference.ts";
--- /dev/null
+++ b/reference/reference.ts
@@ -0,0 +1,150 @@
+/**
+ * The naive reference scheduler for differential tests: one process, first fit, no
+ * concurrency, no preemption, no policies. It places each request on the first workers with
+ * room, in arrival order, and keeps its own books. Its results are checked against the same
+ * invariants as the cell's.
+ *
+ * @example
+ * ```ts
+ * import { ReferenceScheduler } from "./reference.ts";
+ * const reference = new ReferenceScheduler(inventory, rules);
+ * reference.submit(spec);
+ * reference.placeAll();
+ * ```
+ *
+ * @module
+ */
+
+import type { RequestSpec } from "../cell/mod.ts";
+import {
+    addResources,
+    isFitting,
+    NO_RESOURCES,
+    type Instance,
+    type InstanceId,
+    type Inventory,
+    type Resources,
+} from "../inventory/mod.ts";
+import type { Rules } from "../rules/mod.ts";
+
+/** A placement the reference made. */
+export interface ReferencePlacement {
+    readonly request: number;
+    readonly workers: readonly InstanceId[];
+}
+
+/** The naive scheduler. */
+export class ReferenceScheduler {
+    readonly #instances: readonly Instance[];
+    readonly #rules: Rules;
+    readonly #held = new Map<InstanceId, Resources>();
+    readonly #slots = new Map<InstanceId, number>();
+    readonly #executorSlots = new Map<string, number>();
+    readonly #queue: { index: number; spec: RequestSpec }[] = [];
+    /** What it placed, in order. */
+    readonly placements: ReferencePlacement[] = [];
+    /** Requests it refused, by index. */
+    readonly refused = new Set<number>();
+    #count = 0;
+
+    /**
+     * @param inventory The inventory.
+     * @param rules The rules.
+     */
+    constructor(inventory: Inventory, rules: Rules) {
+        this.#instances = inventory.instances;
+        this.#rules = rules;
+        for (const executor of inventory.executors) {
+            this.#executorSlots.set(`${executor.service}@${executor.instance}`, executor.slots);
+        }
+    }
+
+    /**
+     * Takes a request; refuses a kind without a rule or one that fits no instance at all.
+     *
+     * @param spec The request.
+     * @returns Its index.
+     */
+    submit(spec: RequestSpec): number {
+        const index = this.#count++;
+        const fitsSomewhere = this.#instances.some(
+            (i) =>
+                isFitting(spec.demand, i.capacity) &&
+                this.#executorSlots.has(`${spec.service}@${i.id}`),
+        );
+        if (!this.#rules.kinds.has(spec.kind) || !fitsSomewhere) {
+            this.refused.add(index);
+        } else {
+            this.#queue.push({ index, spec });
+        }
+        return index;
+    }
+
+    /** Places what fits now, first fit, in arrival order; a gang all at once or not at all. */
+    placeAll(): void {
+        for (const item of [...this.#queue]) {
+            const chosen = this.#placeFirstFit(item.spec);
+            if (chosen !== undefined) {
+                this.placements.push({ request: item.index, workers: chosen });
+                this.#queue.splice(this.#queue.indexOf(item), 1);
+            }
+        }
+    }
+
+    /**
+     * Ends one placed task, freeing what it held.
+     *
+     * @param worker Where it ran.
+     * @param spec Its request.
+     */
+    releaseTask(worker: InstanceId, spec: RequestSpec): void {
+        this.#held.set(
+            worker,
+            addResources(this.#held.get(worker) ?? NO_RESOURCES, {
+                cores: -spec.demand.cores,
+                memoryMb: -spec.demand.memoryMb,
+                accelerators: -spec.demand.accelerators,
+            }),
+        );
+        this.#slots.set(
+            `${spec.service}@${worker}` as InstanceId,
+            (this.#slots.get(`${spec.service}@${worker}` as InstanceId) ?? 1) - 1,
+        );
+    }
+
+    #placeFirstFit(spec: RequestSpec): InstanceId[] | undefined {
+        const chosen: InstanceId[] = [];
+        const trial = new Map(this.#held);
+        const slots = new Map(this.#slots);
+        for (let t = 0; t < spec.count; t++) {
+            const instance = this.#instances.find((i) => {
+                const key = `${spec.service}@${i.id}` as InstanceId;
+                const free = (this.#executorSlots.get(key) ?? 0) - (slots.get(key) ?? 0);
+                return (
+                    free > 0 &&
+                    isFitting(
+                        addResources(trial.get(i.id) ?? NO_RESOURCES, spec.demand),
+                        i.capacity,
+                    )
+                );
+            });
+            if (instance === undefined) {
+                return undefined;
+            }
+            const key = `${spec.service}@${instance.id}` as InstanceId;
+            trial.set(
+                instance.id,
+                addResources(trial.get(instance.id) ?? NO_RESOURCES, spec.demand),
+            );
+            slots.set(key, (slots.get(key) ?? 0) + 1);
+            chosen.push(instance.id);
+        }
+        for (const [k, v] of trial) {
+            this.#held.set(k, v);
+        }
+        for (const [k, v] of slots) {
+            this.#slots.set(k, v);
+        }
+        return chosen;
+    }
+}
--- a/telemetry/timeline.ts
+++ b/telemetry/timeline.ts
@@ -60,8 +60,8 @@
  */
 export function formatEvent(event: TimelineEvent): string {
     const { t, process, zone, message, request, ...rest } = event;
-    delete rest["level"];
     const fields = Object.entries(rest)
+        .filter(([k]) => k !== "level")
         .map(([k, v]) => `${k}=${typeof v === "string" ? v : JSON.stringify(v)}`)
         .join(" ");
     return `${new Date(t).toISOString()} ${process} ${zone}${request === undefined ? "" : ` [${request}]`} ${message} ${fields}`.trimEnd();
