--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -300,25 +300,22 @@
         return result;
     }
 
-    async #handleAnnounce(params: unknown): Promise<{ ok: true }> {
+    #handleAnnounce(params: unknown): Promise<{ ok: true }> {
         const { workers } = parseParams(announceSchema, params);
-        for (const worker of workers) {
-            const input: CellInput = {
+        return this.#applyBatch(
+            workers.map((w) => ({
                 type: "announce",
                 at: Date.now(),
-                instance: createId<InstanceId>(worker.instance),
-                address: worker.address,
-            };
-            this.#applyLogged(input, () => this.#cell.applyInput(input));
-        }
-        await this.#waitSync();
-        return { ok: true };
+                instance: createId<InstanceId>(w.instance),
+                address: w.address,
+            })),
+        );
     }
 
-    async #handleHeartbeat(params: unknown): Promise<{ ok: true }> {
+    #handleHeartbeat(params: unknown): Promise<{ ok: true }> {
         const { beats } = parseParams(heartbeatSchema, params);
-        for (const beat of beats) {
-            const input: CellInput = {
+        return this.#applyBatch(
+            beats.map((beat) => ({
                 type: "heartbeat",
                 at: Date.now(),
                 instance: createId<InstanceId>(beat.instance),
@@ -327,40 +324,40 @@
                     epoch: l.epoch,
                     usage: l.usage,
                 })),
-            };
-            this.#applyLogged(input, () => this.#cell.applyInput(input));
-        }
-        await this.#waitSync();
-        return { ok: true };
+            })),
+        );
     }
 
-    async #handleReport(params: unknown): Promise<{ ok: true }> {
+    #handleReport(params: unknown): Promise<{ ok: true }> {
         const { reports } = parseParams(reportSchema, params);
-        for (const report of reports) {
-            const input: CellInput = {
+        return this.#applyBatch(
+            reports.map((r) => ({
                 type: "report",
                 at: Date.now(),
-                lease: createId<LeaseId>(report.lease),
-                epoch: report.epoch,
-                report: report.report,
-                detail: report.detail,
-            };
-            this.#applyLogged(input, () => this.#cell.applyInput(input));
-        }
-        await this.#waitSync();
-        return { ok: true };
+                lease: createId<LeaseId>(r.lease),
+                epoch: r.epoch,
+                report: r.report,
+                detail: r.detail,
+            })),
+        );
     }
 
-    async #handleLeave(params: unknown): Promise<{ ok: true }> {
+    #handleLeave(params: unknown): Promise<{ ok: true }> {
         const { instances } = parseParams(leaveSchema, params);
-        for (const instance of instances) {
-            const input: CellInput = {
+        this.#log.info("upstream leaving", { instances });
+        return this.#applyBatch(
+            instances.map((i) => ({
                 type: "leave",
                 at: Date.now(),
-                instance: createId<InstanceId>(instance),
-            };
+                instance: createId<InstanceId>(i),
+            })),
+        );
+    }
+
+    /** Applies and journals a batch of worker inputs, answering after they are durable. */
+    async #applyBatch(inputs: readonly CellInput[]): Promise<{ ok: true }> {
+        for (const input of inputs) {
             this.#applyLogged(input, () => this.#cell.applyInput(input));
-            this.#log.info("upstream leaving", { instance });
         }
         await this.#waitSync();
         return { ok: true };
