--- a/cli/mod.ts
+++ b/cli/mod.ts
@@ -12,6 +12,7 @@
 
 import { Builtins, Cli } from "clipanion";
 import { DemoCommand } from "./demo_command.ts";
+import { LoadCommand } from "./load_command.ts";
 import {
     CancelCommand,
     CheckCommand,
@@ -38,6 +39,7 @@
     });
     for (const command of [
         DemoCommand,
+        LoadCommand,
         EntryCommand,
         WorkersCommand,
         CheckCommand,
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -380,9 +380,22 @@
             workers: workers.length,
             packingCores: total === 0 ? 0 : held / total,
             counters: this.#cell.counters,
+            bytes: this.#countBytes(),
         };
     }
 
+    /** Bytes received and sent by this process over JSON-RPC, both as server and as client. */
+    #countBytes(): { received: number; sent: number } {
+        const served = this.#server?.bytes() ?? { received: 0, sent: 0 };
+        let received = served.received;
+        let sent = served.sent;
+        for (const client of this.#clients.values()) {
+            received += client.bytes().received;
+            sent += client.bytes().sent;
+        }
+        return { received, sent };
+    }
+
     /** Applies an input through `apply`, journals it, and schedules the sync. */
     #applyLogged<T>(input: CellInput, apply: () => T): T {
         const result = apply();
--- /dev/null
+++ b/load/run_load.ts
@@ -0,0 +1,308 @@
+/**
+ * Runs an experiment against real processes on loopback: writes an inventory of the asked
+ * size, brings up the cell (one entry instance, a worker host per zone), sends the mix at the
+ * asked rate for the asked time, waits for every request to end, and reports waiting time per
+ * class, placements per second, packing, and each process's CPU share, memory and bytes/s.
+ * Bounded in time: sending stops after `durationMs`, waiting after `drainMs`.
+ *
+ * @example
+ * ```ts
+ * import { runExperiment } from "./run_load.ts";
+ * const report = await runExperiment(experiment, { dir: "/tmp/run", onProgress: console.error });
+ * ```
+ *
+ * @module
+ */
+
+import { readFileSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import * as hdr from "hdr-histogram-js";
+import { parse, stringify } from "yaml";
+import type { Answer } from "../cell/mod.ts";
+import { buildInventory } from "../examples/build_examples.ts";
+import { createRpcClient } from "../rpc/mod.ts";
+import { Caller } from "../standin/mod.ts";
+import { spawnCell } from "./cell_runner.ts";
+import type { Experiment } from "./experiment.ts";
+import { buildMix } from "./mix.ts";
+import { readProcessStats } from "./process_stats.ts";
+
+const ZONES: Record<Experiment["deployment"], string[]> = {
+    umhlanga: ["hall-a", "hall-b", "hall-c"],
+    caruaru: ["capela-norte", "capela-sul", "sede"],
+};
+const SERVICES: Record<Experiment["deployment"], string> = {
+    umhlanga: "studio-intake",
+    caruaru: "cerimonia",
+};
+const SEND_EVERY_MS = 20;
+const SAMPLE_EVERY_MS = 250;
+
+/** Waiting time of one class, in ms. */
+export interface WaitFigures {
+    readonly p50: number;
+    readonly p99: number;
+    readonly max: number;
+    readonly count: number;
+}
+
+/** Cost of one of our processes over the run. */
+export interface ProcessCost {
+    readonly role: string;
+    /** Share of one core, 0 to 1 (and more for several threads). */
+    readonly cpuShare: number;
+    readonly maxRssMb: number;
+}
+
+/** What a run reports. */
+export interface LoadReport {
+    readonly experiment: Experiment;
+    readonly requests: number;
+    readonly states: Record<string, number>;
+    readonly waitMsByClass: Record<string, WaitFigures>;
+    readonly placementsPerSecond: number;
+    readonly packingWhileQueued: number;
+    readonly packingMean: number;
+    readonly processes: readonly ProcessCost[];
+    readonly entryBytesPerSecond: { readonly received: number; readonly sent: number };
+    readonly elapsedMs: number;
+}
+
+/** Options of {@link runExperiment}. */
+export interface RunOptions {
+    /** Inventory, logs and journal go here. */
+    readonly dir: string;
+    /** Gets a progress line about once a second. */
+    readonly onProgress?: (line: string) => void;
+}
+
+interface Status {
+    packingCores: number;
+    requests: Record<string, number>;
+    counters: { placements: number };
+    bytes: { received: number; sent: number };
+}
+
+/**
+ * Runs one experiment.
+ *
+ * @param experiment The experiment.
+ * @param options Where files go, and a progress callback.
+ * @returns The report.
+ */
+export async function runExperiment(
+    experiment: Experiment,
+    options: RunOptions,
+): Promise<LoadReport> {
+    const examples = fileURLToPath(
+        new URL(`../examples/${experiment.deployment}/`, import.meta.url),
+    );
+    const rulesFile = join(examples, "rules.yaml");
+    const inventoryFile = join(options.dir, "inventory.yaml");
+    const deployment = {
+        cell: experiment.deployment,
+        zones: ZONES[experiment.deployment],
+        service: SERVICES[experiment.deployment],
+        workers: experiment.workers,
+    };
+    const inventory = buildInventory(deployment) as { racks: { instances: { id: string }[] }[] };
+    writeFileSync(inventoryFile, stringify(inventory, { aliasDuplicateObjects: false }));
+    const failing = inventory.racks
+        .flatMap((r) => r.instances.map((i) => i.id))
+        .slice(0, experiment.failingWorkers);
+    const classes = buildClassOfKind(rulesFile);
+    const cell = await spawnCell({
+        inventoryFile,
+        rulesFile,
+        dir: options.dir,
+        zones: deployment.zones,
+        failing,
+    });
+    try {
+        return await driveCell(experiment, cell.entry, cell.pids, classes, options);
+    } finally {
+        await cell.stop();
+    }
+}
+
+async function driveCell(
+    experiment: Experiment,
+    entry: string,
+    pids: readonly number[],
+    classes: ReadonlyMap<string, string>,
+    options: RunOptions,
+): Promise<LoadReport> {
+    const total = Math.round((experiment.ratePerSecond * experiment.durationMs) / 1_000);
+    const specs = buildMix(experiment.deployment, total, experiment.seed);
+    const caller = new Caller({ entry, deadlineMs: experiment.drainMs });
+    const status = createRpcClient(entry);
+    const started = Date.now();
+    const cpuBefore = pids.map((pid) => readProcessStats(pid).cpuSeconds);
+    const maxRss = pids.map(() => 0);
+    const before = await status.call<Status>("cell.status", {});
+    const packing: number[] = [];
+    const packingQueued: number[] = [];
+    const sampler = setInterval(() => {
+        pids.forEach((pid, i) => {
+            maxRss[i] = Math.max(maxRss[i] ?? 0, readProcessStats(pid).rssBytes);
+        });
+        void status.call<Status>("cell.status", {}).then((s) => {
+            packing.push(s.packingCores);
+            if ((s.requests["queued"] ?? 0) > 0) {
+                packingQueued.push(s.packingCores);
+            }
+        });
+    }, SAMPLE_EVERY_MS);
+    const progress = setInterval(() => {
+        options.onProgress?.(
+            `${experiment.name}: ${Math.round((Date.now() - started) / 1_000)} s, ${accepted.length}/${total} sent`,
+        );
+    }, 1_000);
+    const accepted: Promise<Answer>[] = [];
+    let random = experiment.seed;
+    await new Promise<void>((resolve) => {
+        const sender = setInterval(() => {
+            const due = Math.min(
+                total,
+                Math.round(((Date.now() - started) * experiment.ratePerSecond) / 1_000),
+            );
+            while (accepted.length < due) {
+                const spec = specs[accepted.length];
+                if (spec === undefined) {
+                    break;
+                }
+                random = (random * 1_103_515_245 + 12_345) % 2 ** 31;
+                const cancel = random / 2 ** 31 < experiment.cancelShare;
+                accepted.push(
+                    caller.submit(spec).then(async (answer) => {
+                        if (cancel) {
+                            await status
+                                .call("request.cancel", { requestId: answer.requestId })
+                                .catch(() => undefined);
+                        }
+                        return answer;
+                    }),
+                );
+            }
+            if (accepted.length >= total) {
+                clearInterval(sender);
+                resolve();
+            }
+        }, SEND_EVERY_MS);
+    });
+    const until = Date.now() + experiment.drainMs;
+    const answers = await Promise.all(
+        accepted.map(async (a) => caller.waitFinal((await a).requestId, until)),
+    );
+    clearInterval(sampler);
+    clearInterval(progress);
+    const elapsedMs = Date.now() - started;
+    const after = await status.call<Status>("cell.status", {});
+    const seconds = elapsedMs / 1_000;
+    return {
+        experiment,
+        requests: answers.length,
+        states: countStates(answers),
+        waitMsByClass: summarizeWaits(answers, classes),
+        placementsPerSecond: Math.round(
+            (after.counters.placements - before.counters.placements) / seconds,
+        ),
+        packingWhileQueued: computeMean(packingQueued),
+        packingMean: computeMean(packing),
+        processes: pids.map((pid, i) => ({
+            role: i === 0 ? "entry" : `workers-${i}`,
+            cpuShare: Number(
+                ((readProcessStats(pid).cpuSeconds - (cpuBefore[i] ?? 0)) / seconds).toFixed(4),
+            ),
+            maxRssMb: Math.round((maxRss[i] ?? 0) / 1_048_576),
+        })),
+        entryBytesPerSecond: {
+            received: Math.round((after.bytes.received - before.bytes.received) / seconds),
+            sent: Math.round((after.bytes.sent - before.bytes.sent) / seconds),
+        },
+        elapsedMs,
+    };
+}
+
+function buildClassOfKind(rulesFile: string): Map<string, string> {
+    const rules = parse(readFileSync(rulesFile, "utf8")) as {
+        kinds: { name: string; class: string }[];
+    };
+    return new Map(rules.kinds.map((k) => [k.name, k.class]));
+}
+
+function countStates(answers: readonly Answer[]): Record<string, number> {
+    const states: Record<string, number> = {};
+    for (const answer of answers) {
+        states[answer.state] = (states[answer.state] ?? 0) + 1;
+    }
+    return states;
+}
+
+function summarizeWaits(
+    answers: readonly Answer[],
+    classes: ReadonlyMap<string, string>,
+): Record<string, WaitFigures> {
+    const histograms = new Map<string, hdr.Histogram>();
+    for (const answer of answers) {
+        if (answer.startedAt === undefined) {
+            continue;
+        }
+        const name = classes.get(answer.kind) ?? answer.kind;
+        const histogram =
+            histograms.get(name) ??
+            hdr.build({
+                lowestDiscernibleValue: 1,
+                highestTrackableValue: 3_600_000,
+                numberOfSignificantValueDigits: 3,
+            });
+        histogram.recordValue(Math.max(1, answer.startedAt - answer.acceptedAt));
+        histograms.set(name, histogram);
+    }
+    return Object.fromEntries(
+        [...histograms].map(([name, h]) => [
+            name,
+            {
+                p50: h.getValueAtPercentile(50),
+                p99: h.getValueAtPercentile(99),
+                max: h.maxValue,
+                count: h.totalCount,
+            },
+        ]),
+    );
+}
+
+function computeMean(values: readonly number[]): number {
+    return values.length === 0
+        ? 0
+        : Number((values.reduce((a, b) => a + b, 0) / values.length).toFixed(3));
+}
+
+/**
+ * Formats a report for a person.
+ *
+ * @param report The report.
+ * @returns A few lines.
+ */
+export function formatReport(report: LoadReport): string {
+    const e = report.experiment;
+    const lines = [
+        `${e.name}: ${e.workers} workers, ${e.ratePerSecond}/s for ${e.durationMs} ms; ${report.requests} requests in ${report.elapsedMs} ms: ${Object.entries(
+            report.states,
+        )
+            .map(([s, n]) => `${s} ${n}`)
+            .join(", ")}`,
+        `  placements ${report.placementsPerSecond}/s; packing ${report.packingMean} mean, ${report.packingWhileQueued} while work was queued`,
+        ...Object.entries(report.waitMsByClass).map(
+            ([c, w]) =>
+                `  wait ${c.padEnd(12)} p50 ${w.p50} ms  p99 ${w.p99} ms  max ${w.max} ms  (n=${w.count})`,
+        ),
+        ...report.processes.map(
+            (p) =>
+                `  ${p.role.padEnd(10)} cpu ${(p.cpuShare * 100).toFixed(1)}% of a core, rss max ${p.maxRssMb} MB`,
+        ),
+        `  entry bytes/s received ${report.entryBytesPerSecond.received}, sent ${report.entryBytesPerSecond.sent}`,
+    ];
+    return `${lines.join("\n")}\n`;
+}
