--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -380,12 +380,12 @@
             workers: workers.length,
             packingCores: total === 0 ? 0 : held / total,
             counters: this.#cell.counters,
-            bytes: this.#countBytes(),
+            bytes: this.#measureBytes(),
         };
     }
 
     /** Bytes received and sent by this process over JSON-RPC, both as server and as client. */
-    #countBytes(): { received: number; sent: number } {
+    #measureBytes(): { received: number; sent: number } {
         const served = this.#server?.bytes() ?? { received: 0, sent: 0 };
         let received = served.received;
         let sent = served.sent;
--- a/load/run_load.ts
+++ b/load/run_load.ts
@@ -120,13 +120,13 @@
         failing,
     });
     try {
-        return await driveCell(experiment, cell.entry, cell.pids, classes, options);
+        return await runDriver(experiment, cell.entry, cell.pids, classes, options);
     } finally {
         await cell.stop();
     }
 }
 
-async function driveCell(
+async function runDriver(
     experiment: Experiment,
     entry: string,
     pids: readonly number[],
@@ -203,7 +203,7 @@
     return {
         experiment,
         requests: answers.length,
-        states: countStates(answers),
+        states: computeStates(answers),
         waitMsByClass: summarizeWaits(answers, classes),
         placementsPerSecond: Math.round(
             (after.counters.placements - before.counters.placements) / seconds,
@@ -232,7 +232,7 @@
     return new Map(rules.kinds.map((k) => [k.name, k.class]));
 }
 
-function countStates(answers: readonly Answer[]): Record<string, number> {
+function computeStates(answers: readonly Answer[]): Record<string, number> {
     const states: Record<string, number> = {};
     for (const answer of answers) {
         states[answer.state] = (states[answer.state] ?? 0) + 1;
