Prove two promises on loopback: a leaving upstream gets no lease; rules never revert

Cause: docs/INVARIANTS.md listed the leaving upstream and the configuration change without a test that causes their failures.

--- /dev/null
+++ b/entry/invariants_test.ts
@@ -0,0 +1,102 @@
+import { mkdtempSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import test from "ava";
+import { buildInventoryFixture, buildRulesFixture, buildSpec } from "../cell/_fixtures.ts";
+import type { Instance } from "../inventory/mod.ts";
+import { createRpcClient } from "../rpc/mod.ts";
+import type { RulesFile } from "../settings/rules_file.ts";
+import { Caller, WorkerHost } from "../standin/mod.ts";
+import { createLogger } from "../telemetry/mod.ts";
+import { EntryInstance } from "./entry.ts";
+
+function buildQuietLogger(): ReturnType<typeof createLogger> {
+    return createLogger({ process: "test", zone: "test", silent: true });
+}
+
+function buildRulesFile(): RulesFile {
+    return {
+        version: 0,
+        classes: [{ name: "interactive", precedence: 100, preemptible: false }],
+        kinds: [{ name: "preview", class: "interactive", placement: "latency", idempotent: true }],
+        quotas: [],
+    };
+}
+
+test("an upstream that announced its leaving gets no new lease", async (t) => {
+    // The worker host of w1 announces that it leaves; then ten previews arrive. The caller sees
+    // all ten completed, every one on w2: the cell drains w1 the moment the announcement is
+    // taken, so a leaving upstream receives no work at all, well within the few seconds allowed.
+    const inventory = buildInventoryFixture({ workers: 2 });
+    const entry = new EntryInstance({
+        inventory,
+        rules: buildRulesFixture(),
+        logger: buildQuietLogger(),
+    });
+    const address = await entry.start();
+    const [w1, w2] = inventory.instances as [Instance, Instance];
+    const leaving = new WorkerHost({
+        entry: address,
+        instances: [w1],
+        heartbeatMs: 50,
+        logger: buildQuietLogger(),
+    });
+    const staying = new WorkerHost({
+        entry: address,
+        instances: [w2],
+        heartbeatMs: 50,
+        logger: buildQuietLogger(),
+    });
+    await leaving.start();
+    await staying.start();
+    await leaving.stop();
+    const specs = Array.from({ length: 10 }, () =>
+        buildSpec({
+            kind: "preview",
+            demand: { cores: 1, memoryMb: 1, accelerators: 0 },
+            work: { runMs: 10, usageFactor: 1, fail: false },
+        }),
+    );
+    const answers = await new Caller({ entry: address, deadlineMs: 10_000 }).runAll(specs);
+    t.true(answers.every((a) => a.state === "completed"));
+    t.deepEqual([...new Set(entry.cell.listLeases().map((l) => l.worker))], [w2.id]);
+    t.is(leaving.agents.get(w1.id)?.started.length, 0);
+    await staying.stop();
+    await entry.stop();
+});
+
+test("operators racing with equal versions get one winner; a resend is applied once; it never reverts", async (t) => {
+    // Two operators both send a change that replaces version 1. The first taken wins (version
+    // 2); the second gets a conflict naming the version in force. The winner resends after a
+    // lost answer and gets the same result, not version 3. After a restart from the journal,
+    // version 2 is still in force: an accepted change never reverts.
+    const dataDir = mkdtempSync(join(tmpdir(), "poplarhead-rules-"));
+    const inventory = buildInventoryFixture({ workers: 1 });
+    const entry = new EntryInstance({
+        inventory,
+        rules: buildRulesFixture(),
+        dataDir,
+        logger: buildQuietLogger(),
+    });
+    const client = createRpcClient(await entry.start());
+    const send = (changeId: string): Promise<{ status: string; version: number }> =>
+        client.call("rules.set", {
+            change: { changeId, expectedVersion: 1, rules: buildRulesFile() },
+        });
+    const [first, second] = await Promise.all([send("alice-1"), send("bob-1")]);
+    t.deepEqual([first.status, second.status].sort(), ["applied", "conflict"]);
+    const winner = first.status === "applied" ? "alice-1" : "bob-1";
+    t.deepEqual(await send(winner), { status: "applied", version: 2 });
+    t.is(entry.cell.rules.version, 2);
+    await entry.stop();
+    const again = new EntryInstance({
+        inventory,
+        rules: buildRulesFixture(),
+        dataDir,
+        logger: buildQuietLogger(),
+    });
+    await again.start();
+    t.is(again.cell.rules.version, 2);
+    t.false(again.cell.rules.kinds.has("batch"), "the rules in force are the accepted change's");
+    await again.stop();
+});
