--- a/cell/cell.ts
+++ b/cell/cell.ts
@@ -40,7 +40,7 @@
     type Victim,
     type WorkerState,
 } from "../scheduler/mod.ts";
-import { createRules } from "../settings/rules_file.ts";
+import { createRules, listRulesProblems } from "../settings/rules_file.ts";
 import {
     KeyConflictError,
     type Answer,
@@ -546,14 +546,42 @@
                 reason: `expected version ${change.expectedVersion}, but ${this.#rules.version} is in force`,
             };
         } else {
-            const version = this.#rules.version + 1;
-            this.#rules = createRules({ ...change.rules, version });
-            result = { status: "applied", version };
+            const problems = this.#listRulesProblems(change);
+            if (problems.length > 0) {
+                result = {
+                    status: "rejected",
+                    version: this.#rules.version,
+                    reason: problems.join("; "),
+                };
+            } else {
+                const version = this.#rules.version + 1;
+                this.#rules = createRules({ ...change.rules, version });
+                result = { status: "applied", version };
+            }
         }
         this.#rulesChanges.set(change.changeId, result);
         return result;
     }
 
+    /**
+     * Finds what would break if a change took effect: problems of the rules themselves, and kinds
+     * that requests not yet ended still need (their next tick would find no rule for them).
+     */
+    #listRulesProblems(change: RulesChange): string[] {
+        const problems = listRulesProblems(change.rules);
+        const kinds = new Set(change.rules.kinds.map((k) => k.name));
+        const inUse = new Map<string, number>();
+        for (const request of this.#requests.values()) {
+            if (!requestChart.finalStates.has(request.state) && !kinds.has(request.spec.kind)) {
+                inUse.set(request.spec.kind, (inUse.get(request.spec.kind) ?? 0) + 1);
+            }
+        }
+        for (const [kind, count] of inUse) {
+            problems.push(`kind "${kind}" is in use by ${count} request(s) not yet ended`);
+        }
+        return problems;
+    }
+
     /**
      * Advances the cell's clock: ends leases and workers that went silent, gives up on requests
      * past their wait, and places queued work in precedence order.
--- a/cell/cell_test.ts
+++ b/cell/cell_test.ts
@@ -158,3 +158,31 @@
     }
     t.true(other.listWorkers().some((w) => w.quarantinedUntil > 100));
 });
+
+test("a rules change that drops a kind still in use, or names an unknown class, is rejected whole", (t) => {
+    // The operator sees "rejected" with every reason, and the rules in force stay as they were.
+    // Without the check, the next tick looks up the queued batch's kind, finds no rule, and
+    // throws inside the entry instance's loop; a kind naming an unknown class throws the same way.
+    const cell = buildCell({ workers: 1 });
+    cell.drainWorker(createId<InstanceId>("w1"), 0, "drained");
+    const batch = cell.submit(buildSpec({ kind: "batch" }), 0);
+    const result = cell.setRules({
+        changeId: "c1",
+        expectedVersion: 1,
+        rules: {
+            version: 0,
+            classes: [{ name: "interactive", precedence: 100, preemptible: false }],
+            kinds: [
+                { name: "preview", class: "interactive", placement: "latency", idempotent: true },
+                { name: "reel", class: "nope", placement: "packing", idempotent: false },
+            ],
+            quotas: [],
+        },
+    });
+    t.is(result.status, "rejected");
+    t.regex(result.status === "rejected" ? result.reason : "", /kind "batch" is in use/);
+    t.regex(result.status === "rejected" ? result.reason : "", /unknown class "nope"/);
+    t.is(cell.rules.version, 1);
+    cell.tick(1);
+    t.is(cell.describeRequest(batch.requestId)?.state, "queued");
+});
--- a/cell/types.ts
+++ b/cell/types.ts
@@ -198,7 +198,8 @@
 /** The answer to a rules change. */
 export type RulesChangeResult =
     | { readonly status: "applied"; readonly version: number }
-    | { readonly status: "conflict"; readonly version: number; readonly reason: string };
+    | { readonly status: "conflict"; readonly version: number; readonly reason: string }
+    | { readonly status: "rejected"; readonly version: number; readonly reason: string };
 
 /** Everything that changes the cell; the journal keeps these, and replay gives the same cell. */
 export type CellInput =
--- a/settings/rules_file.ts
+++ b/settings/rules_file.ts
@@ -96,6 +96,19 @@
     };
 }
 
+/**
+ * Lists what is wrong with rules that passed the schema but came by another way than a file
+ * (an operator's `rules.set`): duplicates and kinds naming unknown classes.
+ *
+ * @param value The rules as sent.
+ * @returns One line per problem, with its path; empty when they are good.
+ */
+export function listRulesProblems(value: RulesFile): string[] {
+    const problems: string[] = [];
+    checkReferences(value, (path, message) => problems.push(`${path.join(".")}: ${message}`));
+    return problems;
+}
+
 function checkReferences(value: RulesFile, report: ReportFinding): void {
     checkUnique(value.classes, (c) => c.name, ["classes"], report);
     checkUnique(value.kinds, (k) => k.name, ["kinds"], report);
