--- /dev/null
+++ b/bench/idle_probe.ts
@@ -0,0 +1,38 @@
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { stringify } from "yaml";
+import { buildInventory } from "../examples/build_examples.ts";
+import { spawnCell } from "../load/cell_runner.ts";
+import { readProcessStats } from "../load/process_stats.ts";
+const workers = Number(process.argv[2] ?? 300);
+const dir = mkdtempSync(join(tmpdir(), "idle-"));
+const inv = join(dir, "inventory.yaml");
+writeFileSync(
+    inv,
+    stringify(
+        buildInventory({
+            cell: "umhlanga",
+            zones: ["hall-a", "hall-b", "hall-c"],
+            service: "studio-intake",
+            workers,
+        }),
+        { aliasDuplicateObjects: false },
+    ),
+);
+const cell = await spawnCell({
+    inventoryFile: inv,
+    rulesFile: "examples/umhlanga/rules.yaml",
+    dir,
+    zones: ["hall-a", "hall-b", "hall-c"],
+});
+await new Promise((r) => setTimeout(r, 3000));
+const a = cell.pids.map((p) => readProcessStats(p).cpuSeconds);
+await new Promise((r) => setTimeout(r, 10000));
+const b = cell.pids.map((p) => readProcessStats(p).cpuSeconds);
+console.log(
+    workers,
+    "workers idle, share of a core per process over 10 s:",
+    b.map((x, i) => (((x - (a[i] ?? 0)) / 10) * 100).toFixed(1) + "%").join(" "),
+);
+await cell.stop();
