Make the agreement tests bite: restarts inside a lease, old-term entries, freezes, single links

Change: two directed tests (a follower that restarts inside the lease; an entry of an earlier term copied to a quorum), and the random schedules also freeze the leader and cut single links; 400 runs.

--- a/log/consensus_test.ts
+++ b/log/consensus_test.ts
@@ -3,7 +3,7 @@
 import { GroupFixture } from "./_fixtures.ts";
 import type { MemberId } from "./types.ts";
 
-const RUNS = 150;
+const RUNS = 400;
 
 function getLeader(group: GroupFixture): MemberId {
     const { leader } = group;
@@ -102,6 +102,58 @@
     t.deepEqual(group.violations, []);
 });
 
+test("a follower that restarts keeps the lease of the leader it answered", (t) => {
+    // The leader may answer callers until its lease ends. One follower is cut off from it and
+    // campaigns; the other restarts, forgets that it just answered the leader, and would vote:
+    // two leaders could then answer at once. It refuses for one election timeout instead.
+    const group = new GroupFixture({ members: 3, seed: 21 });
+    group.runFor(5_000);
+    const leader = getLeader(group);
+    const [campaigner, restarted] = group.ids.filter((id) => id !== leader) as [MemberId, MemberId];
+    group.setLink(leader, campaigner, false);
+    group.runFor(1_500);
+    t.is(getLeader(group), leader);
+    group.stopMember(restarted);
+    group.startMember(restarted);
+    group.setLink(leader, restarted, false);
+    group.nodes
+        .get(restarted)
+        ?.receive(
+            campaigner,
+            { type: "voteRequest", pre: false, term: 99, lastIndex: 99, lastTerm: 98 },
+            group.now,
+        );
+    const answer = group.nodes.get(restarted)?.takeReady().sendAfter[0]?.message;
+    t.true(group.nodes.get(leader)?.hasLease(group.now));
+    t.like(answer, { type: "voteResponse", granted: false });
+});
+
+test("an entry of an earlier term is not committed by counting its copies", (t) => {
+    // A leader of term 2 died after storing an entry on a minority. Its successor in term 4 copies
+    // the entry to a quorum. Counted as committed now, it could still be overwritten by a member
+    // whose last entry is of term 3; so it waits for an entry of term 4 on top.
+    const group = new GroupFixture({ members: 3, seed: 2 });
+    const [m1, m2] = group.ids as [MemberId, MemberId];
+    const disk = group.disks.get(m1);
+    disk?.entries.push(
+        { index: 1, term: 1, type: "commands", commands: ["a"] },
+        { index: 2, term: 2, type: "commands", commands: ["b"] },
+    );
+    Object.assign(disk ?? {}, { hard: { term: 3, votedFor: undefined } });
+    group.startMember(m1);
+    group.runFor(100);
+    group.advance(2_000);
+    while (group.nodes.get(m1)?.role !== "leader") {
+        group.handleMessage(0, false);
+    }
+    const node = group.nodes.get(m1);
+    const answer = { type: "appendResponse", ok: true, sentAt: group.now } as const;
+    node?.receive(m2, { ...answer, term: node.term, index: 2 }, group.now);
+    t.is(node?.commitIndex, 0);
+    node?.receive(m2, { ...answer, term: node.term, index: 3 }, group.now);
+    t.is(node?.commitIndex, 3);
+});
+
 test("no schedule of losses, cuts, crashes and freezes breaks agreement", (t) => {
     // Whatever the order of deliveries, losses, kills and restarts: at most one leader a term, at
     // most one lease at a time, and no committed entry changes or disappears.
@@ -113,6 +165,8 @@
         { weight: 1, arbitrary: fc.record({ kind: fc.constant("restart"), n: fc.nat(4) }) },
         { weight: 1, arbitrary: fc.record({ kind: fc.constant("isolate"), n: fc.nat(4) }) },
         { weight: 1, arbitrary: fc.record({ kind: fc.constant("heal"), n: fc.nat(4) }) },
+        { weight: 1, arbitrary: fc.record({ kind: fc.constant("cut"), n: fc.nat(24) }) },
+        { weight: 1, arbitrary: fc.record({ kind: fc.constant("freeze"), n: fc.nat(4_000) }) },
         { weight: 2, arbitrary: fc.record({ kind: fc.constant("run"), n: fc.nat(3_000) }) },
     );
     fc.assert(
@@ -167,6 +221,15 @@
         case "isolate":
             group.setIsolated(id, true);
             return;
+        case "cut":
+            group.setLink(id, group.ids[(n >> 2) % group.ids.length] as MemberId, false);
+            return;
+        case "freeze":
+            group.runFor(
+                n,
+                group.ids.find((m) => group.nodes.get(m)?.role === "leader"),
+            );
+            return;
         case "heal":
             group.removeCuts();
             return;
