--- a/cell/cell.ts
+++ b/cell/cell.ts
@@ -1,13 +1,14 @@
 /**
  * The cell: every request, task, lease and worker of one scheduling domain, as a deterministic
  * state machine. Inputs go in (`applyInput`), effects come out (`takeEffects`); it does no I/O
- * and reads no clock, so the journal can replay it and tests can drive it with plain calls.
+ * and reads no clock, so every replica of a group holds the same cell, and tests can drive it
+ * with plain calls.
  *
  * @example
  * ```ts
  * import { Cell } from "./cell.ts";
  * const cell = new Cell({ inventory, rules });
- * cell.applyInput({ type: "announce", at: 0, instance, address: "127.0.0.1:7001" });
+ * cell.announceWorker(instance, "127.0.0.1:7001", 0);
  * const answer = cell.submit(spec, 1);
  * cell.tick(2);
  * for (const effect of cell.takeEffects()) { ... }
@@ -16,31 +17,37 @@
  * @module
  */
 
-import { applyChartEvent, loadChart } from "../chart/mod.ts";
+import { applyChartEvent } from "../chart/mod.ts";
 import {
-    addResources,
     createId,
     getMaxResources,
+    isFitting,
     NO_RESOURCES,
-    removeResources,
-    type CustomerId,
     type InstanceId,
     type Inventory,
     type LeaseId,
     type RequestId,
     type TaskId,
 } from "../inventory/mod.ts";
-import { getKindClass, getKindRule, type KindRule, type Rules } from "../rules/mod.ts";
 import {
-    createWorkerState,
-    isEverFeasible,
-    placeTask,
-    planPreemption,
-    type PlacementAsk,
-    type Victim,
-    type WorkerState,
-} from "../scheduler/mod.ts";
-import { createRules, listRulesProblems } from "../settings/rules_file.ts";
+    getKindClass,
+    type Rules,
+    type RulesChange,
+    type RulesChangeResult,
+} from "../rules/mod.ts";
+import type { WorkerState } from "../scheduler/mod.ts";
+import { listRulesProblems, type RulesFile } from "../settings/rules_file.ts";
+import {
+    Books,
+    computeSpecHash,
+    createKey,
+    type CellCounters,
+    type CellOptions,
+    type Tombstone,
+} from "./_books.ts";
+import { leaseChart, Lifecycle, NO_GUARDS, requestChart } from "./_lifecycle.ts";
+import { Placer } from "./_placer.ts";
+import { encodeBooks, restoreBooks } from "./_snapshot.ts";
 import {
     KeyConflictError,
     type Answer,
@@ -50,130 +57,75 @@
     type LeaseRecord,
     type RequestRecord,
     type RequestSpec,
-    type RulesChange,
-    type RulesChangeResult,
-    type TaskOutcome,
     type TaskReport,
 } from "./types.ts";
 
-const requestChart = loadChart(new URL("../request/request_chart.yaml", import.meta.url));
-const leaseChart = loadChart(new URL("../lease/lease_chart.yaml", import.meta.url));
-
-/** Options of a cell. */
-export interface CellOptions {
-    readonly inventory: Inventory;
-    readonly rules: Rules;
-    /** A lease lives this long without a renewal, in ms. The worker stops its task after it. */
-    readonly leaseTtlMs?: number;
-    /**
-     * Extra wait past the time to live before the cell counts a lease lost, in ms. It covers
-     * clock drift and a late heartbeat, so that the worker has stopped the task by then.
-     */
-    readonly leaseGraceMs?: number;
-    /** Leases an idempotent request may be offered before it fails. */
-    readonly maxAttempts?: number;
-    /** Failed tasks in a row after which a worker gets no work for a while. */
-    readonly quarantineAfter?: number;
-    /** How long a quarantine lasts, in ms. */
-    readonly quarantineMs?: number;
-    /** The most placements one tick decides. */
-    readonly maxPlacementsPerTick?: number;
-}
-
-const DEFAULTS = {
-    leaseTtlMs: 3_000,
-    leaseGraceMs: 1_500,
-    maxAttempts: 3,
-    quarantineAfter: 3,
-    quarantineMs: 30_000,
-    maxPlacementsPerTick: 5_000,
-};
+export type { CellCounters, CellOptions } from "./_books.ts";
 
-/** Counters that the entry process turns into metrics. */
-export interface CellCounters {
-    placements: number;
-    preemptions: number;
-    refusals: number;
-    declines: number;
-    expiries: number;
-}
+/** How often a queue that nothing changed for is looked at again, in ms (quarantines end). */
+const IDLE_PLACE_MS = 100;
 
 /** The cell's state machine. */
 export class Cell {
-    readonly #options: typeof DEFAULTS;
-    readonly #inventory: Inventory;
-    #rules: Rules;
-    readonly #workers = new Map<InstanceId, WorkerState>();
-    readonly #workerList: WorkerState[] = [];
-    readonly #requests = new Map<RequestId, RequestRecord>();
-    readonly #byKey = new Map<string, RequestId>();
-    readonly #leases = new Map<LeaseId, LeaseRecord>();
-    readonly #queue = new Map<number, RequestRecord[]>();
-    readonly #customerCores = new Map<CustomerId, number>();
-    readonly #rulesChanges = new Map<string, RulesChangeResult>();
-    #effects: Effect[] = [];
-    #nextSeq = 1;
-    #nextEpoch = 1;
-    /** Counters since start. */
-    readonly counters: CellCounters = {
-        placements: 0,
-        preemptions: 0,
-        refusals: 0,
-        declines: 0,
-        expiries: 0,
-    };
+    readonly #books: Books;
+    readonly #lifecycle: Lifecycle;
+    readonly #placer: Placer;
+    #lastPlacedAt = 0;
 
     /**
      * @param options The inventory, the rules and timings; see {@link CellOptions}.
      */
     constructor(options: CellOptions) {
-        this.#options = { ...DEFAULTS, ...removeUndefined(options) };
-        this.#inventory = options.inventory;
-        this.#rules = options.rules;
-        for (const instance of options.inventory.instances) {
-            const worker = createWorkerState(instance, options.inventory.executors);
-            this.#workers.set(instance.id, worker);
-            this.#workerList.push(worker);
-        }
+        this.#books = new Books(options);
+        this.#lifecycle = new Lifecycle(this.#books);
+        this.#placer = new Placer(this.#books, this.#lifecycle);
     }
 
     /**
-     * Applies one input; the journal replays inputs through here.
+     * Applies one input; every replica of a group applies the same ones in the same order.
      *
      * @param input The input.
+     * @returns What the sender of the input is told, where it is told anything.
+     * @throws {KeyConflictError} See {@link Cell.submit}.
      */
-    applyInput(input: CellInput): void {
+    applyInput(input: CellInput): Answer | RulesChangeResult | boolean | undefined {
+        this.#books.lastAt = Math.max(this.#books.lastAt, input.at);
         switch (input.type) {
             case "submit":
-                this.submit(input.spec, input.at);
-                return;
+                return this.submit(input.spec, input.at);
             case "cancel":
-                this.cancel(input.request, input.at);
-                return;
+                return this.cancel(input.request, input.at);
             case "tick":
                 this.tick(input.at);
-                return;
+                return undefined;
             case "announce":
-                this.announceWorker(input.instance, input.address, input.at);
-                return;
+                this.announceWorker(input.instance, input.address, input.at, input.incarnation);
+                return undefined;
             case "leave":
-                this.drainWorker(input.instance, input.at, "leaving");
-                return;
+                return this.drainWorker(input.instance, input.at, "leaving");
             case "drain":
-                this.drainWorker(input.instance, input.at, "drained");
-                return;
+                return this.drainWorker(input.instance, input.at, "drained");
+            case "undrain":
+                return this.releaseDrain(input.instance);
             case "heartbeat":
                 this.handleHeartbeat(input.instance, input.leases, input.at);
-                return;
+                return undefined;
+            case "renew":
+                this.renewWorkers(input.workers, input.at);
+                return undefined;
+            case "takeover":
+                this.handleTakeover(input.at);
+                return undefined;
             case "grantReply":
                 this.handleGrantReply(input.lease, input.accepted, input.reason, input.at);
-                return;
+                return undefined;
             case "report":
                 this.handleReport(input.lease, input.epoch, input.report, input.detail, input.at);
-                return;
+                return undefined;
             case "setRules":
-                this.setRules(input.change);
-                return;
+                return this.setRules(input.change);
+            case "adoptRules":
+                return this.adoptRules(input.rules);
         }
     }
 
@@ -183,19 +135,45 @@
      * @returns Effects in the order they arose.
      */
     takeEffects(): Effect[] {
-        const effects = this.#effects;
-        this.#effects = [];
-        return effects;
+        return this.#books.takeEffects();
+    }
+
+    /**
+     * Encodes the whole state.
+     *
+     * @returns Text for {@link Cell.restore}.
+     */
+    encode(): string {
+        return encodeBooks(this.#books);
+    }
+
+    /**
+     * Replaces the whole state.
+     *
+     * @param text What {@link Cell.encode} gave.
+     */
+    restore(text: string): void {
+        restoreBooks(this.#books, text);
     }
 
     /** The rules in force. */
     get rules(): Rules {
-        return this.#rules;
+        return this.#books.rules;
     }
 
     /** The inventory. */
     get inventory(): Inventory {
-        return this.#inventory;
+        return this.#books.inventory;
+    }
+
+    /** Counters since the cell began. */
+    get counters(): CellCounters {
+        return this.#books.counters;
+    }
+
+    /** The time of the newest input, in ms. */
+    get lastAt(): number {
+        return this.#books.lastAt;
     }
 
     /**
@@ -207,55 +185,28 @@
      * @throws {KeyConflictError} When the key names a request with other contents.
      */
     submit(spec: RequestSpec, at: number): Answer {
-        const keyOf = `${spec.caller}\u0000${spec.key}`;
-        const existing = this.#byKey.get(keyOf);
+        const keyOf = createKey(spec.caller, spec.key);
+        const existing = this.#books.byKey.get(keyOf);
         if (existing !== undefined) {
-            const request = this.#getRequest(existing);
-            if (JSON.stringify(request.spec) !== JSON.stringify(spec)) {
-                throw new KeyConflictError(spec.caller, spec.key, existing);
-            }
+            this.#checkSameSpec(existing, spec);
             return this.describeRequest(existing) as Answer;
         }
-        const seq = this.#nextSeq++;
-        const id = createId<RequestId>(`r${seq}`);
-        const request: RequestRecord = {
-            id,
-            seq,
-            spec,
-            state: requestChart.initial,
-            acceptedAt: at,
-            startedAt: undefined,
-            endedAt: undefined,
-            reason: undefined,
-            attempts: 0,
-            started: false,
-            mayHaveStarted: false,
-            mayHaveRunBefore: false,
-            stopping: undefined,
-            trouble: undefined,
-            troubleDetail: "",
-            blockedBy: undefined,
-            tasks: Array.from({ length: spec.count }, (_, i) => ({
-                id: createId<TaskId>(`${id}.${i}`),
-                state: "waiting" as const,
-                lease: undefined,
-                outcome: undefined,
-            })),
-            events: [],
-        };
-        this.#requests.set(id, request);
-        this.#byKey.set(keyOf, id);
-        this.#recordFate(
+        const seq = this.#books.nextSeq++;
+        const id = createId<RequestId>(`${this.#books.options.idPrefix}r${seq}`);
+        const request = this.#createRequest(id, seq, spec, at);
+        this.#books.requests.set(id, request);
+        this.#books.byKey.set(keyOf, id);
+        this.#books.recordFate(
             request,
             at,
             "accepted",
             `${spec.kind} x${spec.count} for ${spec.customer}`,
         );
-        const refusal = this.#findRefusal(spec);
+        const refusal = this.#placer.findRefusal(spec);
         if (refusal !== undefined) {
-            this.#applyRequestEvent(request, "refuse", at, refusal);
+            this.#lifecycle.applyRequestEvent(request, "refuse", at, refusal);
         } else {
-            this.#addToQueue(request);
+            this.#books.addToQueue(request);
         }
         return this.describeRequest(id) as Answer;
     }
@@ -268,23 +219,19 @@
      * @returns The answer, or `undefined` for an unknown id.
      */
     cancel(id: RequestId, at: number): Answer | undefined {
-        const request = this.#requests.get(id);
+        const request = this.#books.requests.get(id);
         if (request === undefined) {
-            return undefined;
+            return this.describeRequest(id);
         }
         if (request.state === "queued") {
-            this.#applyRequestEvent(
-                request,
-                "cancel",
-                at,
-                request.mayHaveStarted
-                    ? "cancelled; an earlier attempt may have run"
-                    : "cancelled before it started",
-            );
+            const reason = request.mayHaveStarted
+                ? "cancelled; an earlier attempt may have run"
+                : "cancelled before it started";
+            this.#lifecycle.applyRequestEvent(request, "cancel", at, reason);
         } else if (request.state === "leased" || request.state === "running") {
-            this.#applyRequestEvent(request, "cancel", at, "cancel asked; stopping");
+            this.#lifecycle.applyRequestEvent(request, "cancel", at, "cancel asked; stopping");
             request.stopping = "cancel";
-            this.#stopLeases(request, "stop", at);
+            this.#lifecycle.stopLeases(request, "stop");
         }
         return this.describeRequest(id);
     }
@@ -296,9 +243,10 @@
      * @returns The answer, or `undefined` for an unknown id.
      */
     describeRequest(id: RequestId): Answer | undefined {
-        const request = this.#requests.get(id);
+        const request = this.#books.requests.get(id);
         if (request === undefined) {
-            return undefined;
+            const stone = this.#books.tombstones.get(id);
+            return stone === undefined ? undefined : describeTombstone(stone);
         }
         const final = requestChart.finalStates.has(request.state);
         return {
@@ -330,16 +278,29 @@
      * @returns The request's id, or `undefined`.
      */
     findByKey(caller: string, key: string): RequestId | undefined {
-        return this.#byKey.get(`${caller}\u0000${key}`);
+        return this.#books.byKey.get(createKey(caller, key));
     }
 
     /**
-     * Lists every request id, oldest first.
+     * Lists every request id whose time line is kept, oldest first.
      *
      * @returns The ids.
      */
     listRequests(): RequestId[] {
-        return [...this.#requests.keys()];
+        return [...this.#books.requests.keys()];
+    }
+
+    /**
+     * Counts the requests whose time line is kept, per state.
+     *
+     * @returns The states with their counts.
+     */
+    computeStates(): Map<string, number> {
+        const states = new Map<string, number>();
+        for (const request of this.#books.requests.values()) {
+            states.set(request.state, (states.get(request.state) ?? 0) + 1);
+        }
+        return states;
     }
 
     /**
@@ -348,16 +309,16 @@
      * @returns The views.
      */
     listWorkers(): readonly WorkerState[] {
-        return this.#workerList;
+        return this.#books.workerList;
     }
 
     /**
-     * Lists every lease ever made, live or ended.
+     * Lists every lease of a request whose time line is kept, live or ended.
      *
      * @returns The leases.
      */
     listLeases(): LeaseRecord[] {
-        return [...this.#leases.values()];
+        return [...this.#books.leases.values()];
     }
 
     /**
@@ -366,43 +327,60 @@
      * @returns The leases.
      */
     listLiveLeases(): LeaseRecord[] {
-        return [...this.#leases.values()].filter((l) => !leaseChart.finalStates.has(l.state));
+        return [...this.#books.liveLeases].flatMap((id) => this.#books.leases.get(id) ?? []);
     }
 
     /**
-     * Takes a worker's announcement: it takes work from now on.
+     * Takes a worker's announcement: it takes work from now on, unless an operator drained it.
      *
      * @param instance The worker's instance.
      * @param address Where its agent listens.
      * @param at The time in ms.
+     * @param incarnation The worker process; a restarted one gives another.
      */
-    announceWorker(instance: InstanceId, address: string, at: number): void {
-        const worker = this.#workers.get(instance);
+    announceWorker(instance: InstanceId, address: string, at: number, incarnation = ""): void {
+        const worker = this.#books.workers.get(instance);
         if (worker === undefined) {
             return;
         }
         worker.address = address;
+        worker.incarnation = incarnation;
         worker.alive = true;
-        worker.draining = false;
+        worker.leaving = false;
         worker.lastHeartbeatAt = at;
+        this.#books.isDirty = true;
     }
 
     /**
      * Stops new work going to a worker; its tasks go on.
      *
      * @param instance The worker's instance.
-     * @param at The time in ms.
-     * @param why "drained" by an operator or "leaving" by its own word.
+     * @param _at The time in ms.
+     * @param why "drained" by an operator (until undrained) or "leaving" by its own word.
+     * @returns False for an unknown instance.
+     */
+    drainWorker(instance: InstanceId, _at: number, why: "drained" | "leaving"): boolean {
+        const worker = this.#books.workers.get(instance);
+        if (worker === undefined) {
+            return false;
+        }
+        worker[why] = true;
+        return true;
+    }
+
+    /**
+     * Ends an operator's drain.
+     *
+     * @param instance The worker's instance.
      * @returns False for an unknown instance.
      */
-    drainWorker(instance: InstanceId, at: number, why: "drained" | "leaving"): boolean {
-        const worker = this.#workers.get(instance);
+    releaseDrain(instance: InstanceId): boolean {
+        const worker = this.#books.workers.get(instance);
         if (worker === undefined) {
             return false;
         }
-        worker.draining = true;
-        void at;
-        void why;
+        worker.drained = false;
+        this.#books.isDirty = true;
         return true;
     }
 
@@ -415,38 +393,98 @@
      * @param at The time in ms.
      */
     handleHeartbeat(instance: InstanceId, held: readonly HeldLease[], at: number): void {
-        const worker = this.#workers.get(instance);
+        const worker = this.#books.workers.get(instance);
         if (worker === undefined) {
             return;
         }
-        worker.alive = true;
-        worker.lastHeartbeatAt = at;
+        this.#renewWorker(worker, at);
         for (const item of held) {
-            const lease = this.#leases.get(item.lease);
-            if (
-                lease === undefined ||
-                lease.epoch !== item.epoch ||
-                leaseChart.finalStates.has(lease.state)
-            ) {
-                if (worker.address !== undefined) {
-                    this.#effects.push({
-                        type: "stop",
-                        address: worker.address,
-                        instance,
-                        lease: item.lease,
-                        epoch: item.epoch,
-                        mode: "stop",
-                    });
-                }
+            const lease = this.#findLiveLease(item.lease, item.epoch);
+            if (lease === undefined) {
+                this.#books.emit({
+                    type: "stop",
+                    address: worker.address ?? "",
+                    instance,
+                    incarnation: worker.incarnation,
+                    lease: item.lease,
+                    epoch: item.epoch,
+                    mode: "stop",
+                });
                 continue;
             }
-            lease.state = applyChartEvent(leaseChart, lease.state, "renew", NO_GUARDS);
-            lease.renewedAt = at;
+            this.#renewLease(lease, at);
             if (item.usage !== undefined) {
                 lease.reported = item.usage;
-                this.#setHeld(worker, lease, getMaxResources(lease.declared, item.usage));
+                this.#books.setHeld(worker, lease, getMaxResources(lease.declared, item.usage));
+            }
+        }
+    }
+
+    /**
+     * Tells whether a heartbeat lists just the leases that this cell has live on the worker, none
+     * using more than declared: then the short `renew` input says the same as the heartbeat.
+     *
+     * @param instance The worker's instance.
+     * @param held The leases the worker holds.
+     * @returns True when `renew` is enough.
+     */
+    isRenewal(instance: InstanceId, held: readonly HeldLease[]): boolean {
+        const worker = this.#books.workers.get(instance);
+        return (
+            worker !== undefined &&
+            worker.leases.size === held.length &&
+            held.every((item) => {
+                const lease = this.#findLiveLease(item.lease, item.epoch);
+                return (
+                    lease?.worker === instance &&
+                    !lease.stopSent &&
+                    isFitting(lease.held, lease.declared) &&
+                    isFitting(item.usage ?? NO_RESOURCES, lease.declared)
+                );
+            })
+        );
+    }
+
+    /**
+     * Renews workers and every live lease on them.
+     *
+     * @param instances The workers' instances.
+     * @param at The time in ms.
+     */
+    renewWorkers(instances: readonly InstanceId[], at: number): void {
+        for (const instance of instances) {
+            const worker = this.#books.workers.get(instance);
+            if (worker === undefined) {
+                continue;
+            }
+            this.#renewWorker(worker, at);
+            for (const id of worker.leases) {
+                const lease = this.#books.leases.get(id);
+                if (lease !== undefined) {
+                    this.#renewLease(lease, at);
+                }
+            }
+        }
+    }
+
+    /**
+     * Starts a new leader's rule: workers and leases get their full time again, because the
+     * heartbeats that the leader before heard last may not be in the log, and what that leader
+     * may not have sent is sent again.
+     *
+     * @param at The time in ms.
+     */
+    handleTakeover(at: number): void {
+        for (const worker of this.#books.workerList) {
+            if (worker.alive) {
+                worker.lastHeartbeatAt = Math.max(worker.lastHeartbeatAt, at);
             }
         }
+        for (const lease of this.listLiveLeases()) {
+            lease.renewedAt = Math.max(lease.renewedAt, at);
+        }
+        this.#lifecycle.emitUnanswered();
+        this.#books.isDirty = true;
     }
 
     /**
@@ -458,8 +496,8 @@
      * @param at The time in ms.
      */
     handleGrantReply(id: LeaseId, accepted: boolean, reason: string, at: number): void {
-        const lease = this.#leases.get(id);
-        if (lease === undefined || lease.state !== "offered") {
+        const lease = this.#books.leases.get(id);
+        if (lease === undefined || lease.state !== leaseChart.initial) {
             return;
         }
         if (accepted) {
@@ -467,14 +505,7 @@
             lease.renewedAt = at;
             return;
         }
-        this.counters.declines += 1;
-        this.#closeLease(
-            lease,
-            "decline",
-            "declined",
-            `worker ${lease.worker} declined: ${reason}`,
-            at,
-        );
+        this.#closeDeclined(lease, reason, at);
     }
 
     /**
@@ -487,91 +518,87 @@
      * @param at The time in ms.
      */
     handleReport(id: LeaseId, epoch: number, report: TaskReport, detail: string, at: number): void {
-        const lease = this.#leases.get(id);
-        if (
-            lease === undefined ||
-            lease.epoch !== epoch ||
-            leaseChart.finalStates.has(lease.state)
-        ) {
+        const lease = this.#findLiveLease(id, epoch);
+        const request = lease === undefined ? undefined : this.#books.getRequest(lease.request);
+        const task = request?.tasks.find((t) => t.id === lease?.task);
+        if (lease === undefined || request === undefined || task === undefined) {
             return;
         }
-        const request = this.#getRequest(lease.request);
-        const task = request.tasks.find((t) => t.id === lease.task);
-        if (task === undefined) {
+        if (report === "declined") {
+            if (lease.state === leaseChart.initial) {
+                this.#closeDeclined(lease, detail, at);
+            }
             return;
         }
         if (report === "started") {
-            if (lease.state === "offered") {
+            if (lease.state === leaseChart.initial) {
                 lease.state = applyChartEvent(leaseChart, lease.state, "accept", NO_GUARDS);
             }
             lease.renewedAt = at;
             task.state = "running";
-            this.#handleTaskStarted(request, at);
+            this.#lifecycle.handleTaskStarted(request, at);
             return;
         }
-        const worker = this.#getWorker(lease.worker);
-        if (report === "failed") {
-            worker.failuresInARow += 1;
-            if (worker.failuresInARow >= this.#options.quarantineAfter) {
-                worker.quarantinedUntil = at + this.#options.quarantineMs;
-                this.#recordFate(
-                    request,
-                    at,
-                    "quarantine",
-                    `worker ${worker.instance.id} failed ${worker.failuresInARow} in a row`,
-                );
-            }
-        } else if (report === "completed") {
-            worker.failuresInARow = 0;
-        }
-        this.#closeLease(lease, "release", report, detail, at);
+        this.#recordWorkerResult(this.#books.getWorker(lease.worker), request, report, at);
+        this.#lifecycle.closeLease(lease, "release", report, detail, at);
     }
 
     /**
      * Applies a rules change: once per change id; a stale expected version is a conflict.
      *
      * @param change The change.
-     * @returns Applied with the new version, or a conflict with the version in force.
+     * @returns Applied with the new version, or why not.
      */
     setRules(change: RulesChange): RulesChangeResult {
-        const earlier = this.#rulesChanges.get(change.changeId);
-        if (earlier !== undefined) {
-            return earlier;
+        const result = this.#books.rulesBook.applyChange(change, () =>
+            this.listRulesProblems(change.rules),
+        );
+        this.#books.isDirty = true;
+        return result;
+    }
+
+    /**
+     * Takes rules that the configuration group decided. Kinds that it drops while requests of
+     * them have not ended stay known to those requests only; requests of a kind that became
+     * non-idempotent are not run again.
+     *
+     * @param file The rules.
+     * @returns Whether they are in force now; older ones than those in force are ignored.
+     */
+    adoptRules(file: RulesFile): boolean {
+        const before = this.rules;
+        if (!this.#books.rulesBook.adoptRules(file)) {
+            return false;
         }
-        let result: RulesChangeResult;
-        if (change.expectedVersion !== this.#rules.version) {
-            result = {
-                status: "conflict",
-                version: this.#rules.version,
-                reason: `expected version ${change.expectedVersion}, but ${this.#rules.version} is in force`,
-            };
-        } else {
-            const problems = this.#listRulesProblems(change);
-            if (problems.length > 0) {
-                result = {
-                    status: "rejected",
-                    version: this.#rules.version,
-                    reason: problems.join("; "),
-                };
-            } else {
-                const version = this.#rules.version + 1;
-                this.#rules = createRules({ ...change.rules, version });
-                result = { status: "applied", version };
+        for (const [kind, rule] of before.kinds) {
+            if (!this.rules.kinds.has(kind)) {
+                this.#books.retiredKinds.set(kind, {
+                    rule,
+                    kindClass: getKindClass(before, rule),
+                });
             }
         }
-        this.#rulesChanges.set(change.changeId, result);
-        return result;
+        for (const request of this.#books.requests.values()) {
+            if (this.rules.kinds.get(request.spec.kind)?.idempotent === false) {
+                request.atMostOnce = true;
+            }
+        }
+        this.#books.isDirty = true;
+        return true;
     }
 
     /**
-     * Finds what would break if a change took effect: problems of the rules themselves, and kinds
+     * Finds what would break if rules took effect: problems of the rules themselves, and kinds
      * that requests not yet ended still need (their next tick would find no rule for them).
+     *
+     * @param rules The rules.
+     * @returns One line per problem.
      */
-    #listRulesProblems(change: RulesChange): string[] {
-        const problems = listRulesProblems(change.rules);
-        const kinds = new Set(change.rules.kinds.map((k) => k.name));
+    listRulesProblems(rules: RulesFile): string[] {
+        const problems = listRulesProblems(rules);
+        const kinds = new Set(rules.kinds.map((k) => k.name));
         const inUse = new Map<string, number>();
-        for (const request of this.#requests.values()) {
+        for (const request of this.#books.requests.values()) {
             if (!requestChart.finalStates.has(request.state) && !kinds.has(request.spec.kind)) {
                 inUse.set(request.spec.kind, (inUse.get(request.spec.kind) ?? 0) + 1);
             }
@@ -590,498 +617,174 @@
      */
     tick(at: number): void {
         this.#expireLeases(at);
-        this.#placeQueued(at);
+        this.#placer.placeQueued(at);
+        this.#books.removeOld(at);
+        this.#lastPlacedAt = at;
     }
 
-    #expireLeases(at: number): void {
-        const deadline = this.#options.leaseTtlMs + this.#options.leaseGraceMs;
-        for (const worker of this.#workerList) {
-            if (worker.alive && at - worker.lastHeartbeatAt > deadline) {
-                worker.alive = false;
-            }
-        }
-        for (const lease of this.#leases.values()) {
-            if (!leaseChart.finalStates.has(lease.state) && at - lease.renewedAt > deadline) {
-                this.counters.expiries += 1;
-                this.#closeLease(
-                    lease,
-                    "expire",
-                    "lost",
-                    `no heartbeat from ${lease.worker} for ${at - lease.renewedAt} ms`,
-                    at,
-                );
-            }
-        }
-    }
-
-    #placeQueued(at: number): void {
-        const precedences = [...this.#queue.keys()].sort((a, b) => b - a);
-        const blocked = new Set<string>();
-        let budget = this.#options.maxPlacementsPerTick;
-        for (const precedence of precedences) {
-            const bucket = (this.#queue.get(precedence) ?? []).filter((r) => r.state === "queued");
-            this.#queue.set(precedence, bucket);
-            for (const request of bucket) {
-                if (budget <= 0) {
-                    return;
-                }
-                if (this.#checkDeadline(request, at)) {
-                    continue;
-                }
-                const shape = `${request.spec.service}|${request.spec.kind}|${JSON.stringify(request.spec.demand)}|${request.spec.count}`;
-                if (blocked.has(shape)) {
-                    continue;
-                }
-                budget -= 1;
-                if (!this.#placeRequest(request, precedence, at)) {
-                    blocked.add(shape);
-                }
-            }
-        }
-        for (const [precedence, bucket] of this.#queue) {
-            this.#queue.set(
-                precedence,
-                bucket.filter((r) => r.state === "queued"),
-            );
-        }
-    }
-
-    #checkDeadline(request: RequestRecord, at: number): boolean {
-        if (request.spec.maxWaitMs <= 0 || at - request.acceptedAt <= request.spec.maxWaitMs) {
-            return false;
-        }
-        const reason = `not started within ${request.spec.maxWaitMs} ms`;
-        if (request.mayHaveStarted) {
-            this.#applyRequestEvent(
-                request,
-                "give_up",
-                at,
-                `${reason}; an earlier attempt may have run`,
-            );
-        } else {
-            this.#applyRequestEvent(request, "refuse", at, reason);
-        }
-        return true;
-    }
-
-    #placeRequest(request: RequestRecord, precedence: number, at: number): boolean {
-        const rule = this.#getRule(request);
-        const ask = this.#createAsk(request, rule);
-        const quota = this.#rules.quotas.get(request.spec.customer);
-        if (quota !== undefined) {
-            const used = this.#customerCores.get(request.spec.customer) ?? 0;
-            if (used + request.spec.demand.cores * request.spec.count > quota.cores + 1e-9) {
-                this.#recordBlocked(
-                    request,
-                    at,
-                    `quota of ${request.spec.customer}: ${used} of ${quota.cores} cores in use`,
-                );
-                return true;
-            }
-        }
-        const chosen = placeTask(this.#workerList, ask, at);
-        if (chosen !== undefined) {
-            this.#grantAll(request, chosen, at);
+    /**
+     * Tells whether a tick at a time could change anything, so that an idle leader asks its
+     * group to agree on nothing.
+     *
+     * @param at The time in ms.
+     * @returns False when a tick would be without effect.
+     */
+    hasTickWork(at: number): boolean {
+        if (this.#books.isDirty && !this.#books.queue.isEmpty) {
             return true;
         }
-        if (request.spec.count === 1) {
-            this.#startPreemption(request, ask, precedence, at);
+        if (at - this.#lastPlacedAt < IDLE_PLACE_MS) {
+            return false;
         }
-        this.#recordBlocked(request, at, "no worker has room now");
-        return false;
+        return !this.#books.queue.isEmpty || this.#hasExpired(at);
     }
 
-    #startPreemption(
-        request: RequestRecord,
-        ask: PlacementAsk,
-        precedence: number,
-        at: number,
-    ): void {
-        const plan = planPreemption(
-            this.#workerList,
-            ask,
-            precedence,
-            (w) => this.#listVictims(w),
-            at,
-        );
-        if (plan === undefined) {
-            return;
-        }
-        for (const leaseId of plan.victims) {
-            const lease = this.#leases.get(leaseId);
-            if (lease === undefined) {
-                continue;
-            }
-            const victim = this.#getRequest(lease.request);
-            victim.stopping = "preempt";
-            this.#recordFate(
-                victim,
-                at,
-                "preempt",
-                `stopped for ${request.id} (${request.spec.kind})`,
-            );
-            this.#stopLeases(victim, "checkpoint", at);
-            this.counters.preemptions += 1;
-        }
-        this.#recordFate(
-            request,
-            at,
-            "preempting",
-            `${plan.victims.length} task(s) on ${plan.worker.instance.id}`,
+    #hasExpired(at: number): boolean {
+        const deadline = this.#getSilenceLimit();
+        return (
+            this.#books.workerList.some((w) => w.alive && at - w.lastHeartbeatAt > deadline) ||
+            this.listLiveLeases().some((l) => at - l.renewedAt > deadline)
         );
     }
 
-    #listVictims(worker: WorkerState): Victim[] {
-        const victims: Victim[] = [];
-        for (const leaseId of worker.leases) {
-            const lease = this.#leases.get(leaseId);
-            if (lease === undefined || lease.stopSent) {
-                continue;
+    #expireLeases(at: number): void {
+        const deadline = this.#getSilenceLimit();
+        for (const worker of this.#books.workerList) {
+            if (worker.alive && at - worker.lastHeartbeatAt > deadline) {
+                worker.alive = false;
             }
-            const request = this.#getRequest(lease.request);
-            const rule = this.#getRule(request);
-            const kindClass = getKindClass(this.#rules, rule);
-            const retryable = rule.idempotent && request.attempts < this.#options.maxAttempts;
-            if (
-                !kindClass.preemptible ||
-                !retryable ||
-                request.spec.count !== 1 ||
-                request.stopping !== undefined
-            ) {
+        }
+        for (const lease of this.listLiveLeases()) {
+            if (leaseChart.finalStates.has(lease.state) || at - lease.renewedAt <= deadline) {
                 continue;
             }
-            victims.push({
-                lease: leaseId,
-                service: request.spec.service,
-                held: lease.held,
-                precedence: kindClass.precedence,
-            });
-        }
-        return victims;
-    }
-
-    #grantAll(request: RequestRecord, chosen: readonly WorkerState[], at: number): void {
-        request.trouble = undefined;
-        request.troubleDetail = "";
-        request.blockedBy = undefined;
-        request.tasks.forEach((task, i) => {
-            const worker = chosen[i] as WorkerState;
-            const epoch = this.#nextEpoch++;
-            const lease: LeaseRecord = {
-                id: createId<LeaseId>(`l${epoch}`),
-                task: task.id,
-                request: request.id,
-                worker: worker.instance.id,
-                epoch,
-                state: leaseChart.initial,
-                grantedAt: at,
-                renewedAt: at,
-                declared: request.spec.demand,
-                reported: undefined,
-                held: NO_RESOURCES,
-                stopSent: false,
-            };
-            this.#leases.set(lease.id, lease);
-            worker.leases.add(lease.id);
-            worker.slotsUsed.set(
-                request.spec.service,
-                (worker.slotsUsed.get(request.spec.service) ?? 0) + 1,
+            this.#books.counters.expiries += 1;
+            this.#lifecycle.closeLease(
+                lease,
+                "expire",
+                "lost",
+                `no heartbeat from ${lease.worker} for ${at - lease.renewedAt} ms`,
+                at,
             );
-            this.#setHeld(worker, lease, request.spec.demand);
-            this.#addCustomerCores(request.spec.customer, request.spec.demand.cores);
-            task.state = "offered";
-            task.lease = lease.id;
-            task.outcome = undefined;
-            request.attempts += 1;
-            this.counters.placements += 1;
-            this.#effects.push({
-                type: "grant",
-                address: worker.address ?? "",
-                lease: {
-                    lease: lease.id,
-                    task: task.id,
-                    request: request.id,
-                    instance: worker.instance.id,
-                    epoch,
-                    demand: request.spec.demand,
-                    ttlMs: this.#options.leaseTtlMs,
-                    work: request.spec.work,
-                },
-            });
-        });
-        request.mayHaveStarted = true;
-        const where = [...new Set(chosen.map((w) => w.instance.id))].join(",");
-        this.#applyRequestEvent(request, "grant", at, `leased on ${where}`);
-    }
-
-    #handleTaskStarted(request: RequestRecord, at: number): void {
-        if (!request.tasks.every((t) => t.state === "running" || t.state === "ended")) {
-            return;
-        }
-        if (request.state === "leased") {
-            request.started = true;
-            request.startedAt ??= at;
-            this.#applyRequestEvent(request, "start", at, "started");
-            const rule = this.#getRule(request);
-            this.#effects.push({
-                type: "started",
-                request: request.id,
-                className: rule.className,
-                waitMs: at - request.acceptedAt,
-            });
-        } else if (request.state === "cancelling") {
-            request.started = true;
         }
     }
 
-    /**
-     * Ends a lease, frees what it held, and moves its request once none of its leases is live.
-     * A request goes back to the queue only after every lease of its last attempt has ended
-     * (released, declined, or expired past the grace): so no task runs in two places at once.
-     */
-    #closeLease(
-        lease: LeaseRecord,
-        event: string,
-        outcome: TaskOutcome,
-        detail: string,
-        at: number,
-    ): void {
-        lease.state = applyChartEvent(leaseChart, lease.state, event, NO_GUARDS);
-        const worker = this.#getWorker(lease.worker);
-        this.#setHeld(worker, lease, NO_RESOURCES);
-        worker.leases.delete(lease.id);
-        const request = this.#getRequest(lease.request);
-        worker.slotsUsed.set(
-            request.spec.service,
-            (worker.slotsUsed.get(request.spec.service) ?? 1) - 1,
-        );
-        this.#addCustomerCores(request.spec.customer, -request.spec.demand.cores);
-        const task = request.tasks.find((t) => t.id === lease.task);
-        if (task !== undefined) {
-            task.state = "ended";
-            task.outcome = outcome;
-        }
-        if (outcome !== "completed" && request.trouble === undefined) {
-            request.trouble = outcome;
-            request.troubleDetail = detail;
-        }
-        if (outcome === "completed" || outcome === "stopped") {
-            this.#recordFate(request, at, `task ${outcome}`, `${lease.task} on ${lease.worker}`);
-        } else {
-            this.#recordFate(request, at, `task ${outcome}`, detail);
-        }
-        if (
-            request.trouble !== undefined &&
-            request.stopping === undefined &&
-            request.tasks.some((t) => t.state !== "ended")
-        ) {
-            request.stopping = "trouble";
-            this.#stopLeases(request, "stop", at);
-        }
-        if (request.tasks.every((t) => t.state === "ended")) {
-            this.#closeAttempt(request, at);
-        }
+    #getSilenceLimit(): number {
+        return this.#books.options.leaseTtlMs + this.#books.options.leaseGraceMs;
     }
 
-    #closeAttempt(request: RequestRecord, at: number): void {
-        const allCompleted = request.tasks.every((t) => t.outcome === "completed");
-        const allDeclined = request.tasks.every((t) => t.outcome === "declined");
-        if (!allDeclined) {
-            request.mayHaveRunBefore = true;
-        }
-        request.mayHaveStarted = request.mayHaveRunBefore;
-        const stopping = request.stopping;
-        request.stopping = undefined;
-        let event: string;
-        let reason: string;
-        if (allCompleted) {
-            event = "finish";
-            reason = "completed";
-        } else if (request.state === "cancelling") {
-            event =
-                request.trouble === "failed"
-                    ? "fail"
-                    : request.trouble === "lost"
-                      ? "lose"
-                      : request.trouble === "declined"
-                        ? "decline"
-                        : "stopped";
-            reason =
-                event === "stopped" || event === "decline"
-                    ? request.started
-                        ? "cancelled after it started"
-                        : "cancelled; stopped before it started"
-                    : `while cancelling: ${request.troubleDetail}`;
-        } else if (
-            stopping === "preempt" &&
-            (request.trouble === "stopped" || request.trouble === undefined)
-        ) {
-            event = "preempt";
-            reason = "preempted; queued again";
-        } else {
-            event =
-                request.trouble === "declined"
-                    ? "decline"
-                    : request.trouble === "lost"
-                      ? "lose"
-                      : "fail";
-            reason = request.troubleDetail;
-        }
-        for (const task of request.tasks) {
-            task.state = "waiting";
-            task.lease = undefined;
-        }
-        this.#applyRequestEvent(request, event, at, reason);
-        if (request.state === "queued") {
-            this.#addToQueue(request);
+    #renewWorker(worker: WorkerState, at: number): void {
+        if (!worker.alive) {
+            worker.alive = true;
+            this.#books.isDirty = true;
         }
+        worker.lastHeartbeatAt = at;
     }
 
-    #stopLeases(request: RequestRecord, mode: "stop" | "checkpoint", at: number): void {
-        for (const task of request.tasks) {
-            const lease = task.lease === undefined ? undefined : this.#leases.get(task.lease);
-            if (lease === undefined || leaseChart.finalStates.has(lease.state) || lease.stopSent) {
-                continue;
-            }
-            lease.stopSent = true;
-            const worker = this.#getWorker(lease.worker);
-            this.#effects.push({
-                type: "stop",
-                address: worker.address ?? "",
-                instance: worker.instance.id,
-                lease: lease.id,
-                epoch: lease.epoch,
-                mode,
-            });
-        }
-        void at;
-    }
-
-    #applyRequestEvent(request: RequestRecord, event: string, at: number, reason: string): void {
-        const guards = this.#getGuards(request);
-        const before = request.state;
-        request.state = applyChartEvent(requestChart, request.state, event, guards);
-        if (event === "decline" && request.trouble === "declined" && request.state === "queued") {
-            request.attempts = Math.max(0, request.attempts - request.tasks.length);
-        }
-        this.#recordFate(request, at, event, `${before} -> ${request.state}: ${reason}`);
-        if (requestChart.finalStates.has(request.state)) {
-            request.endedAt = at;
-            request.reason = reason;
-            if (request.state === "refused") {
-                this.counters.refusals += 1;
-            }
-            this.#effects.push({ type: "final", request: request.id, state: request.state });
-        }
+    #renewLease(lease: LeaseRecord, at: number): void {
+        lease.state = applyChartEvent(leaseChart, lease.state, "renew", NO_GUARDS);
+        lease.renewedAt = at;
     }
 
-    #getGuards(request: RequestRecord): ReadonlySet<string> {
-        const rule = this.#rules.kinds.get(request.spec.kind);
-        const retryable =
-            rule !== undefined && rule.idempotent && request.attempts < this.#options.maxAttempts;
-        return retryable ? RETRYABLE : AT_MOST_ONCE;
+    #findLiveLease(id: LeaseId, epoch: number): LeaseRecord | undefined {
+        const lease = this.#books.leases.get(id);
+        const isLive = lease?.epoch === epoch && !leaseChart.finalStates.has(lease.state);
+        return isLive ? lease : undefined;
     }
 
-    #recordBlocked(request: RequestRecord, at: number, why: string): void {
-        if (request.blockedBy !== why) {
-            request.blockedBy = why;
-            this.#recordFate(request, at, "waiting", why);
-        }
+    #closeDeclined(lease: LeaseRecord, reason: string, at: number): void {
+        this.#books.counters.declines += 1;
+        this.#lifecycle.closeLease(
+            lease,
+            "decline",
+            "declined",
+            `worker ${lease.worker} declined: ${reason}`,
+            at,
+        );
     }
 
-    #findRefusal(spec: RequestSpec): string | undefined {
-        const rule = getKindRule(this.#rules, spec.kind);
-        if (rule === undefined) {
-            return `no rule names kind "${spec.kind}"`;
-        }
-        if (!this.#inventory.services.some((s) => s.id === spec.service)) {
-            return `no service "${spec.service}" in the inventory`;
-        }
-        const quota = this.#rules.quotas.get(spec.customer);
-        if (quota !== undefined && spec.demand.cores * spec.count > quota.cores) {
-            return `asks ${spec.demand.cores * spec.count} cores; the quota of ${spec.customer} is ${quota.cores}`;
-        }
-        if (!isEverFeasible(this.#workerList, this.#createAsk(undefined, rule, spec))) {
-            return `no instance of ${spec.service} could ever hold ${spec.count} x ${JSON.stringify(spec.demand)}`;
+    #recordWorkerResult(
+        worker: WorkerState,
+        request: RequestRecord,
+        report: TaskReport,
+        at: number,
+    ): void {
+        if (report === "completed") {
+            worker.failuresInARow = 0;
         }
-        return undefined;
-    }
-
-    #createAsk(
-        request: RequestRecord | undefined,
-        rule: KindRule,
-        spec = request?.spec,
-    ): PlacementAsk {
-        const s = spec as RequestSpec;
-        return { demand: s.demand, service: s.service, placement: rule.placement, count: s.count };
-    }
-
-    #addToQueue(request: RequestRecord): void {
-        const rule = this.#getRule(request);
-        const precedence = getKindClass(this.#rules, rule).precedence;
-        const bucket = this.#queue.get(precedence) ?? [];
-        // Arrival order within a class; a requeued request goes back to its place by binary
-        // search (a full sort on every insert made a backlog of thousands cost 10 ms a tick).
-        let low = 0;
-        let high = bucket.length;
-        while (low < high) {
-            const middle = (low + high) >> 1;
-            if ((bucket[middle] as RequestRecord).seq < request.seq) {
-                low = middle + 1;
-            } else {
-                high = middle;
-            }
+        if (report !== "failed") {
+            return;
         }
-        bucket.splice(low, 0, request);
-        this.#queue.set(precedence, bucket);
-    }
-
-    #setHeld(worker: WorkerState, lease: LeaseRecord, held: typeof NO_RESOURCES): void {
-        worker.held = addResources(removeResources(worker.held, lease.held), held);
-        lease.held = held;
-    }
-
-    #addCustomerCores(customer: CustomerId, cores: number): void {
-        this.#customerCores.set(customer, (this.#customerCores.get(customer) ?? 0) + cores);
-    }
-
-    #recordFate(request: RequestRecord, at: number, event: string, detail: string): void {
-        const entry = { at, event, detail };
-        request.events.push(entry);
-        this.#effects.push({ type: "fate", request: request.id, event: entry });
-    }
-
-    #getRule(request: RequestRecord): KindRule {
-        const rule = getKindRule(this.#rules, request.spec.kind);
-        if (rule === undefined) {
-            throw new Error(`request ${request.id}: kind ${request.spec.kind} lost its rule`);
+        worker.failuresInARow += 1;
+        if (worker.failuresInARow >= this.#books.options.quarantineAfter) {
+            worker.quarantinedUntil = at + this.#books.options.quarantineMs;
+            this.#books.recordFate(
+                request,
+                at,
+                "quarantine",
+                `worker ${worker.instance.id} failed ${worker.failuresInARow} in a row`,
+            );
         }
-        return rule;
     }
 
-    #getRequest(id: RequestId): RequestRecord {
-        const request = this.#requests.get(id);
-        if (request === undefined) {
-            throw new Error(`unknown request ${id}`);
+    #checkSameSpec(existing: RequestId, spec: RequestSpec): void {
+        const request = this.#books.requests.get(existing);
+        const isSame =
+            request === undefined
+                ? this.#books.tombstones.get(existing)?.specHash === computeSpecHash(spec)
+                : JSON.stringify(request.spec) === JSON.stringify(spec);
+        if (!isSame) {
+            throw new KeyConflictError(spec.caller, spec.key, existing);
         }
-        return request;
     }
 
-    #getWorker(id: InstanceId): WorkerState {
-        const worker = this.#workers.get(id);
-        if (worker === undefined) {
-            throw new Error(`unknown instance ${id}`);
-        }
-        return worker;
+    #createRequest(id: RequestId, seq: number, spec: RequestSpec, at: number): RequestRecord {
+        return {
+            id,
+            seq,
+            spec,
+            atMostOnce: this.#books.findPolicy(spec.kind)?.rule.idempotent === false,
+            state: requestChart.initial,
+            acceptedAt: at,
+            startedAt: undefined,
+            endedAt: undefined,
+            reason: undefined,
+            attempts: 0,
+            attemptStartedAt: undefined,
+            started: false,
+            mayHaveStarted: false,
+            mayHaveRunBefore: false,
+            stopping: undefined,
+            trouble: undefined,
+            troubleDetail: "",
+            blockedBy: undefined,
+            tasks: Array.from({ length: spec.count }, (_, i) => ({
+                id: createId<TaskId>(`${id}.${i}`),
+                state: "waiting" as const,
+                lease: undefined,
+                outcome: undefined,
+            })),
+            events: [],
+        };
     }
 }
 
-const NO_GUARDS: ReadonlySet<string> = new Set();
-const RETRYABLE: ReadonlySet<string> = new Set(["retryable"]);
-const AT_MOST_ONCE: ReadonlySet<string> = new Set(["at_most_once"]);
-
-function removeUndefined<T extends object>(value: T): Partial<T> {
-    return Object.fromEntries(
-        Object.entries(value).filter(([, v]) => v !== undefined),
-    ) as Partial<T>;
+function describeTombstone(stone: Tombstone): Answer {
+    return {
+        requestId: stone.id,
+        caller: stone.caller,
+        key: stone.key,
+        kind: stone.kind,
+        state: stone.state,
+        final: true,
+        reason: stone.reason,
+        started: stone.started,
+        mayHaveRun: stone.mayHaveStarted,
+        attempts: stone.attempts,
+        acceptedAt: stone.acceptedAt,
+        startedAt: stone.startedAt,
+        endedAt: stone.endedAt,
+        retryAfterMs: undefined,
+        events: [],
+    };
 }
--- a/cell/types.ts
+++ b/cell/types.ts
@@ -20,6 +20,7 @@
     ServiceId,
     TaskId,
 } from "../inventory/mod.ts";
+import type { RulesChange } from "../rules/mod.ts";
 import type { RulesFile } from "../settings/rules_file.ts";
 
 /** What the stand-in worker is told to do with a task; opaque to the scheduler. */
@@ -80,13 +81,20 @@
     readonly id: RequestId;
     readonly seq: number;
     readonly spec: RequestSpec;
+    /**
+     * The kind was non-idempotent when the request was accepted, or became so since. A later
+     * rules change cannot turn the promise to run it at most once into a retry.
+     */
+    atMostOnce: boolean;
     state: string;
     readonly acceptedAt: number;
     startedAt: number | undefined;
     endedAt: number | undefined;
     reason: string | undefined;
-    /** Leases offered so far, all tasks together. */
+    /** Times it was leased (declined offers do not count). */
     attempts: number;
+    /** When each task of the present attempt ran. */
+    attemptStartedAt: number | undefined;
     /** A worker confirmed a start. */
     started: boolean;
     /** A lease was offered and not declined: the work may have begun. */
@@ -110,6 +118,8 @@
     readonly task: TaskId;
     readonly request: RequestId;
     readonly worker: InstanceId;
+    /** The worker process that the lease was made for; a restarted one never takes it. */
+    readonly incarnation: string;
     /** Fencing token: above every earlier lease's epoch. */
     readonly epoch: number;
     state: string;
@@ -151,12 +161,23 @@
     readonly task: TaskId;
     readonly request: RequestId;
     readonly instance: InstanceId;
+    readonly incarnation: string;
     readonly epoch: number;
     readonly demand: Resources;
     readonly ttlMs: number;
     readonly work: WorkOrder;
 }
 
+/** A lease offer on the wire. */
+export interface GrantMessage extends LeaseMessage {
+    /**
+     * The sending time, by the worker's own clock, of the newest heartbeat that the offer's
+     * sender had heard. The worker refuses an offer whose heartbeat is older than the time to
+     * live: a leader that was frozen since may have been replaced, and the task leased elsewhere.
+     */
+    readonly beatAt: number;
+}
+
 /** What the cell asks the process around it to do. */
 export type Effect =
     | { readonly type: "grant"; readonly address: string; readonly lease: LeaseMessage }
@@ -164,6 +185,7 @@
           readonly type: "stop";
           readonly address: string;
           readonly instance: InstanceId;
+          readonly incarnation: string;
           readonly lease: LeaseId;
           readonly epoch: number;
           readonly mode: "stop" | "checkpoint";
@@ -184,22 +206,8 @@
     readonly usage: Resources | undefined;
 }
 
-/** What a worker reports of a task. */
-export type TaskReport = "started" | "completed" | "failed" | "stopped";
-
-/** A rules change as an operator sends it. */
-export interface RulesChange {
-    readonly changeId: string;
-    /** The version the change replaces; equal versions race, and one wins. */
-    readonly expectedVersion: number;
-    readonly rules: RulesFile;
-}
-
-/** The answer to a rules change. */
-export type RulesChangeResult =
-    | { readonly status: "applied"; readonly version: number }
-    | { readonly status: "conflict"; readonly version: number; readonly reason: string }
-    | { readonly status: "rejected"; readonly version: number; readonly reason: string };
+/** What a worker reports of a task; `declined`: stopped before it ever started. */
+export type TaskReport = "started" | "completed" | "failed" | "stopped" | "declined";
 
 /** Everything that changes the cell; the journal keeps these, and replay gives the same cell. */
 export type CellInput =
@@ -211,9 +219,17 @@
           readonly at: number;
           readonly instance: InstanceId;
           readonly address: string;
+          readonly incarnation: string;
       }
     | { readonly type: "leave"; readonly at: number; readonly instance: InstanceId }
     | { readonly type: "drain"; readonly at: number; readonly instance: InstanceId }
+    | { readonly type: "undrain"; readonly at: number; readonly instance: InstanceId }
+    /** Heartbeats of a window, short: workers that hold just what the cell thinks they hold. */
+    | { readonly type: "renew"; readonly at: number; readonly workers: readonly InstanceId[] }
+    /** A new leader serves: it has heard no heartbeats yet, so every lease gets its full time. */
+    | { readonly type: "takeover"; readonly at: number }
+    /** Rules decided by the configuration group. */
+    | { readonly type: "adoptRules"; readonly at: number; readonly rules: RulesFile }
     | {
           readonly type: "heartbeat";
           readonly at: number;
--- a/entry/api_schema.ts
+++ b/entry/api_schema.ts
@@ -54,6 +54,9 @@
 /** `instance.drain`. */
 export const drainSchema = z.object({ instance: z.string().min(1) });
 
+/** `rules.check`: what a zone's group would say against rules. */
+export const rulesCheckSchema = z.object({ rules: rulesSchema });
+
 /** `rules.set`. */
 export const rulesChangeSchema = z.object({
     change: z.object({
@@ -71,29 +74,82 @@
 
 /** `workers.announce`. */
 export const announceSchema = z.object({
-    workers: z.array(z.object({ instance: z.string(), address: z.string() })),
+    workers: z
+        .array(
+            z.object({
+                instance: z.string(),
+                address: z.string(),
+                incarnation: z.string().default(""),
+                sentAt: z.number(),
+            }),
+        )
+        .min(1),
 });
 
 /** `workers.heartbeat`. */
 export const heartbeatSchema = z.object({
-    beats: z.array(z.object({ instance: z.string(), leases: z.array(heldLease) })),
+    beats: z
+        .array(
+            z.object({
+                instance: z.string(),
+                incarnation: z.string().default(""),
+                sentAt: z.number(),
+                leases: z.array(heldLease),
+            }),
+        )
+        .min(1),
 });
 
 /** `workers.report`. */
 export const reportSchema = z.object({
-    reports: z.array(
+    reports: z
+        .array(
+            z.object({
+                lease: z.string(),
+                epoch: z.number().int(),
+                report: z.enum(["started", "completed", "failed", "stopped", "declined"]),
+                detail: z.string().default(""),
+            }),
+        )
+        .min(1),
+});
+
+/** `workers.leave`. */
+export const leaveSchema = z.object({ instances: z.array(z.string()).min(1) });
+
+const memberId = z.string().regex(/^[^#]+#[^#]+$/);
+
+/** `peer.group`: the message itself is trusted, it comes from our own processes. */
+export const envelopeSchema = z.object({
+    group: z.string(),
+    from: memberId,
+    to: memberId,
+    message: z.object({ type: z.string() }).passthrough(),
+});
+
+/** `peer.subscribe`. */
+export const subscribeSchema = z.object({ group: z.string(), member: memberId });
+
+/** `peer.forward`. */
+export const forwardSchema = z.object({
+    group: z.string(),
+    method: z.string(),
+    params: z.unknown(),
+});
+
+/** `peer.gossip`. */
+export const gossipSchema = z.object({
+    table: z.array(
         z.object({
-            lease: z.string(),
-            epoch: z.number().int(),
-            report: z.enum(["started", "completed", "failed", "stopped"]),
-            detail: z.string().default(""),
+            id: z.string(),
+            startedAt: z.number(),
+            counter: z.number(),
+            leads: z.array(z.tuple([z.string(), z.number()])),
+            stopping: z.boolean(),
         }),
     ),
 });
 
-/** `workers.leave`. */
-export const leaveSchema = z.object({ instances: z.array(z.string()) });
-
 /**
  * Checks params against a schema.
  *
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -1,7 +1,7 @@
 /**
- * The entry instance: one process that serves callers, operators and workers over JSON-RPC,
- * keeps the cell, journals every input before its effects leave, and sends leases to workers.
- * One event loop; the cell is touched only from it.
+ * The entry instance: one process that serves callers, operators and workers over JSON-RPC. It
+ * keeps a replica of the configuration group and of its zone's group, leads them when elected,
+ * and passes calls on to the leaders of other zones. One event loop.
  *
  * @example
  * ```ts
@@ -17,175 +17,250 @@
 
 import { interval, type Subscription } from "rxjs";
 import type { Logger } from "winston";
-import {
-    Cell,
-    KeyConflictError,
-    type Answer,
-    type CellInput,
-    type Effect,
-    type LeaseMessage,
-} from "../cell/mod.ts";
+import type { Answer, Cell } from "../cell/mod.ts";
 import {
     createId,
+    type CustomerId,
     type InstanceId,
     type Inventory,
     type LeaseId,
     type RequestId,
     type ServiceId,
-    type CustomerId,
 } from "../inventory/mod.ts";
-import { Journal } from "../journal/mod.ts";
-import type { Rules } from "../rules/mod.ts";
 import {
-    createRpcClient,
-    MethodError,
-    startRpcServer,
-    type RpcClient,
-    type RpcServer,
-} from "../rpc/mod.ts";
+    DEFAULT_TIMINGS,
+    NotLeaderError,
+    OutcomeUnknownError,
+    type GroupId,
+    type GroupMessage,
+    type MemberId,
+} from "../log/mod.ts";
+import {
+    createLayout,
+    Gossip,
+    loadIncarnation,
+    type Deployment,
+    type EntryId,
+    type GossipEntry,
+    type GroupLayout,
+    type Layout,
+} from "../membership/mod.ts";
+import type { Rules, RulesChange } from "../rules/mod.ts";
+import { MethodError, startRpcServer, type RpcServer } from "../rpc/mod.ts";
 import { createEntryMetrics, createLogger, type EntryMetrics } from "../telemetry/mod.ts";
 import {
     announceSchema,
     drainSchema,
+    envelopeSchema,
+    forwardSchema,
+    gossipSchema,
     heartbeatSchema,
     leaveSchema,
     parseParams,
     reportSchema,
     requestRefSchema,
     rulesChangeSchema,
+    rulesCheckSchema,
     submitSchema,
+    subscribeSchema,
 } from "./api_schema.ts";
+import { CallRouter } from "./call_router.ts";
+import { ConfigGroup } from "./config_group.ts";
+import {
+    createNoLeaderError,
+    createNotLeaderError,
+    NOT_FOUND_CODE,
+    SHUTTING_DOWN_CODE,
+} from "./errors.ts";
+import { PeerNetwork } from "./peer_network.ts";
+import { EndWaiters } from "./end_waiters.ts";
+import { describeStatus, type EntryStatus } from "./status.ts";
+import { ZoneGroup } from "./zone_group.ts";
 
 /** Options of an entry instance. */
 export interface EntryOptions {
     readonly inventory: Inventory;
+    /** The rules the cell starts with; once it runs, its own log has newer ones. */
     readonly rules: Rules;
+    /** The entry instances; without them this one is the whole cell. */
+    readonly deployment?: Deployment;
+    /** The whole cell starts for the first time, with empty disks (always so when alone). */
+    readonly bootstrap?: boolean;
     readonly host?: string;
     /** 0 takes a free port. */
     readonly port?: number;
     readonly zone?: string;
     readonly processId?: string;
-    /** Where the journal lives; without it the state lives in memory only. */
+    /** Where the groups' logs live; without it the state lives in memory only. */
     readonly dataDir?: string;
     /** How often the cell places queued work, in ms. */
     readonly tickMs?: number;
     readonly leaseTtlMs?: number;
     readonly leaseGraceMs?: number;
-    /** Inputs arriving within this many ms share one journal write and fsync. */
+    /** Inputs arriving within this many ms share one entry and one fsync. */
     readonly syncWindowMs?: number;
+    /** A snapshot is taken after this many entries. */
+    readonly snapshotEvery?: number;
     readonly logger?: Logger;
 }
 
-/** The answer to a grant batch, per lease. */
-interface GrantReply {
-    readonly lease: LeaseId;
-    readonly accepted: boolean;
-    readonly reason: string;
-}
-
-/** The JSON-RPC error code of a submit refused because the instance is shutting down. */
-export const SHUTTING_DOWN_CODE = -32001;
-/** The JSON-RPC error code of a reused idempotency key. */
-export const KEY_CONFLICT_CODE = -32002;
-const GRANT_RETRIES = 5;
-const DEFAULT_SYNC_WINDOW_MS = 2;
-const GRANT_RETRY_MS = 200;
+const GOSSIP_MS = 500;
+const START_WAIT_MS = 10_000;
+const WHOLE_CELL = "cell" as GroupId;
 
 /** One entry instance. */
 export class EntryInstance {
     readonly #options: EntryOptions;
-    readonly #cell: Cell;
-    readonly #journal: Journal | undefined;
+    readonly #self: EntryId;
+    readonly #layout: Layout;
+    readonly #network: PeerNetwork;
+    readonly #gossip: Gossip;
+    readonly #router: CallRouter;
+    readonly #config: ConfigGroup;
+    readonly #zones = new Map<GroupId, ZoneGroup>();
+    readonly #waiters = new EndWaiters();
     readonly #log: Logger;
     readonly metrics: EntryMetrics;
-    readonly #clients = new Map<string, RpcClient>();
-    readonly #waiters = new Map<RequestId, Set<() => void>>();
-    #afterSync: (() => void)[] = [];
-    #syncScheduled = false;
     #server: RpcServer | undefined;
-    #ticks: Subscription | undefined;
-    #ready = false;
+    #gossiping: Subscription | undefined;
+    #isAccepting = false;
 
     /**
-     * @param options Inventory, rules, where to listen and keep state; see {@link EntryOptions}.
+     * @param options Inventory, rules, deployment, where to listen; see {@link EntryOptions}.
      */
     constructor(options: EntryOptions) {
         this.#options = options;
+        this.#self = (options.processId ?? "entry") as EntryId;
         this.#log =
-            options.logger ??
-            createLogger({ process: options.processId ?? "entry", zone: options.zone ?? "local" });
+            options.logger ?? createLogger({ process: this.#self, zone: options.zone ?? "local" });
         this.metrics = createEntryMetrics();
-        this.#cell = new Cell({
-            inventory: options.inventory,
+        const deployment = options.deployment ?? createLoneDeployment(options, this.#self);
+        this.#layout = createLayout(deployment, options.inventory);
+        this.#network = new PeerNetwork({ members: deployment.members });
+        this.#gossip = new Gossip({
+            self: this.#self,
+            members: deployment.members.map((m) => m.id),
+            startedAt: Date.now(),
+            random: Math.random,
+        });
+        const memberOptions = {
+            self: this.#self,
+            incarnation: loadIncarnation({
+                dataDir: options.dataDir,
+                bootstrap: options.bootstrap ?? options.deployment === undefined,
+            }),
+            network: this.#network,
+            dataDir: options.dataDir,
+            timings: deployment.timings,
+            batchWindowMs: options.syncWindowMs,
+            snapshotEvery: options.snapshotEvery,
+            log: this.#log,
+        };
+        this.#config = new ConfigGroup({
+            ...memberOptions,
+            group: this.#layout.config,
             rules: options.rules,
-            leaseTtlMs: options.leaseTtlMs,
-            leaseGraceMs: options.leaseGraceMs,
         });
-        this.#journal =
-            options.dataDir === undefined ? undefined : Journal.open({ dir: options.dataDir });
+        for (const group of this.#layout.groups) {
+            if ([...group.voters, ...group.learners].includes(this.#self)) {
+                const zone = new ZoneGroup({
+                    ...memberOptions,
+                    group,
+                    layout: this.#layout,
+                    config: this.#config,
+                    inventory: options.inventory,
+                    rules: options.rules,
+                    leaseTtlMs: options.leaseTtlMs,
+                    leaseGraceMs: options.leaseGraceMs,
+                    tickMs: options.tickMs,
+                    metrics: this.metrics,
+                    onFinal: (request) => this.#waiters.wake(request),
+                });
+                this.#zones.set(group.id, zone);
+            }
+        }
+        this.#router = new CallRouter({
+            self: this.#self,
+            network: this.#network,
+            gossip: this.#gossip,
+            getMember: (group) => this.#getMember(group),
+            runLocal: (group, method, params) => this.#runLocal(group, method, params),
+        });
     }
 
-    /** The cell (read it only; inputs go through the RPC methods). */
+    /** The cell of the first group this instance keeps (read it only, in tests and tools). */
     get cell(): Cell {
-        return this.#cell;
+        const [zone] = this.#zones.values();
+        if (zone === undefined) {
+            throw new Error(`${this.#self} keeps no zone's replica`);
+        }
+        return zone.cell;
+    }
+
+    /** Whether this instance leads every group it keeps (a lone instance, once it started). */
+    get isServing(): boolean {
+        return [this.#config, ...this.#zones.values()].every((g) =>
+            g instanceof ConfigGroup ? g.member.isServing : g.isServing,
+        );
     }
 
     /**
-     * Replays the journal, starts the server and the tick loop.
+     * Restores the replicas, starts the server and the groups. A lone instance serves when this
+     * returns; one of several may still be electing.
      *
      * @returns The address the instance listens on.
      */
     async start(): Promise<string> {
-        const replayed = this.#restore();
         this.#server = await startRpcServer({
             host: this.#options.host,
             port: this.#options.port,
             methods: this.#createMethods(),
             routes: {
                 "/metrics": async (_req, res) => {
-                    this.#updateGauges();
+                    await this.#updateGauges();
                     res.writeHead(200, { "content-type": this.metrics.registry.contentType }).end(
                         await this.metrics.registry.metrics(),
                     );
                 },
                 "/healthz": (_req, res) => void res.writeHead(200).end("ok"),
-                "/readyz": (_req, res) =>
-                    void res
-                        .writeHead(this.#ready ? 200 : 503)
-                        .end(this.#ready ? "ready" : "not ready"),
+                "/readyz": (_req, res) => {
+                    const isReady = this.#isReady();
+                    res.writeHead(isReady ? 200 : 503).end(isReady ? "ready" : "not ready");
+                },
             },
         });
-        this.#ticks = interval(this.#options.tickMs ?? 10).subscribe(() => this.#applyTick());
-        this.#ready = true;
-        this.#log.info("listening", { address: this.#server.address, replayed });
+        this.#config.member.start();
+        for (const zone of this.#zones.values()) {
+            zone.member.start();
+        }
+        this.#startGossip();
+        if (this.#options.deployment === undefined) {
+            await this.#waitServing();
+        }
+        this.#isAccepting = true;
+        this.#log.info("listening", { address: this.#server.address });
         return this.#server.address;
     }
 
     /**
      * Shuts down without cutting off any request in flight: readiness turns false first, new
      * submits are refused at once with a code that says to resend elsewhere, waiting callers
-     * get the answer as it stands, every answer already owed is sent, then the journal closes.
+     * get the answer as it stands, every answer already owed is sent, then the replicas stop.
      */
     async stop(): Promise<void> {
-        this.#ready = false;
+        this.#isAccepting = false;
         this.#log.info("stopping", { inFlight: this.#server?.inFlight() ?? 0 });
-        for (const wake of [...this.#waiters.values()].flatMap((set) => [...set])) {
-            wake();
-        }
-        this.#ticks?.unsubscribe();
+        this.#waiters.wakeAll();
+        this.#updateGossip();
+        await this.#sendGossip();
         await this.#server?.close();
-        this.#syncNow();
-        this.#journal?.close();
-        this.#log.info("stopped", {});
-    }
-
-    #restore(): number {
-        const inputs = this.#journal?.readAll() ?? [];
-        for (const input of inputs) {
-            this.#cell.applyInput(input);
+        this.#gossiping?.unsubscribe();
+        for (const zone of this.#zones.values()) {
+            await zone.stop();
         }
-        this.#cell.takeEffects();
-        return inputs.length;
+        await this.#config.member.stop();
+        this.#network.close();
+        this.#log.info("stopped", {});
     }
 
     #createMethods(): Record<string, (params: unknown) => unknown> {
@@ -193,385 +268,444 @@
             "request.submit": (params) => this.#handleSubmit(params),
             "request.fate": (params) => this.#getAnswer(params),
             "request.wait": (params) => this.#waitAnswer(params),
-            "request.cancel": (params) => this.#handleCancel(params),
-            "instance.drain": (params) => this.#handleDrain(params),
-            "rules.set": (params) => this.#handleRules(params),
+            "request.cancel": (params) => this.#routeRequest("request.cancel", params),
+            "instance.drain": (params) => this.#routeInstance("instance.drain", params),
+            "instance.undrain": (params) => this.#routeInstance("instance.undrain", params),
+            "rules.set": (params) => this.#router.route(this.#layout.config, "rules.set", params),
             "cell.status": () => this.#describeStatus(),
             "workers.announce": (params) => this.#handleAnnounce(params),
             "workers.heartbeat": (params) => this.#handleHeartbeat(params),
             "workers.report": (params) => this.#handleReport(params),
             "workers.leave": (params) => this.#handleLeave(params),
+            "peer.group": (params) => this.#handleGroupMessage(params),
+            "peer.subscribe": (params) => this.#handleSubscribe(params),
+            "peer.forward": (params) => {
+                const call = parseParams(forwardSchema, params);
+                return this.#router.runForwarded({
+                    ...call,
+                    group: call.group as GroupId,
+                    params: call.params,
+                });
+            },
+            "peer.gossip": (params) => {
+                const { table } = parseParams(gossipSchema, params);
+                return this.#gossip.receive(table as unknown as GossipEntry[], performance.now());
+            },
         };
     }
 
-    async #handleSubmit(params: unknown): Promise<Answer> {
-        if (!this.#ready) {
+    // Callers' and operators' calls.
+
+    async #handleSubmit(params: unknown): Promise<unknown> {
+        if (!this.#isAccepting) {
             throw new MethodError(
                 "this entry instance is shutting down; resend to another entry instance",
                 SHUTTING_DOWN_CODE,
             );
         }
         const { spec } = parseParams(submitSchema, params);
-        const typed = {
-            ...spec,
-            service: createId<ServiceId>(spec.service),
-            customer: createId<CustomerId>(spec.customer),
-        };
-        const existing = this.#cell.findByKey(spec.caller, spec.key);
-        let answer: Answer;
-        try {
-            answer = this.#cell.submit(typed, Date.now());
-        } catch (error) {
-            if (error instanceof KeyConflictError) {
-                throw new MethodError(error.message, KEY_CONFLICT_CODE);
-            }
-            throw error;
-        }
-        if (existing === undefined) {
-            this.#journal?.append({ type: "submit", at: answer.acceptedAt, spec: typed });
-        }
-        await this.#waitSync();
-        return answer;
+        const home = this.#layout.findHome(spec.caller, createId<ServiceId>(spec.service));
+        return this.#router.route(home, "request.submit", params);
     }
 
-    #findRequest(params: unknown): RequestId {
-        const ref = parseParams(requestRefSchema, params);
-        const id =
-            ref.requestId !== undefined
-                ? createId<RequestId>(ref.requestId)
-                : ref.caller !== undefined && ref.key !== undefined
-                  ? this.#cell.findByKey(ref.caller, ref.key)
-                  : undefined;
-        if (id === undefined || this.#cell.describeRequest(id) === undefined) {
-            throw new MethodError("no such request: give requestId, or caller and key", -32004);
+    /**
+     * Tells a request's fate. An end state never changes, so any replica may tell it; what is
+     * not final yet is asked of the leader, because a replica may lag.
+     */
+    async #getAnswer(params: unknown): Promise<Answer> {
+        const local = this.#findLocalAnswer(params);
+        if (local?.final === true) {
+            return local;
         }
-        return id;
-    }
-
-    #getAnswer(params: unknown): Answer {
-        return this.#cell.describeRequest(this.#findRequest(params)) as Answer;
+        return (await this.#routeRequest("request.fate", params)) as Answer;
     }
 
-    /** Answers when the request is final, or when the wait runs out, whichever is first. */
+    /**
+     * Answers when the request is final, or when the wait runs out, whichever is first. The
+     * replica here wakes the wait, so that the leader need not hold every caller's connection.
+     */
     async #waitAnswer(params: unknown): Promise<Answer> {
-        const id = this.#findRequest(params);
         const { timeoutMs } = parseParams(requestRefSchema, params);
-        const now = this.#cell.describeRequest(id) as Answer;
-        if (now.final || timeoutMs === 0 || !this.#ready) {
-            return now;
+        const until = performance.now() + timeoutMs;
+        const now = this.#findLocalAnswer(params) ?? (await this.#getAnswer(params));
+        if (now.final || timeoutMs === 0 || !this.#isAccepting) {
+            return now.final ? now : this.#getAnswer(params);
         }
-        await new Promise<void>((resolve) => {
-            const set = this.#waiters.get(id) ?? new Set();
-            const wake = (): void => {
-                clearTimeout(timer);
-                set.delete(wake);
-                resolve();
-            };
-            const timer = setTimeout(wake, timeoutMs);
-            set.add(wake);
-            this.#waiters.set(id, set);
+        if (this.#findReplica(now.requestId) === undefined) {
+            return this.#pollAnswer(params, until);
+        }
+        await this.#waiters.wait(now.requestId, timeoutMs, () => {
+            return this.#findLocalAnswer(params)?.final ?? false;
         });
-        return this.#cell.describeRequest(id) as Answer;
+        return this.#getAnswer(params);
+    }
+
+    /** Waits for a request whose group has no replica here. */
+    async #pollAnswer(params: unknown, until: number): Promise<Answer> {
+        for (;;) {
+            const answer = await this.#getAnswer(params);
+            const left = until - performance.now();
+            if (answer.final || left <= 0 || !this.#isAccepting) {
+                return answer;
+            }
+            const pause = Math.min(left, answer.retryAfterMs ?? left);
+            await new Promise((resolve) => setTimeout(resolve, pause));
+        }
     }
 
-    async #handleCancel(params: unknown): Promise<Answer> {
-        const id = this.#findRequest(params);
-        const answer = this.#applyLogged({ type: "cancel", at: Date.now(), request: id }, () =>
-            this.#cell.cancel(id, Date.now()),
+    #findLocalAnswer(params: unknown): Answer | undefined {
+        const ref = parseParams(requestRefSchema, params);
+        for (const zone of this.#zones.values()) {
+            const id =
+                ref.requestId !== undefined
+                    ? createId<RequestId>(ref.requestId)
+                    : zone.cell.findByKey(ref.caller ?? "", ref.key ?? "");
+            const answer = id === undefined ? undefined : zone.cell.describeRequest(id);
+            if (answer !== undefined) {
+                return answer;
+            }
+        }
+        return undefined;
+    }
+
+    #findReplica(id: RequestId): ZoneGroup | undefined {
+        const owner = this.#layout.findOwner(id);
+        return owner === undefined ? undefined : this.#zones.get(owner.id);
+    }
+
+    /** A reference by key may be at home in any group that the caller's requests go to. */
+    async #routeRequest(method: string, params: unknown): Promise<unknown> {
+        const ref = parseParams(requestRefSchema, params);
+        if (ref.requestId !== undefined) {
+            const owner = this.#layout.findOwner(ref.requestId);
+            if (owner === undefined) {
+                throw createNotFoundError();
+            }
+            return this.#router.route(owner, method, params);
+        }
+        if (ref.caller === undefined || ref.key === undefined) {
+            throw createNotFoundError();
+        }
+        const { caller } = ref;
+        const homes = new Set(
+            this.#options.inventory.services.map((s) => this.#layout.findHome(caller, s.id)),
         );
-        await this.#waitSync();
-        return answer as Answer;
+        let missing: unknown = createNotFoundError();
+        for (const home of homes) {
+            try {
+                return await this.#router.route(home, method, params);
+            } catch (error) {
+                if ((error as { code?: number }).code !== NOT_FOUND_CODE) {
+                    missing = error;
+                }
+            }
+        }
+        throw missing;
     }
 
-    async #handleDrain(params: unknown): Promise<{ drained: boolean }> {
+    #routeInstance(method: string, params: unknown): Promise<unknown> {
         const { instance } = parseParams(drainSchema, params);
-        const at = Date.now();
-        const drained = this.#applyLogged(
-            { type: "drain", at, instance: createId<InstanceId>(instance) },
-            () => this.#cell.drainWorker(createId<InstanceId>(instance), at, "drained"),
-        );
-        await this.#waitSync();
-        return { drained };
+        const zone = this.#options.inventory.instances.find((i) => i.id === instance)?.zone;
+        const group = this.#layout.groups.find((g) => zone !== undefined && g.zones.includes(zone));
+        if (group === undefined) {
+            return Promise.resolve({ drained: false });
+        }
+        return this.#router.route(group, method, params);
     }
 
-    async #handleRules(params: unknown): Promise<unknown> {
+    // What this instance serves as the leader of a group.
+
+    async #runLocal(group: GroupId, method: string, params: unknown): Promise<unknown> {
+        try {
+            if (group === this.#layout.config.id) {
+                return await this.#runConfigMethod(method, params);
+            }
+            return await this.#runZoneMethod(this.#getZone(group), method, params);
+        } catch (error) {
+            throw createLeaderError(group, error);
+        }
+    }
+
+    async #runConfigMethod(method: string, params: unknown): Promise<unknown> {
+        if (method !== "rules.set") {
+            throw new MethodError(`unknown method ${method}`, -32601);
+        }
         const { change } = parseParams(rulesChangeSchema, params);
-        const result = this.#applyLogged({ type: "setRules", at: Date.now(), change }, () =>
-            this.#cell.setRules(change),
+        return this.#config.setRules(change, await this.#listRulesProblems(change));
+    }
+
+    /**
+     * Asks every zone's group what would break. A zone that is cut off cannot object: it keeps
+     * kinds that a change drops for the requests that still need them.
+     */
+    async #listRulesProblems(change: RulesChange): Promise<string[]> {
+        const answers = await Promise.all(
+            this.#layout.groups.map(async (group) => {
+                const { rules } = change;
+                return this.#router
+                    .route(group, "rules.check", { rules })
+                    .catch(() => []) as Promise<string[]>;
+            }),
         );
-        await this.#waitSync();
-        return result;
+        return [...new Set(answers.flat())];
+    }
+
+    async #runZoneMethod(zone: ZoneGroup, method: string, params: unknown): Promise<unknown> {
+        switch (method) {
+            case "request.submit": {
+                const { spec } = parseParams(submitSchema, params);
+                return zone.submit({
+                    ...spec,
+                    service: createId<ServiceId>(spec.service),
+                    customer: createId<CustomerId>(spec.customer),
+                });
+            }
+            case "request.fate":
+                return zone.cell.describeRequest(findRequest(zone.cell, params));
+            case "request.cancel":
+                return zone.cancel(findRequest(zone.cell, params));
+            case "instance.drain":
+            case "instance.undrain": {
+                const { instance } = parseParams(drainSchema, params);
+                const type = method === "instance.drain" ? "drain" : "undrain";
+                const isKnown = await zone.drain(type, createId<InstanceId>(instance));
+                return { drained: isKnown && type === "drain" };
+            }
+            case "rules.check":
+                return zone.cell.listRulesProblems(parseParams(rulesCheckSchema, params).rules);
+            default:
+                throw new MethodError(`unknown method ${method}`, -32601);
+        }
+    }
+
+    #getZone(group: GroupId): ZoneGroup {
+        const zone = this.#zones.get(group);
+        if (zone === undefined) {
+            throw createNoLeaderError(group, "not_accepted");
+        }
+        return zone;
     }
 
-    #handleAnnounce(params: unknown): Promise<{ ok: true }> {
+    // Workers' calls.
+
+    async #handleAnnounce(params: unknown): Promise<{ ok: true }> {
         const { workers } = parseParams(announceSchema, params);
-        return this.#applyBatch(
-            workers.map((w) => ({
-                type: "announce",
-                at: Date.now(),
-                instance: createId<InstanceId>(w.instance),
-                address: w.address,
-            })),
-        );
+        const typed = workers.map((w) => ({ ...w, instance: createId<InstanceId>(w.instance) }));
+        await this.#runForWorkers(typed, (zone) => zone.announceWorkers(typed));
+        return { ok: true };
     }
 
-    #handleHeartbeat(params: unknown): Promise<{ ok: true }> {
+    #handleHeartbeat(params: unknown): Promise<unknown> {
         const { beats } = parseParams(heartbeatSchema, params);
-        return this.#applyBatch(
-            beats.map((beat) => ({
-                type: "heartbeat",
-                at: Date.now(),
-                instance: createId<InstanceId>(beat.instance),
-                leases: beat.leases.map((l) => ({
-                    lease: createId<LeaseId>(l.lease),
-                    epoch: l.epoch,
-                    usage: l.usage,
-                })),
+        const typed = beats.map((beat) => ({
+            ...beat,
+            instance: createId<InstanceId>(beat.instance),
+            leases: beat.leases.map((l) => ({
+                lease: createId<LeaseId>(l.lease),
+                epoch: l.epoch,
+                usage: l.usage,
             })),
-        );
+        }));
+        return this.#runForWorkers(typed, (zone) => zone.handleBeats(typed));
     }
 
-    #handleReport(params: unknown): Promise<{ ok: true }> {
+    async #handleReport(params: unknown): Promise<{ ok: true }> {
         const { reports } = parseParams(reportSchema, params);
-        return this.#applyBatch(
-            reports.map((r) => ({
-                type: "report",
-                at: Date.now(),
-                lease: createId<LeaseId>(r.lease),
-                epoch: r.epoch,
-                report: r.report,
-                detail: r.detail,
-            })),
-        );
+        const typed = reports.map((r) => ({ ...r, lease: createId<LeaseId>(r.lease) }));
+        const owner = this.#layout.findOwner(typed[0]?.lease ?? "");
+        if (owner === undefined) {
+            throw new MethodError("no group gave out this lease", NOT_FOUND_CODE);
+        }
+        await this.#runAsLeader(owner, (zone) => zone.handleReports(typed));
+        return { ok: true };
     }
 
-    #handleLeave(params: unknown): Promise<{ ok: true }> {
+    async #handleLeave(params: unknown): Promise<{ ok: true }> {
         const { instances } = parseParams(leaveSchema, params);
         this.#log.info("upstream leaving", { instances });
-        return this.#applyBatch(
-            instances.map((i) => ({
-                type: "leave",
-                at: Date.now(),
-                instance: createId<InstanceId>(i),
-            })),
+        const typed = instances.map((i) => createId<InstanceId>(i));
+        await this.#runForWorkers(
+            typed.map((instance) => ({ instance })),
+            (zone) => zone.handleLeaving(typed),
         );
-    }
-
-    /** Applies and journals a batch of worker inputs, answering after they are durable. */
-    async #applyBatch(inputs: readonly CellInput[]): Promise<{ ok: true }> {
-        for (const input of inputs) {
-            this.#applyLogged(input, () => this.#cell.applyInput(input));
-        }
-        await this.#waitSync();
         return { ok: true };
     }
 
-    #describeStatus(): object {
-        const states: Record<string, number> = {};
-        for (const id of this.#cell.listRequests()) {
-            const state = this.#cell.describeRequest(id)?.state ?? "unknown";
-            states[state] = (states[state] ?? 0) + 1;
+    #runForWorkers<T>(
+        items: readonly { readonly instance: InstanceId }[],
+        run: (zone: ZoneGroup) => Promise<T>,
+    ): Promise<T> {
+        const first = items[0]?.instance;
+        const zone = this.#options.inventory.instances.find((i) => i.id === first)?.zone;
+        const group = this.#layout.groups.find((g) => zone !== undefined && g.zones.includes(zone));
+        if (group === undefined) {
+            throw new MethodError(`no instance "${first}" in the inventory`, NOT_FOUND_CODE);
         }
-        const workers = this.#cell.listWorkers();
-        const held = workers.reduce((sum, w) => sum + w.held.cores, 0);
-        const total = workers.reduce((sum, w) => sum + w.instance.capacity.cores, 0);
-        return {
-            ready: this.#ready,
-            rulesVersion: this.#cell.rules.version,
-            requests: states,
-            workersAlive: workers.filter((w) => w.alive).length,
-            workers: workers.length,
-            packingCores: total === 0 ? 0 : held / total,
-            counters: this.#cell.counters,
-            bytes: this.#measureBytes(),
-        };
+        return this.#runAsLeader(group, run);
     }
 
-    /** Bytes received and sent by this process over JSON-RPC, both as server and as client. */
-    #measureBytes(): { received: number; sent: number } {
-        const served = this.#server?.bytes() ?? { received: 0, sent: 0 };
-        let received = served.received;
-        let sent = served.sent;
-        for (const client of this.#clients.values()) {
-            received += client.bytes().received;
-            sent += client.bytes().sent;
+    /** Workers talk to the leader itself; others only name it. */
+    async #runAsLeader<T>(group: GroupLayout, run: (zone: ZoneGroup) => Promise<T>): Promise<T> {
+        const zone = this.#zones.get(group.id);
+        if (zone?.isServing !== true) {
+            const leader =
+                zone?.member.leader ?? this.#gossip.findLeader(group.id, performance.now());
+            throw createNotLeaderError(group.id, leader);
+        }
+        try {
+            return await run(zone);
+        } catch (error) {
+            throw createLeaderError(group.id, error);
         }
-        return { received, sent };
     }
 
-    /** Applies an input through `apply`, journals it, and schedules the sync. */
-    #applyLogged<T>(input: CellInput, apply: () => T): T {
-        const result = apply();
-        this.#journal?.append(input);
-        this.#planSync();
-        return result;
-    }
+    // The other entry instances' calls.
 
-    #applyTick(): void {
-        // One reading of the clock for the tick and its record: a replay must tick at the very
-        // time the original did, or an expiry on the boundary could decide differently.
-        const at = Date.now();
-        this.#cell.tick(at);
-        const effects = this.#cell.takeEffects();
-        if (effects.length === 0) {
-            return;
+    #handleGroupMessage(params: unknown): Promise<GroupMessage | null> {
+        const { group, from, to, message } = parseParams(envelopeSchema, params);
+        const member =
+            group === this.#layout.config.id
+                ? this.#config.member
+                : this.#zones.get(group as GroupId)?.member;
+        if (member === undefined) {
+            return Promise.resolve(null);
         }
-        // A tick that decided nothing changed nothing a replay needs; only deciding ticks are kept.
-        this.#journal?.append({ type: "tick", at });
-        this.#pendingEffects.push(...effects);
-        this.#planSync();
+        return member.receive(from as MemberId, to as MemberId, message as unknown as GroupMessage);
     }
 
-    #pendingEffects: Effect[] = [];
-
-    #planSync(): void {
-        if (!this.#syncScheduled) {
-            this.#syncScheduled = true;
-            // Group commit: inputs of the next few ms share one write and one fsync. Each
-            // loop turn paying its own fsync made fsync the largest cost of the process.
-            setTimeout(() => this.#syncNow(), this.#options.syncWindowMs ?? DEFAULT_SYNC_WINDOW_MS);
-        }
+    #handleSubscribe(params: unknown): { readonly leader: EntryId | undefined } {
+        const { group, member } = parseParams(subscribeSchema, params);
+        const kept =
+            group === this.#layout.config.id
+                ? this.#config.member
+                : this.#zones.get(group as GroupId)?.member;
+        return kept?.addLearner(member as MemberId) ?? { leader: undefined };
     }
 
-    #waitSync(): Promise<void> {
-        return new Promise((resolve) => {
-            this.#afterSync.push(resolve);
-            this.#planSync();
+    #startGossip(): void {
+        this.#gossiping = interval(GOSSIP_MS).subscribe(() => {
+            this.#updateGossip();
+            void this.#sendGossip();
         });
     }
 
-    /**
-     * Makes every journalled input durable, then lets its effects and answers out. Nothing a
-     * worker or caller is told can be lost by a crash after it was told.
-     */
-    #syncNow(): void {
-        this.#syncScheduled = false;
-        if (this.#journal !== undefined && this.#journal.pending > 0) {
-            const end = this.metrics.journalSyncSeconds.startTimer();
-            this.#journal.sync();
-            end();
+    #updateGossip(): void {
+        const leads: [GroupId, number][] = [];
+        for (const [id, zone] of this.#zones) {
+            if (zone.isServing) {
+                leads.push([id, zone.member.replica.term]);
+            }
         }
-        const effects = [...this.#pendingEffects, ...this.#cell.takeEffects()];
-        this.#pendingEffects = [];
-        this.#sendEffects(effects);
-        const waiting = this.#afterSync;
-        this.#afterSync = [];
-        for (const resolve of waiting) {
-            resolve();
+        if (this.#config.member.isServing) {
+            leads.push([this.#layout.config.id, this.#config.member.replica.term]);
         }
+        this.#gossip.setSelf(leads, !this.#isAccepting);
     }
 
-    #sendEffects(effects: readonly Effect[]): void {
-        const grants = new Map<string, LeaseMessage[]>();
-        const stops = new Map<string, object[]>();
-        for (const effect of effects) {
-            switch (effect.type) {
-                case "grant":
-                    grants.set(effect.address, [
-                        ...(grants.get(effect.address) ?? []),
-                        effect.lease,
-                    ]);
-                    this.metrics.placements.inc();
-                    break;
-                case "stop":
-                    stops.set(effect.address, [
-                        ...(stops.get(effect.address) ?? []),
-                        {
-                            instance: effect.instance,
-                            lease: effect.lease,
-                            epoch: effect.epoch,
-                            mode: effect.mode,
-                        },
-                    ]);
-                    break;
-                case "fate":
-                    this.#log.info(effect.event.event, {
-                        request: effect.request,
-                        detail: effect.event.detail,
-                    });
-                    break;
-                case "started":
-                    this.metrics.waitSeconds.observe(
-                        { class: effect.className },
-                        effect.waitMs / 1_000,
-                    );
-                    break;
-                case "final":
-                    this.metrics.finals.inc({ state: effect.state });
-                    for (const wake of [...(this.#waiters.get(effect.request) ?? [])]) {
-                        wake();
-                    }
-                    this.#waiters.delete(effect.request);
-                    break;
-            }
-        }
-        for (const [address, leases] of grants) {
-            void this.#sendGrants(address, leases, 0);
-        }
-        for (const [address, list] of stops) {
-            void this.#getClient(address)
-                .call("leases.stop", { stops: list })
-                .catch((error: Error) =>
-                    this.#log.warn("stop not delivered", { address, error: error.message }),
-                );
-        }
+    async #sendGossip(): Promise<void> {
+        const peers = this.#gossip.tick(performance.now());
+        const table = this.#gossip.listTable();
+        await Promise.all(
+            peers.map(async (peer) => {
+                const answer = await this.#network
+                    .getClient(peer)
+                    ?.call<GossipEntry[]>("peer.gossip", { table })
+                    .catch(() => undefined);
+                if (answer !== undefined) {
+                    this.#gossip.receive(answer, performance.now());
+                }
+            }),
+        );
     }
 
-    /**
-     * Sends lease offers. A lost answer is resent with the same lease and epoch: the worker
-     * answers a resend as it answered the first, so an unknown outcome is asked again rather
-     * than guessed. After the retries the lease simply expires, and the cell decides.
-     */
-    async #sendGrants(
-        address: string,
-        leases: readonly LeaseMessage[],
-        attempt: number,
-    ): Promise<void> {
-        try {
-            const { replies } = await this.#getClient(address).call<{ replies: GrantReply[] }>(
-                "leases.grant",
-                { leases },
-            );
-            for (const reply of replies) {
-                const input: CellInput = {
-                    type: "grantReply",
-                    at: Date.now(),
-                    lease: reply.lease,
-                    accepted: reply.accepted,
-                    reason: reply.reason,
-                };
-                this.#applyLogged(input, () => this.#cell.applyInput(input));
-            }
-        } catch (error) {
-            this.#log.warn("grant not answered", {
-                address,
-                attempt,
-                error: (error as Error).message,
-            });
-            if (attempt + 1 < GRANT_RETRIES && this.#ready) {
-                setTimeout(
-                    () => void this.#sendGrants(address, leases, attempt + 1),
-                    GRANT_RETRY_MS,
-                );
-            }
-        }
+    // Status.
+
+    #getMember(group: GroupId): { isServing: boolean; leader: EntryId | undefined } | undefined {
+        return group === this.#layout.config.id
+            ? this.#config.member
+            : this.#zones.get(group)?.member;
+    }
+
+    /** Ready while it accepts work and some leader is known for each zone it keeps. */
+    #isReady(): boolean {
+        return (
+            this.#isAccepting &&
+            [...this.#zones.values()].every((z) => z.isServing || z.member.leader !== undefined)
+        );
     }
 
-    #getClient(address: string): RpcClient {
-        let client = this.#clients.get(address);
-        if (client === undefined) {
-            client = createRpcClient(address, 2_000);
-            this.#clients.set(address, client);
+    async #waitServing(): Promise<void> {
+        const until = performance.now() + START_WAIT_MS;
+        while (!this.isServing && performance.now() < until) {
+            await new Promise((resolve) => setTimeout(resolve, 2));
         }
-        return client;
     }
 
-    #updateGauges(): void {
-        const status = this.#describeStatus() as {
-            packingCores: number;
-            requests: Record<string, number>;
-        };
+    #describeStatus(): EntryStatus {
+        const served = this.#server?.bytes() ?? { received: 0, sent: 0 };
+        return describeStatus({
+            self: this.#self,
+            isReady: this.#isReady(),
+            rulesVersion: this.#config.rules.version,
+            zones: this.#zones,
+            config: this.#config,
+            gossip: this.#gossip,
+            members: this.#options.deployment?.members.map((m) => m.id) ?? [this.#self],
+            bytes: [
+                served,
+                this.#network.bytes,
+                ...[...this.#zones.values()].map((z) => z.workerBytes),
+            ],
+        });
+    }
+
+    async #updateGauges(): Promise<void> {
+        const status = this.#describeStatus();
         this.metrics.packingCores.set(status.packingCores);
         this.metrics.queued.set(status.requests["queued"] ?? 0);
     }
 }
+
+function createLoneDeployment(options: EntryOptions, self: EntryId): Deployment {
+    const [zone] = options.inventory.zones;
+    return {
+        members: [
+            {
+                id: self,
+                zone: zone as Deployment["members"][number]["zone"],
+                address: "127.0.0.1:0",
+                hasDisk: true,
+            },
+        ],
+        groups: [{ id: WHOLE_CELL, zones: options.inventory.zones }],
+        callers: new Map(),
+        timings: DEFAULT_TIMINGS,
+    };
+}
+
+function createNotFoundError(): MethodError {
+    return new MethodError("no such request: give requestId, or caller and key", NOT_FOUND_CODE);
+}
+
+function findRequest(cell: Cell, params: unknown): RequestId {
+    const ref = parseParams(requestRefSchema, params);
+    const id =
+        ref.requestId !== undefined
+            ? createId<RequestId>(ref.requestId)
+            : cell.findByKey(ref.caller ?? "", ref.key ?? "");
+    if (id === undefined || cell.describeRequest(id) === undefined) {
+        throw createNotFoundError();
+    }
+    return id;
+}
+
+/** Leadership may end under a call: tell whether it can still take effect. */
+function createLeaderError(group: GroupId, error: unknown): unknown {
+    if (error instanceof NotLeaderError) {
+        return createNoLeaderError(group, "not_accepted");
+    }
+    if (error instanceof OutcomeUnknownError) {
+        return createNoLeaderError(group, "unknown");
+    }
+    return error;
+}
--- a/entry/entry_test.ts
+++ b/entry/entry_test.ts
@@ -6,7 +6,8 @@
 import { createRpcClient, RpcError } from "../rpc/mod.ts";
 import { Caller, WorkerHost } from "../standin/mod.ts";
 import { createLogger } from "../telemetry/mod.ts";
-import { EntryInstance, SHUTTING_DOWN_CODE } from "./entry.ts";
+import { EntryInstance } from "./entry.ts";
+import { SHUTTING_DOWN_CODE } from "./errors.ts";
 
 function buildQuietLogger(): ReturnType<typeof createLogger> {
     return createLogger({ process: "test", zone: "test", silent: true });
@@ -14,7 +15,7 @@
 
 test("requests run end to end over loopback, and a restarted entry instance remembers them", async (t) => {
     // The caller sees every request completed; after the entry instance stops and a new one
-    // replays the journal from the same data folder, the same request ids tell the same fates.
+    // replays the log from the same data folder, the same request ids tell the same fates.
     const dataDir = mkdtempSync(join(tmpdir(), "poplarhead-test-"));
     const inventory = buildInventoryFixture({ workers: 3 });
     const rules = buildRulesFixture();
@@ -77,7 +78,7 @@
     t.true(error instanceof RpcError && (error.code === SHUTTING_DOWN_CODE || error.code === 0));
 });
 
-test("a journal whose last line was torn by a crash replays the rest", async (t) => {
+test("a log whose last line was torn by a crash replays the rest", async (t) => {
     // The process died mid-write: the torn line was never fsynced, so no caller was answered for
     // it. Replay drops it and keeps every earlier input.
     const dataDir = mkdtempSync(join(tmpdir(), "poplarhead-torn-"));
@@ -93,7 +94,7 @@
         spec: buildSpec(),
     });
     await entry.stop();
-    appendFileSync(join(dataDir, "journal.jsonl"), '{"type":"submit","at":1,"sp');
+    appendFileSync(join(dataDir, "cell", "log.jsonl"), '12345678 {"entry":{"index":99,"te');
     const again = new EntryInstance({
         inventory,
         rules: buildRulesFixture(),
--- /dev/null
+++ b/entry/group_member.ts
@@ -0,0 +1,247 @@
+/**
+ * What an entry instance does as a member of any group: keep a replica, ask the leader for the
+ * log when it does not vote, and, while it leads, bring the voters in line with the layout.
+ *
+ * @example
+ * ```ts
+ * import { GroupMember } from "./group_member.ts";
+ * const member = new GroupMember({ layout, self, machine, network, dataDir, timings, log });
+ * member.start();
+ * ```
+ *
+ * @module
+ */
+
+import { interval, type Subscription } from "rxjs";
+import { join } from "node:path";
+import type { Logger } from "winston";
+import {
+    FileStorage,
+    MemoryStorage,
+    Replica,
+    type ConsensusTimings,
+    type GroupMessage,
+    type MemberId,
+    type ReplicaEvents,
+    type StateMachine,
+} from "../log/mod.ts";
+import { createMemberId, parseEntryId, type EntryId, type GroupLayout } from "../membership/mod.ts";
+import type { PeerNetwork } from "./peer_network.ts";
+
+/** Options of {@link GroupMember}. */
+export interface GroupMemberOptions<C, R> extends ReplicaEvents {
+    readonly group: GroupLayout;
+    readonly self: EntryId;
+    readonly incarnation: string;
+    readonly machine: StateMachine<C, R>;
+    readonly network: PeerNetwork;
+    readonly dataDir: string | undefined;
+    readonly timings: ConsensusTimings;
+    readonly batchWindowMs?: number;
+    readonly snapshotEvery?: number;
+    readonly completeBatch?: (commands: readonly C[]) => readonly C[];
+    readonly log: Logger;
+}
+
+const MAINTENANCE_MS = 500;
+/** A learner that has not answered for this long is no longer sent the log. */
+const LEARNER_SILENCE_MS = 10_000;
+
+/** One entry instance's part in one group. */
+export class GroupMember<C, R> {
+    readonly #options: GroupMemberOptions<C, R>;
+    readonly #replica: Replica<C, R>;
+    readonly #member: MemberId;
+    #maintenance: Subscription | undefined;
+    #askNext = 0;
+    /** The last time a leader sent something, in ms on the monotonic clock. */
+    #heardAt = Number.NEGATIVE_INFINITY;
+
+    /**
+     * @param options The group, identity, state machine; see {@link GroupMemberOptions}.
+     */
+    constructor(options: GroupMemberOptions<C, R>) {
+        this.#options = options;
+        this.#member = createMemberId(options.self, options.incarnation);
+        this.#replica = new Replica<C, R>({
+            ...options,
+            self: this.#member,
+            storage:
+                options.dataDir === undefined
+                    ? new MemoryStorage()
+                    : FileStorage.open({ dir: join(options.dataDir, options.group.id) }),
+            transport: options.network.createTransport(
+                options.group.id,
+                this.#member,
+                () => this.#replica,
+            ),
+            initialVoters: options.group.voters.map((id) => createMemberId(id)),
+            onStorageError: (error) => {
+                options.log.error("storage refused a write; trying again", {
+                    group: options.group.id,
+                    error: error.message,
+                });
+            },
+        });
+    }
+
+    /** Starts the replica and the upkeep of the membership. */
+    start(): void {
+        this.#replica.start();
+        this.#maintenance = interval(MAINTENANCE_MS).subscribe(() => this.#runMaintenance());
+        this.#runMaintenance();
+    }
+
+    /** Stops both. */
+    async stop(): Promise<void> {
+        this.#maintenance?.unsubscribe();
+        await this.#replica.stop();
+    }
+
+    /** The replica. */
+    get replica(): Replica<C, R> {
+        return this.#replica;
+    }
+
+    /** Whether this instance leads the group and nobody else can. */
+    get isServing(): boolean {
+        return this.#replica.isServing;
+    }
+
+    /** The leader's entry instance, as far as this replica knows. */
+    get leader(): EntryId | undefined {
+        const { leader } = this.#replica;
+        return leader === undefined ? undefined : parseEntryId(leader);
+    }
+
+    /**
+     * Takes a message of the group.
+     *
+     * @param from The sender.
+     * @param to The member it is for.
+     * @param message The message.
+     * @returns The response; `null` when the message was for an earlier incarnation.
+     */
+    async receive(
+        from: MemberId,
+        to: MemberId,
+        message: GroupMessage,
+    ): Promise<GroupMessage | null> {
+        if (to !== this.#member) {
+            return null;
+        }
+        if (message.type === "append" || message.type === "snapshot") {
+            this.#heardAt = performance.now();
+        }
+        return (await this.#replica.receive(from, message)) ?? null;
+    }
+
+    /**
+     * Starts sending the log to a member that asks for it.
+     *
+     * @param member The member.
+     * @returns The leader, for a member that asked the wrong instance.
+     */
+    addLearner(member: MemberId): { readonly leader: EntryId | undefined } {
+        if (this.#replica.role === "leader") {
+            for (const known of this.#replica.listLearners()) {
+                const isEarlier = parseEntryId(known.member) === parseEntryId(member);
+                if (isEarlier && known.member !== member) {
+                    this.#replica.removeLearner(known.member);
+                }
+            }
+            this.#replica.addLearner(member);
+        }
+        return { leader: this.leader };
+    }
+
+    #runMaintenance(): void {
+        if (this.#replica.role === "leader") {
+            this.#updateVoters();
+            this.#removeSilentLearners();
+        } else if (this.#replica.role === "learner") {
+            void this.#sendSubscribe();
+        }
+    }
+
+    /**
+     * Brings the voters in line with the layout, one member at a time: first a caught-up member
+     * that should vote is added, then a voter that should not (an earlier incarnation, or an
+     * instance that the settings no longer name) is removed.
+     */
+    #updateVoters(): void {
+        const { voters } = this.#replica;
+        const wanted = this.#options.group.voters;
+        const joining = this.#replica
+            .listLearners()
+            .find((l) => l.isCaughtUp && wanted.includes(parseEntryId(l.member)));
+        if (joining !== undefined) {
+            if (this.#replica.proposeVoters([...voters, joining.member])) {
+                this.#options.log.info("voter added", {
+                    group: this.#options.group.id,
+                    member: joining.member,
+                });
+            }
+            return;
+        }
+        const leaving = voters.find((voter) => this.#isReplaced(voter, voters));
+        if (leaving !== undefined) {
+            const rest = voters.filter((v) => v !== leaving);
+            if (this.#replica.proposeVoters(rest)) {
+                this.#options.log.info("voter removed", {
+                    group: this.#options.group.id,
+                    member: leaving,
+                });
+            }
+        }
+    }
+
+    /**
+     * A voter goes when a newer incarnation of its instance votes, or when its instance should
+     * not vote at all and every one that should does: removing first would leave the group with
+     * less to lose while it changes.
+     */
+    #isReplaced(voter: MemberId, voters: readonly MemberId[]): boolean {
+        const wanted = this.#options.group.voters;
+        const id = parseEntryId(voter);
+        const twins = voters.filter((v) => parseEntryId(v) === id);
+        if (twins.length > 1) {
+            return voter === twins[0];
+        }
+        const voting = voters.map((v) => parseEntryId(v));
+        return !wanted.includes(id) && wanted.every((w) => voting.includes(w));
+    }
+
+    #removeSilentLearners(): void {
+        for (const learner of this.#replica.listLearners()) {
+            if (
+                learner.ackedAt !== Number.NEGATIVE_INFINITY &&
+                performance.now() - learner.ackedAt > LEARNER_SILENCE_MS
+            ) {
+                this.#replica.removeLearner(learner.member);
+            }
+        }
+    }
+
+    /** Asks one voter after another for the log, until a leader sends it. */
+    async #sendSubscribe(): Promise<void> {
+        const silentFor = performance.now() - this.#heardAt;
+        if (silentFor < 4 * this.#options.timings.heartbeatMs) {
+            return;
+        }
+        const others = this.#options.group.voters.filter((v) => v !== this.#options.self);
+        const target = others[this.#askNext++ % Math.max(1, others.length)];
+        const client = target === undefined ? undefined : this.#options.network.getClient(target);
+        const ask = { group: this.#options.group.id, member: this.#member };
+        const answer = await client
+            ?.call<{ leader: EntryId | undefined }>("peer.subscribe", ask)
+            .catch(() => undefined);
+        const hinted = answer?.leader;
+        if (hinted !== undefined && hinted !== target && hinted !== this.#options.self) {
+            await this.#options.network
+                .getClient(hinted)
+                ?.call("peer.subscribe", ask)
+                .catch(() => undefined);
+        }
+    }
+}
--- a/entry/mod.ts
+++ b/entry/mod.ts
@@ -11,3 +11,5 @@
 
 export * from "./api_schema.ts";
 export * from "./entry.ts";
+export * from "./errors.ts";
+export * from "./status.ts";
--- /dev/null
+++ b/entry/peer_network.ts
@@ -0,0 +1,169 @@
+/**
+ * Carries the groups' messages between entry instances over JSON-RPC. A request and its response
+ * are one HTTP call; per member and group one call is under way at a time, and a newer append
+ * replaces one that still waits, because it carries the same entries and more.
+ *
+ * @example
+ * ```ts
+ * import { PeerNetwork } from "./peer_network.ts";
+ * const network = new PeerNetwork({ members });
+ * const transport = network.createTransport(group, self, () => replica);
+ * ```
+ *
+ * @module
+ */
+
+import type { GroupId, GroupMessage, MemberId, Transport } from "../log/mod.ts";
+import { parseEntryId, type EntryId, type EntryMember } from "../membership/mod.ts";
+import { createRpcClient, type RpcClient } from "../rpc/mod.ts";
+
+/** A group's message on the wire. */
+export interface PeerEnvelope {
+    readonly group: GroupId;
+    readonly from: MemberId;
+    /** The incarnation it is for: a message for an earlier one must not reach its successor. */
+    readonly to: MemberId;
+    readonly message: GroupMessage;
+}
+
+/** The replica that a transport works for. */
+export interface MessageReceiver {
+    readonly receive: (from: MemberId, message: GroupMessage) => Promise<GroupMessage | undefined>;
+    readonly handleUndelivered: (member: MemberId) => void;
+}
+
+/** Options of {@link PeerNetwork}. */
+export interface PeerNetworkOptions {
+    readonly members: readonly EntryMember[];
+    /** How long a message may take, in ms. */
+    readonly timeoutMs?: number;
+    /** How long a snapshot may take, in ms. */
+    readonly snapshotTimeoutMs?: number;
+}
+
+interface Channel {
+    isBusy: boolean;
+    readonly waiting: GroupMessage[];
+}
+
+const DEFAULT_TIMEOUT_MS = 1_000;
+const DEFAULT_SNAPSHOT_TIMEOUT_MS = 10_000;
+
+/** Connections to the other entry instances. */
+export class PeerNetwork {
+    readonly #options: PeerNetworkOptions;
+    readonly #clients = new Map<EntryId, RpcClient>();
+    readonly #channels = new Map<string, Channel>();
+    #isClosed = false;
+
+    /**
+     * @param options The members' addresses, timeouts.
+     */
+    constructor(options: PeerNetworkOptions) {
+        this.#options = options;
+    }
+
+    /**
+     * Gives the client of an entry instance.
+     *
+     * @param id The entry instance.
+     * @returns Its client, or `undefined` when the settings do not name it.
+     */
+    getClient(id: EntryId): RpcClient | undefined {
+        const known = this.#clients.get(id);
+        if (known !== undefined) {
+            return known;
+        }
+        const address = this.#options.members.find((m) => m.id === id)?.address;
+        if (address === undefined) {
+            return undefined;
+        }
+        const client = createRpcClient(address, this.#options.timeoutMs ?? DEFAULT_TIMEOUT_MS);
+        this.#clients.set(id, client);
+        return client;
+    }
+
+    /** Bytes sent to and received from the other entry instances. */
+    get bytes(): { received: number; sent: number } {
+        let received = 0;
+        let sent = 0;
+        for (const client of this.#clients.values()) {
+            received += client.bytes().received;
+            sent += client.bytes().sent;
+        }
+        return { received, sent };
+    }
+
+    /** Sends nothing from now on. */
+    close(): void {
+        this.#isClosed = true;
+    }
+
+    /**
+     * Creates the transport of one group's member.
+     *
+     * @param group The group.
+     * @param self The member.
+     * @param getReceiver Gives the replica that takes responses.
+     * @returns The transport.
+     */
+    createTransport(group: GroupId, self: MemberId, getReceiver: () => MessageReceiver): Transport {
+        return {
+            send: (to, message) => {
+                const key = `${group}|${to}`;
+                const channel = this.#channels.get(key) ?? { isBusy: false, waiting: [] };
+                this.#channels.set(key, channel);
+                addMessage(channel, message);
+                void this.#sendWaiting(channel, { group, from: self, to }, getReceiver());
+            },
+        };
+    }
+
+    async #sendWaiting(
+        channel: Channel,
+        envelope: Omit<PeerEnvelope, "message">,
+        receiver: MessageReceiver,
+    ): Promise<void> {
+        if (channel.isBusy) {
+            return;
+        }
+        channel.isBusy = true;
+        for (;;) {
+            const message = channel.waiting.shift();
+            if (message === undefined || this.#isClosed) {
+                break;
+            }
+            try {
+                const response = await this.#sendEnvelope({ ...envelope, message });
+                if (response !== null) {
+                    void receiver.receive(envelope.to, response);
+                }
+            } catch {
+                receiver.handleUndelivered(envelope.to);
+            }
+        }
+        channel.isBusy = false;
+    }
+
+    async #sendEnvelope(envelope: PeerEnvelope): Promise<GroupMessage | null> {
+        const client = this.getClient(parseEntryId(envelope.to));
+        if (client === undefined) {
+            return null;
+        }
+        const timeoutMs =
+            envelope.message.type === "snapshot"
+                ? (this.#options.snapshotTimeoutMs ?? DEFAULT_SNAPSHOT_TIMEOUT_MS)
+                : undefined;
+        return client.call<GroupMessage | null>("peer.group", envelope, timeoutMs);
+    }
+}
+
+function addMessage(channel: Channel, message: GroupMessage): void {
+    if (message.type === "append" || message.type === "snapshot") {
+        const older = channel.waiting.findIndex((m) => m.type === message.type);
+        if (older >= 0) {
+            channel.waiting.splice(older, 1);
+        }
+    }
+    channel.waiting.push(message);
+}
--- /dev/null
+++ b/entry/status.ts
@@ -0,0 +1,134 @@
+/**
+ * What an entry instance tells operators of itself and of the groups it keeps.
+ *
+ * @example
+ * ```ts
+ * import { describeStatus } from "./status.ts";
+ * const status = describeStatus({ self, isReady, zones, config, gossip, members, bytes });
+ * ```
+ *
+ * @module
+ */
+
+import type { CellCounters } from "../cell/mod.ts";
+import type { GroupId, MemberId, Role } from "../log/mod.ts";
+import type { EntryId, Gossip, MemberStatus } from "../membership/mod.ts";
+import type { ConfigGroup } from "./config_group.ts";
+import type { ZoneGroup } from "./zone_group.ts";
+
+/** A group as this instance sees it. */
+export interface GroupStatus {
+    readonly id: GroupId;
+    readonly role: Role;
+    /** Whether this instance leads it and nobody else can. */
+    readonly serving: boolean;
+    readonly term: number;
+    readonly leader: EntryId | undefined;
+    readonly appliedIndex: number;
+    readonly voters: readonly MemberId[];
+    readonly rulesVersion: number;
+}
+
+/** The status of one entry instance; sums are over the groups it keeps. */
+export interface EntryStatus {
+    readonly id: EntryId;
+    readonly ready: boolean;
+    readonly rulesVersion: number;
+    readonly requests: Readonly<Record<string, number>>;
+    readonly workersAlive: number;
+    readonly workers: number;
+    readonly packingCores: number;
+    readonly counters: CellCounters;
+    readonly bytes: { readonly received: number; readonly sent: number };
+    readonly groups: readonly GroupStatus[];
+    readonly members: Readonly<Record<string, MemberStatus>>;
+}
+
+/** What {@link describeStatus} looks at. */
+export interface StatusSources {
+    readonly self: EntryId;
+    readonly isReady: boolean;
+    readonly rulesVersion: number;
+    readonly zones: ReadonlyMap<GroupId, ZoneGroup>;
+    readonly config: ConfigGroup;
+    readonly gossip: Gossip;
+    readonly members: readonly EntryId[];
+    readonly bytes: readonly { readonly received: number; readonly sent: number }[];
+}
+
+/**
+ * Describes an entry instance.
+ *
+ * @param sources What to look at.
+ * @returns The status.
+ */
+export function describeStatus(sources: StatusSources): EntryStatus {
+    const cells = [...sources.zones.values()].map((z) => z.cell);
+    const workers = cells.flatMap((c) => c.listWorkers());
+    const held = workers.reduce((sum, w) => sum + w.held.cores, 0);
+    const total = workers.reduce((sum, w) => sum + w.instance.capacity.cores, 0);
+    const requests: Record<string, number> = {};
+    for (const cell of cells) {
+        for (const [state, count] of cell.computeStates()) {
+            requests[state] = (requests[state] ?? 0) + count;
+        }
+    }
+    const now = performance.now();
+    return {
+        id: sources.self,
+        ready: sources.isReady,
+        rulesVersion: sources.rulesVersion,
+        requests,
+        workersAlive: workers.filter((w) => w.alive).length,
+        workers: workers.length,
+        packingCores: total === 0 ? 0 : held / total,
+        counters: addCounters(cells.map((c) => c.counters)),
+        bytes: sources.bytes.reduce<{ received: number; sent: number }>(
+            (sum, b) => ({ received: sum.received + b.received, sent: sum.sent + b.sent }),
+            { received: 0, sent: 0 },
+        ),
+        groups: [
+            ...[...sources.zones].map(([id, zone]) =>
+                describeGroup(id, zone.member, zone.cell.rules.version),
+            ),
+            describeGroup("config" as GroupId, sources.config.member, sources.rulesVersion),
+        ],
+        members: Object.fromEntries(
+            sources.members.map((m) => [m, sources.gossip.getStatus(m, now)]),
+        ),
+    };
+}
+
+function describeGroup(
+    id: GroupId,
+    member: ZoneGroup["member"] | ConfigGroup["member"],
+    rulesVersion: number,
+): GroupStatus {
+    const { replica } = member;
+    return {
+        id,
+        role: replica.role,
+        serving: member.isServing,
+        term: replica.term,
+        leader: member.leader,
+        appliedIndex: replica.appliedIndex,
+        voters: replica.voters,
+        rulesVersion,
+    };
+}
+
+function addCounters(all: readonly CellCounters[]): CellCounters {
+    const sum: CellCounters = {
+        placements: 0,
+        preemptions: 0,
+        refusals: 0,
+        declines: 0,
+        expiries: 0,
+    };
+    for (const counters of all) {
+        for (const name of Object.keys(sum) as (keyof CellCounters)[]) {
+            sum[name] += counters[name];
+        }
+    }
+    return sum;
+}
--- /dev/null
+++ b/entry/zone_group.ts
@@ -0,0 +1,460 @@
+/**
+ * A zone's group on one entry instance: a replica of the zone's cell and, while this instance
+ * leads, the duties of a leader: keep the cell's clock, take the workers' heartbeats and reports,
+ * offer leases, carry new rules in.
+ *
+ * @example
+ * ```ts
+ * import { ZoneGroup } from "./zone_group.ts";
+ * const group = new ZoneGroup({ ...memberOptions, layout, inventory, rules, config });
+ * const answer = await group.submit(spec);
+ * ```
+ *
+ * @module
+ */
+
+import { interval, type Subscription } from "rxjs";
+import {
+    Cell,
+    KeyConflictError,
+    type Answer,
+    type CellInput,
+    type CellOptions,
+    type Effect,
+    type HeldLease,
+    type RequestSpec,
+    type TaskReport,
+} from "../cell/mod.ts";
+import type { InstanceId, LeaseId, RequestId } from "../inventory/mod.ts";
+import { createGroupInventory, createIdPrefix, type Layout } from "../membership/mod.ts";
+import { MethodError } from "../rpc/mod.ts";
+import type { EntryMetrics } from "../telemetry/mod.ts";
+import { CellClock } from "./cell_clock.ts";
+import type { ConfigGroup } from "./config_group.ts";
+import { KEY_CONFLICT_CODE } from "./errors.ts";
+import { GroupMember, type GroupMemberOptions } from "./group_member.ts";
+import { WorkerLink } from "./worker_link.ts";
+
+/** What applying an input gave, or why it gave nothing; the same on every replica. */
+type CellResult =
+    { readonly value: unknown } | { readonly conflict: string } | { readonly failure: string };
+
+/** Options of {@link ZoneGroup}. */
+export interface ZoneGroupOptions
+    extends Omit<GroupMemberOptions<CellInput, CellResult>, "machine">, CellOptions {
+    readonly layout: Layout;
+    readonly config: ConfigGroup;
+    readonly metrics: EntryMetrics;
+    readonly tickMs?: number;
+    /** Heartbeats arriving within this many ms are renewed by one command. */
+    readonly renewWindowMs?: number;
+    /** A request reached its end on this replica. */
+    readonly onFinal: (request: RequestId) => void;
+}
+
+/** A worker's heartbeat. */
+export interface Beat {
+    readonly instance: InstanceId;
+    readonly incarnation: string;
+    /** When it was sent, by the worker's clock, in ms. */
+    readonly sentAt: number;
+    readonly leases: readonly HeldLease[];
+}
+
+/** A worker's report of a task. */
+export interface Report {
+    readonly lease: LeaseId;
+    readonly epoch: number;
+    readonly report: TaskReport;
+    readonly detail: string;
+}
+
+/** The answer to heartbeats. */
+export interface BeatsAnswer {
+    /** Workers that must announce themselves again (unknown here, or another process). */
+    readonly announce: readonly InstanceId[];
+    /** Leases that ended: the worker stops their tasks and does not renew them. */
+    readonly ended: readonly LeaseId[];
+}
+
+const DEFAULT_TICK_MS = 10;
+const DEFAULT_RENEW_WINDOW_MS = 100;
+
+/** One zone's group on one entry instance. */
+export class ZoneGroup {
+    readonly #options: ZoneGroupOptions;
+    readonly #clock = new CellClock();
+    readonly #workers: WorkerLink;
+    readonly cell: Cell;
+    readonly member: GroupMember<CellInput, CellResult>;
+    #ticks: Subscription | undefined;
+    #isTicking = false;
+    #lastTickAt = 0;
+    #isAdopting = false;
+    #renewing = new Set<InstanceId>();
+    #renewal: Promise<unknown> | undefined;
+
+    /**
+     * @param options The layout, inventory, rules, timings; see {@link ZoneGroupOptions}.
+     */
+    constructor(options: ZoneGroupOptions) {
+        this.#options = options;
+        const { group, layout } = options;
+        this.cell = new Cell({
+            ...options,
+            inventory: createGroupInventory(options.inventory, group),
+            idPrefix: createIdPrefix(layout, group),
+            quotaShare: group.quotaShare,
+        });
+        this.#workers = new WorkerLink({
+            isServing: () => this.isServing,
+            onDeclined: (lease, reason) =>
+                void this.#propose((at) => ({
+                    type: "grantReply",
+                    at,
+                    lease,
+                    accepted: false,
+                    reason,
+                })).catch(() => undefined),
+            log: options.log,
+        });
+        this.member = new GroupMember({
+            ...options,
+            machine: {
+                apply: (input) => this.#applyInput(input),
+                encode: () => this.cell.encode(),
+                restore: (state) => this.cell.restore(state),
+            },
+            completeBatch: (inputs) => this.#createBatchTick(inputs),
+            onApplied: () => this.#handleEffects(this.cell.takeEffects()),
+            onLead: () => this.#startLeading(),
+            onResign: () => this.#stopLeading(),
+            onPersisted: (tookMs) => options.metrics.logSyncSeconds.observe(tookMs / 1_000),
+        });
+    }
+
+    /** Whether this instance leads the group and nobody else can. */
+    get isServing(): boolean {
+        return this.member.isServing;
+    }
+
+    /** Bytes exchanged with workers by this side's calls. */
+    get workerBytes(): { received: number; sent: number } {
+        return this.#workers.bytes;
+    }
+
+    /** Stops the replica. */
+    async stop(): Promise<void> {
+        this.#stopLeading();
+        await this.member.stop();
+    }
+
+    /**
+     * Accepts a request, once a quorum holds it durably.
+     *
+     * @param spec The request.
+     * @returns The answer as it stands then.
+     */
+    async submit(spec: RequestSpec): Promise<Answer> {
+        return (await this.#propose((at) => ({ type: "submit", at, spec }))) as Answer;
+    }
+
+    /**
+     * Cancels a request.
+     *
+     * @param request The request.
+     * @returns The answer, or `undefined` for an unknown id.
+     */
+    async cancel(request: RequestId): Promise<Answer | undefined> {
+        return (await this.#propose((at) => ({ type: "cancel", at, request }))) as
+            Answer | undefined;
+    }
+
+    /**
+     * Starts or ends an operator's drain of an instance.
+     *
+     * @param type Which.
+     * @param instance The instance.
+     * @returns False for an unknown instance.
+     */
+    async drain(type: "drain" | "undrain", instance: InstanceId): Promise<boolean> {
+        return (await this.#propose((at) => ({ type, at, instance }))) as boolean;
+    }
+
+    /**
+     * Takes workers that announce themselves.
+     *
+     * @param workers The workers, with the address and incarnation of their process.
+     */
+    async announceWorkers(
+        workers: readonly {
+            readonly instance: InstanceId;
+            readonly address: string;
+            readonly incarnation: string;
+            readonly sentAt: number;
+        }[],
+    ): Promise<void> {
+        await Promise.all(
+            workers.map(({ instance, address, incarnation }) =>
+                this.#propose((at) => ({ type: "announce", at, instance, address, incarnation })),
+            ),
+        );
+        workers.forEach((w) => this.#workers.recordBeat(w.instance, w.sentAt));
+        this.#workers.sendHeld();
+    }
+
+    /**
+     * Stops new work to workers that leave.
+     *
+     * @param instances The workers' instances.
+     */
+    async handleLeaving(instances: readonly InstanceId[]): Promise<void> {
+        await Promise.all(
+            instances.map((instance) => this.#propose((at) => ({ type: "leave", at, instance }))),
+        );
+    }
+
+    /**
+     * Takes heartbeats. They are answered only after the renewal is committed: the worker lets
+     * its leases live on by that answer, and a leader that was replaced cannot commit, so it can
+     * never keep a task alive that its successor has given to another worker.
+     *
+     * @param beats The heartbeats.
+     * @returns What the workers must do.
+     */
+    async handleBeats(beats: readonly Beat[]): Promise<BeatsAnswer> {
+        const known = new Map(this.cell.listWorkers().map((w) => [w.instance.id, w]));
+        const announce: InstanceId[] = [];
+        const waits: Promise<unknown>[] = [];
+        for (const beat of beats) {
+            const worker = known.get(beat.instance);
+            if (worker?.address === undefined || worker.incarnation !== beat.incarnation) {
+                announce.push(beat.instance);
+                continue;
+            }
+            waits.push(
+                this.cell.isRenewal(beat.instance, beat.leases)
+                    ? this.#renew(beat.instance)
+                    : this.#propose((at) => ({
+                          type: "heartbeat",
+                          at,
+                          instance: beat.instance,
+                          leases: this.#listBeatLeases(beat),
+                      })),
+            );
+        }
+        await Promise.all(waits);
+        beats.forEach((beat) => this.#workers.recordBeat(beat.instance, beat.sentAt));
+        this.#workers.sendHeld();
+        this.#sendStopsAgain(beats);
+        const live = new Set(this.cell.listLiveLeases().map((l) => l.id));
+        const held = beats.flatMap((beat) => beat.leases.map((l) => l.lease));
+        return { announce, ended: held.filter((id) => !live.has(id)) };
+    }
+
+    /**
+     * Takes reports.
+     *
+     * @param reports The reports, in the order they happened.
+     */
+    async handleReports(reports: readonly Report[]): Promise<void> {
+        await Promise.all(
+            reports.map((r) => this.#propose((at) => ({ ...r, type: "report", at }))),
+        );
+    }
+
+    /** Use within the declared demand changes nothing; leaving it out keeps the log short. */
+    #listBeatLeases(beat: Beat): HeldLease[] {
+        return beat.leases.map((l) => ({ lease: l.lease, epoch: l.epoch, usage: l.usage }));
+    }
+
+    #renew(instance: InstanceId): Promise<unknown> {
+        this.#renewing.add(instance);
+        this.#renewal ??= new Promise((resolve, reject) => {
+            setTimeout(() => {
+                const workers = [...this.#renewing];
+                this.#renewing = new Set();
+                this.#renewal = undefined;
+                this.#propose((at) => ({ type: "renew", at, workers })).then(resolve, reject);
+            }, this.#options.renewWindowMs ?? DEFAULT_RENEW_WINDOW_MS);
+        });
+        return this.#renewal;
+    }
+
+    /** A stop that was lost on its way is sent again when the worker still lists the lease. */
+    #sendStopsAgain(beats: readonly Beat[]): void {
+        const stopping = new Map(
+            this.cell
+                .listLiveLeases()
+                .filter((l) => l.stopSent)
+                .map((l) => [l.id, l]),
+        );
+        if (stopping.size === 0) {
+            return;
+        }
+        const addresses = new Map(
+            this.cell.listWorkers().map((w) => [w.instance.id, w.address ?? ""]),
+        );
+        this.#workers.sendStops(
+            beats.flatMap((beat) =>
+                beat.leases.flatMap(({ lease: id }) => {
+                    const lease = stopping.get(id);
+                    return lease === undefined
+                        ? []
+                        : [
+                              {
+                                  type: "stop" as const,
+                                  address: addresses.get(beat.instance) ?? "",
+                                  instance: beat.instance,
+                                  incarnation: lease.incarnation,
+                                  lease: lease.id,
+                                  epoch: lease.epoch,
+                                  mode: "stop" as const,
+                              },
+                          ];
+                }),
+            ),
+        );
+    }
+
+    async #propose(createInput: (at: number) => CellInput): Promise<unknown> {
+        const result = await this.member.replica.propose(createInput(this.#clock.getNow()));
+        if ("conflict" in result) {
+            throw new MethodError(result.conflict, KEY_CONFLICT_CODE);
+        }
+        if ("failure" in result) {
+            throw new Error(result.failure);
+        }
+        return result.value;
+    }
+
+    /** An input that throws is answered as a failure; the replicas go on, all alike. */
+    #applyInput(input: CellInput): CellResult {
+        try {
+            return { value: this.cell.applyInput(input) };
+        } catch (error) {
+            if (error instanceof KeyConflictError) {
+                return { conflict: error.message };
+            }
+            this.#options.log.error("input failed", {
+                type: input.type,
+                error: (error as Error).stack,
+            });
+            return { failure: (error as Error).message };
+        }
+    }
+
+    #startLeading(): void {
+        this.#clock.start(this.cell.lastAt);
+        this.#options.log.info("leading", {
+            group: this.#options.group.id,
+            term: this.member.replica.term,
+        });
+        this.#options.metrics.leading.set({ group: this.#options.group.id }, 1);
+        setImmediate(() => {
+            this.#propose((at) => ({ type: "takeover", at })).catch(() => undefined);
+        });
+        this.#ticks?.unsubscribe();
+        this.#ticks = interval(this.#options.tickMs ?? DEFAULT_TICK_MS).subscribe(() =>
+            this.#runTick(),
+        );
+    }
+
+    #stopLeading(): void {
+        if (this.#ticks !== undefined) {
+            this.#options.log.info("leading no more", { group: this.#options.group.id });
+        }
+        this.#ticks?.unsubscribe();
+        this.#ticks = undefined;
+        this.#options.metrics.leading.set({ group: this.#options.group.id }, 0);
+        this.#workers.close();
+    }
+
+    #runTick(): void {
+        if (!this.isServing) {
+            return;
+        }
+        this.#workers.sendHeld();
+        this.#adoptRules();
+        if (!this.#isTicking && this.cell.hasTickWork(this.#clock.getNow())) {
+            this.#isTicking = true;
+            this.#propose((at) => this.#createTick(at))
+                .catch(() => undefined)
+                .finally(() => {
+                    this.#isTicking = false;
+                });
+        }
+    }
+
+    #createTick(at: number): CellInput {
+        this.#lastTickAt = at;
+        return { type: "tick", at };
+    }
+
+    /** Places what a batch brought in the same round, unless a tick has just done so. */
+    #createBatchTick(inputs: readonly CellInput[]): CellInput[] {
+        const at = this.#clock.getNow();
+        const isDue = at - this.#lastTickAt >= (this.#options.tickMs ?? DEFAULT_TICK_MS);
+        const brings = inputs.some((i) => i.type === "submit" || i.type === "report");
+        return isDue && brings ? [this.#createTick(at)] : [];
+    }
+
+    #adoptRules(): void {
+        const { config } = this.#options;
+        if (this.#isAdopting || config.rules.version <= this.cell.rules.version) {
+            return;
+        }
+        this.#isAdopting = true;
+        this.#propose((at) => ({ type: "adoptRules", at, rules: config.rulesFile }))
+            .catch(() => undefined)
+            .finally(() => {
+                this.#isAdopting = false;
+            });
+    }
+
+    /** Only the leader acts on effects; every replica wakes those who wait for an end. */
+    #handleEffects(effects: readonly Effect[]): void {
+        const leads = this.member.replica.role === "leader";
+        const grants: Extract<Effect, { type: "grant" }>[] = [];
+        const stops: Extract<Effect, { type: "stop" }>[] = [];
+        for (const effect of effects) {
+            if (effect.type === "final") {
+                this.#options.onFinal(effect.request);
+            }
+            if (!leads) {
+                continue;
+            }
+            switch (effect.type) {
+                case "grant":
+                    this.#options.metrics.placements.inc();
+                    grants.push(effect);
+                    break;
+                case "stop":
+                    stops.push(effect);
+                    break;
+                default:
+                    this.#recordEffect(effect);
+            }
+        }
+        this.#workers.sendGrants(grants);
+        this.#workers.sendStops(stops);
+    }
+
+    #recordEffect(effect: Extract<Effect, { type: "fate" | "started" | "final" }>): void {
+        const { metrics, log } = this.#options;
+        switch (effect.type) {
+            case "fate":
+                log.info(effect.event.event, {
+                    request: effect.request,
+                    detail: effect.event.detail,
+                });
+                return;
+            case "started":
+                metrics.waitSeconds.observe({ class: effect.className }, effect.waitMs / 1_000);
+                return;
+            case "final":
+                metrics.finals.inc({ state: effect.state });
+                return;
+        }
+    }
+}
--- a/log/replica.ts
+++ b/log/replica.ts
@@ -63,6 +63,8 @@
     readonly onLead?: () => void;
     /** This member leads no more. */
     readonly onResign?: () => void;
+    /** A write to the storage took this long, in ms. */
+    readonly onPersisted?: (tookMs: number) => void;
     /** Writing to the storage failed; it is tried again. */
     readonly onStorageError?: (error: Error) => void;
 }
@@ -78,6 +80,11 @@
     readonly timings?: ConsensusTimings;
     /** Commands proposed within this many ms share one entry. */
     readonly batchWindowMs?: number;
+    /**
+     * Gives commands that the owner puts behind a batch, such as a tick that places what the
+     * batch submitted: one round of the group then does both.
+     */
+    readonly completeBatch?: (commands: readonly C[]) => readonly C[];
     /** A snapshot is taken after this many entries. */
     readonly snapshotEvery?: number;
     readonly random?: () => number;
@@ -317,7 +324,9 @@
         if (proposals.length === 0) {
             return;
         }
-        const index = this.#consensus.propose(proposals.map((p) => p.command));
+        const commands = proposals.map((p) => p.command);
+        const extra = this.#options.completeBatch?.(commands) ?? [];
+        const index = this.#consensus.propose([...commands, ...extra]);
         if (index === undefined) {
             const error = new NotLeaderError(this.#consensus.leader);
             proposals.forEach((p) => p.reject(error));
@@ -370,7 +379,11 @@
                     this.#appliedIndex = ready.install.index;
                     this.#snapshotIndex = ready.install.index;
                 }
+                const startedAt = performance.now();
                 await this.#options.storage.append(ready.entries, ready.hard);
+                if (ready.entries.length > 0) {
+                    this.#options.onPersisted?.(performance.now() - startedAt);
+                }
                 return;
             } catch (error) {
                 // A full disk refuses writes. Nothing is confirmed or answered meanwhile, so the
--- a/rpc/http_rpc.ts
+++ b/rpc/http_rpc.ts
@@ -43,10 +43,12 @@
     readonly methods: Readonly<Record<string, RpcMethod>>;
     /** GET routes by path. */
     readonly routes?: Readonly<Record<string, Route>>;
-    /** The largest request body taken, in bytes (default 8 MiB). */
+    /** The largest request body taken, in bytes (default 64 MiB: a snapshot is one message). */
     readonly maxBodyBytes?: number;
 }
 
+const DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024;
+
 /** A running server. */
 export interface RpcServer {
     /** `host:port` it listens on. */
@@ -63,30 +65,38 @@
 export class RpcError extends Error {
     /** The JSON-RPC error code, or 0 for a transport failure. */
     readonly code: number;
+    /** What the server added for the program to read, such as when to come back. */
+    readonly data: unknown;
 
     /**
      * @param message What failed.
      * @param code The JSON-RPC error code, 0 for transport.
+     * @param data What the server added.
      */
-    constructor(message: string, code: number) {
+    constructor(message: string, code: number, data?: unknown) {
         super(message);
         this.name = "RpcError";
         this.code = code;
+        this.data = data;
     }
 }
 
 /** An error that a method throws to give the caller a JSON-RPC error with a code. */
 export class MethodError extends Error {
     readonly code: number;
+    /** What the caller's program may read, such as when to come back. */
+    readonly data: unknown;
 
     /**
      * @param message What is wrong, for the caller.
      * @param code A JSON-RPC application error code (-32000 and below).
+     * @param data What the caller's program may read.
      */
-    constructor(message: string, code = -32000) {
+    constructor(message: string, code = -32000, data?: unknown) {
         super(message);
         this.name = "MethodError";
         this.code = code;
+        this.data = data;
     }
 }
 
@@ -105,11 +115,13 @@
         try {
             return await next(request, serverParams);
         } catch (error) {
-            const code = error instanceof MethodError ? error.code : -32603;
-            return createJSONRPCErrorResponse(request.id ?? null, code, (error as Error).message);
+            const { message } = error as Error;
+            return error instanceof MethodError
+                ? createJSONRPCErrorResponse(request.id ?? null, error.code, message, error.data)
+                : createJSONRPCErrorResponse(request.id ?? null, -32603, message);
         }
     });
-    const maxBody = options.maxBodyBytes ?? 8 * 1024 * 1024;
+    const maxBody = options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
     let inFlight = 0;
     let received = 0;
     let sent = 0;
@@ -182,10 +194,11 @@
      *
      * @param method The method's name.
      * @param params Its params object.
+     * @param callTimeoutMs How long this call may take, in ms, if other than the client's.
      * @returns The result.
      * @throws {RpcError} On an error answer, a timeout or a transport failure.
      */
-    readonly call: <T>(method: string, params: object) => Promise<T>;
+    readonly call: <T>(method: string, params: object, callTimeoutMs?: number) => Promise<T>;
     /** Bytes sent and received by this client. */
     readonly bytes: () => { received: number; sent: number };
 }
@@ -203,8 +216,8 @@
     const [host, port] = parseAddress(address);
     let received = 0;
     let sent = 0;
-    const client = new JSONRPCClient(
-        (payload) =>
+    const client = new JSONRPCClient<number>(
+        (payload, callTimeoutMs) =>
             new Promise<void>((resolve, reject) => {
                 const body = JSON.stringify(payload);
                 sent += Buffer.byteLength(body);
@@ -215,7 +228,9 @@
                         method: "POST",
                         path: "/rpc",
                         agent: sharedAgent,
-                        timeout: timeoutMs,
+                        // Destroys the socket too: one left open to a frozen process for every
+                        // timed-out call would use up the agent's sockets.
+                        timeout: callTimeoutMs,
                         headers: { "content-type": "application/json" },
                     },
                     (res) => {
@@ -233,7 +248,7 @@
                 );
                 req.on("timeout", () =>
                     req.destroy(
-                        new RpcError(`timeout after ${timeoutMs} ms calling ${address}`, 0),
+                        new RpcError(`timeout after ${callTimeoutMs} ms calling ${address}`, 0),
                     ),
                 );
                 req.on("error", (error) =>
@@ -247,15 +262,17 @@
             }),
     );
     return {
-        call: async <T>(method: string, params: object): Promise<T> => {
+        call: async <T>(method: string, params: object, callTimeoutMs = timeoutMs): Promise<T> => {
             try {
-                return (await client.timeout(timeoutMs).request(method, params)) as T;
+                return (await client
+                    .timeout(callTimeoutMs)
+                    .request(method, params, callTimeoutMs)) as T;
             } catch (error) {
                 if (error instanceof RpcError) {
                     throw error;
                 }
-                const code = (error as { code?: number }).code ?? 0;
-                throw new RpcError((error as Error).message, code);
+                const { code, data } = error as { code?: number; data?: unknown };
+                throw new RpcError((error as Error).message, code ?? 0, data);
             }
         },
         bytes: () => ({ received, sent }),
--- a/rules/mod.ts
+++ b/rules/mod.ts
@@ -10,3 +10,4 @@
  */
 
 export * from "./rules.ts";
+export * from "./rules_book.ts";
--- /dev/null
+++ b/rules/rules_book.ts
@@ -0,0 +1,132 @@
+/**
+ * The rules in force and the changes that led there: one winner among operators who race with
+ * equal version numbers, one effect for a change that is resent, and never a step back.
+ *
+ * @example
+ * ```ts
+ * import { RulesBook } from "./rules_book.ts";
+ * const book = new RulesBook(rules);
+ * const result = book.applyChange(change, () => []);
+ * ```
+ *
+ * @module
+ */
+
+import { createRules, createRulesFile, type RulesFile } from "../settings/rules_file.ts";
+import type { Rules } from "./rules.ts";
+
+/** A rules change as an operator sends it. */
+export interface RulesChange {
+    readonly changeId: string;
+    /** The version the change replaces; equal versions race, and one wins. */
+    readonly expectedVersion: number;
+    readonly rules: RulesFile;
+}
+
+/** The answer to a rules change. */
+export type RulesChangeResult =
+    | { readonly status: "applied"; readonly version: number }
+    | { readonly status: "conflict"; readonly version: number; readonly reason: string }
+    | { readonly status: "rejected"; readonly version: number; readonly reason: string };
+
+/** A book's whole state, for snapshots. */
+export interface RulesBookState {
+    readonly rules: RulesFile;
+    readonly changes: readonly (readonly [string, RulesChangeResult])[];
+}
+
+/** Answers kept for resends; the oldest are dropped first. 4,300 changes a day: two days. */
+const KEPT_CHANGES = 10_000;
+
+/** The rules in force and the answers to earlier changes. */
+export class RulesBook {
+    #rules: Rules;
+    readonly #changes = new Map<string, RulesChangeResult>();
+
+    /**
+     * @param rules The rules in force at the start.
+     */
+    constructor(rules: Rules) {
+        this.#rules = rules;
+    }
+
+    /** The rules in force. */
+    get rules(): Rules {
+        return this.#rules;
+    }
+
+    /**
+     * Applies a change, once per change id.
+     *
+     * @param change The change.
+     * @param listProblems Finds what would break; asked only when the version is right.
+     * @returns Applied with the new version, or why not.
+     */
+    applyChange(change: RulesChange, listProblems: () => readonly string[]): RulesChangeResult {
+        const earlier = this.#changes.get(change.changeId);
+        if (earlier !== undefined) {
+            return earlier;
+        }
+        const result = this.#computeResult(change, listProblems);
+        this.#changes.set(change.changeId, result);
+        if (this.#changes.size > KEPT_CHANGES) {
+            const [oldest] = this.#changes.keys();
+            this.#changes.delete(oldest as string);
+        }
+        return result;
+    }
+
+    /**
+     * Takes rules that were decided elsewhere; older ones than those in force are ignored, so
+     * an accepted change never reverts.
+     *
+     * @param file The rules with their version.
+     * @returns Whether they are in force now.
+     */
+    adoptRules(file: RulesFile): boolean {
+        if (file.version <= this.#rules.version) {
+            return false;
+        }
+        this.#rules = createRules(file);
+        return true;
+    }
+
+    /**
+     * Encodes the whole book.
+     *
+     * @returns Its state as plain data.
+     */
+    encode(): RulesBookState {
+        return { rules: createRulesFile(this.#rules), changes: [...this.#changes] };
+    }
+
+    /**
+     * Replaces the whole book.
+     *
+     * @param state What {@link RulesBook.encode} gave.
+     */
+    restore(state: RulesBookState): void {
+        this.#rules = createRules(state.rules);
+        this.#changes.clear();
+        for (const [changeId, result] of state.changes) {
+            this.#changes.set(changeId, result);
+        }
+    }
+
+    #computeResult(change: RulesChange, listProblems: () => readonly string[]): RulesChangeResult {
+        const { version } = this.#rules;
+        if (change.expectedVersion !== version) {
+            return {
+                status: "conflict",
+                version,
+                reason: `expected version ${change.expectedVersion}, but ${version} is in force`,
+            };
+        }
+        const problems = listProblems();
+        if (problems.length > 0) {
+            return { status: "rejected", version, reason: problems.join("; ") };
+        }
+        this.#rules = createRules({ ...change.rules, version: version + 1 });
+        return { status: "applied", version: version + 1 };
+    }
+}
--- a/scheduler/worker_state.ts
+++ b/scheduler/worker_state.ts
@@ -26,10 +26,14 @@
     readonly instance: Instance;
     /** Where its agent listens; `undefined` until it announced itself. */
     address: string | undefined;
+    /** The worker process that announced itself last. */
+    incarnation: string;
     /** Heartbeats arrive within the lease time to live. */
     alive: boolean;
-    /** Drained by an operator or leaving: it keeps its tasks and gets no new ones. */
-    draining: boolean;
+    /** Drained by an operator, until undrained: it keeps its tasks and gets no new ones. */
+    drained: boolean;
+    /** It announced that it leaves; a new announcement ends that, but not an operator's drain. */
+    leaving: boolean;
     /** Until this time (ms) it gets no new work: it failed everything it started lately. */
     quarantinedUntil: number;
     lastHeartbeatAt: number;
@@ -62,8 +66,10 @@
     return {
         instance,
         address: undefined,
+        incarnation: "",
         alive: false,
-        draining: false,
+        drained: false,
+        leaving: false,
         quarantinedUntil: 0,
         lastHeartbeatAt: 0,
         failuresInARow: 0,
@@ -100,8 +106,8 @@
  *
  * @param worker The worker.
  * @param now The time in ms.
- * @returns True when alive, not draining and not quarantined.
+ * @returns True when alive, neither drained nor leaving, and not quarantined.
  */
 export function isTakingWork(worker: WorkerState, now: number): boolean {
-    return worker.alive && !worker.draining && worker.quarantinedUntil <= now;
+    return worker.alive && !worker.drained && !worker.leaving && worker.quarantinedUntil <= now;
 }
--- /dev/null
+++ b/settings/deployment_file.ts
@@ -0,0 +1,111 @@
+/**
+ * The deployment file: the entry instances of a cell with their zones, addresses and disks, and
+ * optionally which groups own which zones and where callers are at home.
+ *
+ * @example
+ * ```ts
+ * import { loadDeploymentText } from "./deployment_file.ts";
+ * const deployment = loadDeploymentText("deployment.yaml", text);
+ * ```
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import type { ZoneId } from "../inventory/mod.ts";
+import type { Deployment, EntryId, GroupSpec } from "../membership/mod.ts";
+import { checkSource, checkUnique, type ReportFinding } from "./checked.ts";
+import { parseYamlSource } from "./yaml_source.ts";
+
+const NAME = z.string().regex(/^[a-z0-9][a-z0-9_.-]*$/, "use lower-case letters, digits, . _ -");
+const ADDRESS = z.string().regex(/^[^\s:]+:\d+$/, "use host:port");
+
+/** The schema of a deployment file. */
+export const deploymentSchema = z
+    .object({
+        members: z
+            .array(
+                z
+                    .object({
+                        id: NAME,
+                        zone: NAME,
+                        address: ADDRESS,
+                        disk: z.boolean().default(true),
+                    })
+                    .strict(),
+            )
+            .min(1),
+        groups: z
+            .array(
+                z
+                    .object({
+                        id: NAME,
+                        zones: z.array(NAME).min(1),
+                        voters: z.array(NAME).min(1).optional(),
+                    })
+                    .strict(),
+            )
+            .default([]),
+        callers: z.array(z.object({ caller: z.string().min(1), zone: NAME }).strict()).default([]),
+        heartbeatMs: z.number().int().min(20).default(250),
+        electionMs: z.number().int().min(100).default(1_000),
+    })
+    .strict();
+
+/**
+ * Parses and checks a deployment file; every bad line is reported, and nothing is loaded then.
+ *
+ * @param file The file's path, used in findings.
+ * @param text The YAML text.
+ * @returns The deployment.
+ * @throws {FindingsError} With every finding.
+ */
+export function loadDeploymentText(file: string, text: string): Deployment {
+    const value = checkSource(parseYamlSource(file, text), deploymentSchema, checkDeployment);
+    return {
+        members: value.members.map((m) => ({
+            id: m.id as EntryId,
+            zone: m.zone as ZoneId,
+            address: m.address,
+            hasDisk: m.disk,
+        })),
+        groups: value.groups as unknown as GroupSpec[],
+        callers: new Map(value.callers.map((c) => [c.caller, c.zone as ZoneId])),
+        timings: { heartbeatMs: value.heartbeatMs, electionMs: value.electionMs },
+    };
+}
+
+function checkDeployment(value: z.infer<typeof deploymentSchema>, report: ReportFinding): void {
+    checkUnique(value.members, (m) => m.id, ["members"], report);
+    checkUnique(value.members, (m) => m.address, ["members"], report);
+    checkUnique(value.groups, (g) => g.id, ["groups"], report);
+    checkUnique(value.callers, (c) => c.caller, ["callers"], report);
+    if (!value.members.some((m) => m.disk)) {
+        report(["members"], "no member has a disk; accepted work could not survive a restart");
+    }
+    if (value.electionMs < 3 * value.heartbeatMs) {
+        report(["electionMs"], `must be at least 3 times heartbeatMs (${value.heartbeatMs})`);
+    }
+    const members = new Map(value.members.map((m) => [m.id, m]));
+    const owners = new Map<string, string>();
+    value.groups.forEach((group, g) => {
+        group.zones.forEach((zone, z) => {
+            const owner = owners.get(zone);
+            if (owner !== undefined) {
+                report(["groups", g, "zones", z], `zone "${zone}" is already owned by "${owner}"`);
+            }
+            owners.set(zone, group.id);
+        });
+        (group.voters ?? []).forEach((voter, v) => {
+            const member = members.get(voter);
+            if (member === undefined) {
+                report(["groups", g, "voters", v], `unknown member "${voter}"`);
+            } else if (!member.disk) {
+                report(
+                    ["groups", g, "voters", v],
+                    `"${voter}" has no disk; it would forget its votes in a restart`,
+                );
+            }
+        });
+    });
+}
--- a/settings/rules_file.ts
+++ b/settings/rules_file.ts
@@ -96,6 +96,26 @@
     };
 }
 
+/**
+ * Gives rules back as a file's contents; {@link createRules} of it gives equal rules.
+ *
+ * @param rules The rules.
+ * @returns The file's value.
+ */
+export function createRulesFile(rules: Rules): RulesFile {
+    return {
+        version: rules.version,
+        classes: [...rules.classes.values()].map((c) => ({ ...c })),
+        kinds: [...rules.kinds.values()].map((k) => ({
+            name: k.name,
+            class: k.className,
+            placement: k.placement,
+            idempotent: k.idempotent,
+        })),
+        quotas: [...rules.quotas.values()].map((q) => ({ ...q })),
+    };
+}
+
 /**
  * Lists what is wrong with rules that passed the schema but came by another way than a file
  * (an operator's `rules.set`): duplicates and kinds naming unknown classes.
--- a/standin/caller.ts
+++ b/standin/caller.ts
@@ -13,49 +13,54 @@
  */
 
 import type { Answer, RequestSpec } from "../cell/mod.ts";
-import { createRpcClient, RpcError, type RpcClient } from "../rpc/mod.ts";
+import { EntryClient, parseEntries } from "./entry_client.ts";
 
 /** Options of a caller. */
 export interface CallerOptions {
+    /** The entry instances, as {@link parseEntries} reads them. */
     readonly entry: string;
-    /** Resends after a lost answer before giving up. */
-    readonly resends?: number;
+    /** How long it resends after lost answers before giving up, in ms. */
+    readonly resendMs?: number;
     /** The longest wait for all requests to end, in ms. */
     readonly deadlineMs?: number;
 }
 
-/** A caller of one entry instance. */
+const WAIT_MS = 10_000;
+
+/** A caller of a cell. */
 export class Caller {
-    readonly #client: RpcClient;
-    readonly #resends: number;
+    readonly #client: EntryClient;
+    readonly #resendMs: number;
     readonly #deadlineMs: number;
 
     /**
-     * @param options Where to send, how often to resend.
+     * @param options Where to send, how long to resend.
      */
     constructor(options: CallerOptions) {
-        this.#client = createRpcClient(options.entry, 15_000);
-        this.#resends = options.resends ?? 5;
+        this.#client = new EntryClient({ entries: parseEntries(options.entry) });
+        this.#resendMs = options.resendMs ?? 15_000;
         this.#deadlineMs = options.deadlineMs ?? 120_000;
     }
 
     /**
-     * Submits one request, resending on transport errors with the same key.
+     * Submits one request, resending with the same key while no answer comes.
      *
      * @param spec The request.
      * @returns The cell's answer.
      * @throws {RpcError} When the cell refused the call (bad params, key reuse) or never answered.
      */
-    async submit(spec: RequestSpec): Promise<Answer> {
-        for (let attempt = 0; ; attempt++) {
-            try {
-                return await this.#client.call<Answer>("request.submit", { spec });
-            } catch (error) {
-                if (!(error instanceof RpcError) || error.code !== 0 || attempt >= this.#resends) {
-                    throw error;
-                }
-            }
-        }
+    submit(spec: RequestSpec): Promise<Answer> {
+        return this.#client.sendUntil("request.submit", { spec }, Date.now() + this.#resendMs);
+    }
+
+    /**
+     * Cancels a request.
+     *
+     * @param requestId The request.
+     * @returns The answer.
+     */
+    cancel(requestId: string): Promise<Answer> {
+        return this.#client.sendUntil("request.cancel", { requestId }, Date.now() + this.#resendMs);
     }
 
     /**
@@ -64,13 +69,12 @@
      * @param requestId The request.
      * @param until A time (ms) after which the last answer is returned as it is.
      * @returns The last answer.
+     * @throws {RpcError} When no entry instance answers any more.
      */
     async waitFinal(requestId: string, until: number): Promise<Answer> {
         for (;;) {
-            const answer = await this.#client.call<Answer>("request.wait", {
-                requestId,
-                timeoutMs: Math.max(0, Math.min(10_000, until - Date.now())),
-            });
+            const timeoutMs = Math.max(0, Math.min(WAIT_MS, until - Date.now()));
+            const answer = await this.#waitOnce(requestId, timeoutMs, until);
             if (answer.final || Date.now() >= until) {
                 return answer;
             }
@@ -91,6 +95,19 @@
 
     /** Bytes this caller sent and received. */
     get bytes(): { received: number; sent: number } {
-        return this.#client.bytes();
+        return this.#client.bytes;
+    }
+
+    async #waitOnce(requestId: string, timeoutMs: number, until: number): Promise<Answer> {
+        const params = { requestId, timeoutMs };
+        try {
+            return await this.#client.send<Answer>("request.wait", params, timeoutMs + 3_000);
+        } catch (error) {
+            if (Date.now() >= until) {
+                throw error;
+            }
+            await new Promise((resolve) => setTimeout(resolve, 200));
+            return this.#client.sendUntil<Answer>("request.fate", { requestId }, until);
+        }
     }
 }
--- a/standin/mod.ts
+++ b/standin/mod.ts
@@ -12,3 +12,4 @@
 export * from "./worker_agent.ts";
 export * from "./worker_host.ts";
 export * from "./caller.ts";
+export * from "./entry_client.ts";
--- a/standin/worker_agent.ts
+++ b/standin/worker_agent.ts
@@ -25,12 +25,14 @@
     type Resources,
     type TaskId,
 } from "../inventory/mod.ts";
-import type { HeldLease, LeaseMessage, TaskReport } from "../cell/mod.ts";
+import type { GrantMessage, HeldLease, TaskReport } from "../cell/mod.ts";
 
 /** Options of a worker agent. */
 export interface WorkerAgentOptions {
     readonly instance: InstanceId;
     readonly capacity: Resources;
+    /** The worker process; a restarted one gives another. */
+    readonly incarnation?: string;
     /** Every task it starts fails shortly after. */
     readonly failEverything?: boolean;
     /** Use is reported only after a task ran this long, in ms. */
@@ -46,7 +48,7 @@
 }
 
 interface RunningTask {
-    readonly message: LeaseMessage;
+    readonly message: GrantMessage;
     readonly startedAt: number;
     /** When the entry instances last acknowledged a heartbeat that listed this lease. */
     renewedAt: number;
@@ -55,10 +57,14 @@
 /** The agent's answer to a lease offer. */
 export interface LeaseReply {
     readonly lease: LeaseId;
-    readonly accepted: boolean;
+    /** `unknown`: the offer is for an earlier process of this worker, which may have run it. */
+    readonly status: "accepted" | "declined" | "unknown";
     readonly reason: string;
 }
 
+/** How long answers are kept for repeated offers, in ms: far longer than an offer is repeated. */
+const REPLY_RETENTION_MS = 600_000;
+
 /** One stand-in worker. */
 export class WorkerAgent {
     readonly instance: InstanceId;
@@ -67,7 +73,8 @@
     readonly #usageLagMs: number;
     readonly #running = new Map<LeaseId, RunningTask>();
     readonly #highestEpoch = new Map<TaskId, number>();
-    readonly #replies = new Map<LeaseId, LeaseReply>();
+    readonly #replies = new Map<LeaseId, { readonly reply: LeaseReply; readonly at: number }>();
+    readonly #incarnation: string;
     #held: Resources = NO_RESOURCES;
     #reports: AgentReport[] = [];
     /** Tasks started, for tests and invariant checks. */
@@ -79,6 +86,7 @@
     constructor(options: WorkerAgentOptions) {
         this.instance = options.instance;
         this.#capacity = options.capacity;
+        this.#incarnation = options.incarnation ?? "";
         this.#failEverything = options.failEverything ?? false;
         this.#usageLagMs = options.usageLagMs ?? 200;
     }
@@ -90,69 +98,96 @@
      * @param now The time in ms.
      * @returns Accepted, or declined with the reason; an accepted task starts at once.
      */
-    acceptLease(message: LeaseMessage, now: number): LeaseReply {
+    acceptLease(message: GrantMessage, now: number): LeaseReply {
         const earlier = this.#replies.get(message.lease);
         if (earlier !== undefined) {
-            return earlier;
+            return earlier.reply;
         }
-        const reply = this.#checkLease(message);
-        this.#replies.set(message.lease, reply);
-        if (reply.accepted) {
-            this.#highestEpoch.set(message.task, message.epoch);
-            this.#held = addResources(this.#held, message.demand);
-            this.#running.set(message.lease, { message, startedAt: now, renewedAt: now });
-            this.started.push({
-                lease: message.lease,
-                task: message.task,
-                epoch: message.epoch,
-                at: now,
-            });
-            this.#reports.push({
-                lease: message.lease,
-                epoch: message.epoch,
-                report: "started",
-                detail: "",
-            });
+        const refusal = this.#findRefusal(message, now);
+        if (refusal !== undefined) {
+            if (refusal.status === "declined") {
+                this.#replies.set(message.lease, { reply: refusal, at: now });
+            }
+            return refusal;
         }
+        const reply: LeaseReply = { lease: message.lease, status: "accepted", reason: "" };
+        this.#replies.set(message.lease, { reply, at: now });
+        this.#highestEpoch.set(message.task, message.epoch);
+        this.#held = addResources(this.#held, message.demand);
+        // The lease counts from the heartbeat that the offer goes by, not from its arrival: the
+        // sender may have been frozen in between.
+        this.#running.set(message.lease, { message, startedAt: now, renewedAt: message.beatAt });
+        this.started.push({
+            lease: message.lease,
+            task: message.task,
+            epoch: message.epoch,
+            at: now,
+        });
+        this.#addReport(message.lease, message.epoch, "started", "");
         return reply;
     }
 
-    #checkLease(message: LeaseMessage): LeaseReply {
+    #findRefusal(message: GrantMessage, now: number): LeaseReply | undefined {
+        const { lease } = message;
+        if (message.incarnation !== this.#incarnation) {
+            return { lease, status: "unknown", reason: "meant for an earlier process" };
+        }
         const highest = this.#highestEpoch.get(message.task) ?? 0;
         if (message.epoch <= highest) {
-            return {
-                lease: message.lease,
-                accepted: false,
-                reason: `stale epoch ${message.epoch}; seen ${highest}`,
-            };
+            const reason = `stale epoch ${message.epoch}; seen ${highest}`;
+            return { lease, status: "declined", reason };
+        }
+        // A leader that was frozen or cut off since that heartbeat may have been replaced, and
+        // its successor may have leased the task to another worker by now.
+        if (now - message.beatAt > message.ttlMs) {
+            const reason = `stale offer: by a heartbeat of ${now - message.beatAt} ms ago`;
+            return { lease, status: "declined", reason };
         }
         if (!isFitting(addResources(this.#held, message.demand), this.#capacity)) {
-            return {
-                lease: message.lease,
-                accepted: false,
-                reason: "the instance has no room for it",
-            };
+            return { lease, status: "declined", reason: "the instance has no room for it" };
         }
-        return { lease: message.lease, accepted: true, reason: "" };
+        return undefined;
     }
 
     /**
-     * Stops a task. A stop for an older epoch than the task runs under is ignored.
+     * Stops a task. A stop that overtakes its offer refuses the offer, and says that the task
+     * never started, so that a cancelled request need not wait for the lease to run out.
      *
-     * @param lease The lease.
-     * @param epoch Its epoch.
-     * @param mode "checkpoint" saves progress first; the stand-in treats both alike.
+     * @param stop The lease, its epoch, and the process it was made for.
+     * @param now The time in ms.
      */
-    stopLease(lease: LeaseId, epoch: number, mode: "stop" | "checkpoint"): void {
-        const task = this.#running.get(lease);
-        if (task === undefined || task.message.epoch !== epoch) {
+    stopLease(
+        stop: {
+            readonly lease: LeaseId;
+            readonly epoch: number;
+            readonly incarnation: string;
+            readonly mode: "stop" | "checkpoint";
+        },
+        now: number,
+    ): void {
+        if (stop.incarnation !== this.#incarnation) {
             return;
         }
-        this.#closeTask(
-            lease,
-            "stopped",
-            mode === "checkpoint" ? "checkpointed and stopped" : "stopped",
-        );
+        const { lease, epoch } = stop;
+        if (this.#running.get(lease)?.message.epoch === epoch) {
+            const detail = stop.mode === "checkpoint" ? "checkpointed and stopped" : "stopped";
+            this.#closeTask(lease, "stopped", detail);
+        } else if (!this.#replies.has(lease)) {
+            const reason = "stopped before it started";
+            this.#replies.set(lease, { reply: { lease, status: "declined", reason }, at: now });
+            this.#addReport(lease, epoch, "declined", reason);
+        }
+    }
+
+    /**
+     * Stops tasks whose leases the entry instances no longer know.
+     *
+     * @param leases The leases.
+     */
+    closeEnded(leases: readonly LeaseId[]): void {
+        for (const lease of leases) {
+            this.#closeTask(lease, "stopped", "the lease had ended");
+        }
     }
 
     /**
@@ -164,7 +199,9 @@
     renewLeases(sentAt: number, leases: readonly LeaseId[]): void {
         for (const lease of leases) {
             const task = this.#running.get(lease);
-            if (task !== undefined) {
+            // A lease that ran out is not brought back by a late answer: the worker may have been
+            // frozen, and the task may run elsewhere by now.
+            if (task !== undefined && sentAt - task.renewedAt <= task.message.ttlMs) {
                 task.renewedAt = Math.max(task.renewedAt, sentAt);
             }
         }
@@ -193,11 +230,25 @@
                 );
             }
         }
+        this.#removeOldReplies(now);
         const reports = this.#reports;
         this.#reports = [];
         return reports;
     }
 
+    #removeOldReplies(now: number): void {
+        for (const [lease, { at }] of this.#replies) {
+            if (now - at < REPLY_RETENTION_MS) {
+                break;
+            }
+            this.#replies.delete(lease);
+        }
+    }
+
+    #addReport(lease: LeaseId, epoch: number, report: TaskReport, detail: string): void {
+        this.#reports.push({ lease, epoch, report, detail });
+    }
+
     /**
      * Lists the leases held, with use once the lag has passed (capped at the lease: the
      * worker throttles a task that would use more than it was given).
@@ -232,6 +283,6 @@
         }
         this.#running.delete(lease);
         this.#held = removeResources(this.#held, task.message.demand);
-        this.#reports.push({ lease, epoch: task.message.epoch, report, detail });
+        this.#addReport(lease, task.message.epoch, report, detail);
     }
 }
--- a/standin/worker_agent_test.ts
+++ b/standin/worker_agent_test.ts
@@ -1,15 +1,17 @@
 import test from "ava";
-import type { LeaseMessage } from "../cell/mod.ts";
+import type { GrantMessage } from "../cell/mod.ts";
 import { createId, type TaskId } from "../inventory/mod.ts";
 import { WorkerAgent } from "./worker_agent.ts";
 
-function buildLease(epoch: number, overrides: Partial<LeaseMessage> = {}): LeaseMessage {
+function buildLease(epoch: number, overrides: Partial<GrantMessage> = {}): GrantMessage {
     return {
         lease: createId(`l${epoch}`),
         task: createId("r1.0"),
         request: createId("r1"),
         instance: createId("w1"),
+        incarnation: "",
         epoch,
+        beatAt: 0,
         demand: { cores: 4, memoryMb: 1, accelerators: 0 },
         ttlMs: 100,
         work: { runMs: 0, usageFactor: 1, fail: false },
@@ -17,24 +19,30 @@
     };
 }
 
+function buildAgent(incarnation = ""): WorkerAgent {
+    return new WorkerAgent({
+        instance: createId("w1"),
+        capacity: { cores: 8, memoryMb: 100, accelerators: 0 },
+        incarnation,
+    });
+}
+
 test("a worker refuses a lease with a stale epoch and stops a task whose lease was not renewed", (t) => {
     // A delayed offer from an earlier attempt arrives after a newer one: the worker refuses it,
     // so one task never runs twice on its word. A task whose lease is not renewed within its
     // time to live is stopped by the worker itself: the cell may then lease it elsewhere.
-    const agent = new WorkerAgent({
-        instance: createId("w1"),
-        capacity: { cores: 8, memoryMb: 100, accelerators: 0 },
-    });
-    t.true(agent.acceptLease(buildLease(5), 0).accepted);
-    t.false(agent.acceptLease(buildLease(3), 1).accepted);
-    t.false(
+    const agent = buildAgent();
+    t.is(agent.acceptLease(buildLease(5), 0).status, "accepted");
+    t.is(agent.acceptLease(buildLease(3), 1).status, "declined");
+    t.is(
         agent.acceptLease(
             buildLease(6, {
                 task: createId<TaskId>("r2.0"),
                 demand: { cores: 5, memoryMb: 1, accelerators: 0 },
             }),
             1,
-        ).accepted,
+        ).status,
+        "declined",
         "no room: 4 + 5 > 8 cores",
     );
     agent.tick(50);
@@ -45,3 +53,47 @@
     );
     t.is(agent.held.cores, 0);
 });
+
+test("a worker refuses an offer whose sender last heard it longer ago than the time to live", (t) => {
+    // A leader commits a lease, is frozen before the offer leaves, and wakes after its successor
+    // counted the lease lost and leased the task to another worker. Started now, the task would
+    // run in two places. The offer names the heartbeat it goes by, so the worker can tell.
+    const agent = buildAgent();
+    const late = agent.acceptLease(buildLease(5, { beatAt: 0 }), 101);
+    t.is(late.status, "declined");
+    t.is(agent.started.length, 0);
+});
+
+test("a lease counts from the heartbeat the offer goes by, and a late answer does not revive it", (t) => {
+    // The offer took 90 of the lease's 100 ms to arrive; the cell counts from before it left. A
+    // worker counting from arrival would run on after the cell leased the task elsewhere. The
+    // same goes for an answer to a heartbeat that comes after the lease ran out.
+    const agent = buildAgent();
+    agent.acceptLease(buildLease(5, { beatAt: 0 }), 90);
+    agent.renewLeases(150, [createId("l5")]);
+    t.deepEqual(
+        agent.tick(110).map((r) => r.report),
+        ["started", "stopped"],
+    );
+});
+
+test("an offer for an earlier process of the worker is answered 'unknown', never 'declined'", (t) => {
+    // The worker restarts; its earlier process may have run the batch. "Declined" would say that
+    // it did not start, and the cell would lease it again: a second bill.
+    const agent = buildAgent("second");
+    const reply = agent.acceptLease(buildLease(5, { incarnation: "first" }), 1);
+    t.is(reply.status, "unknown");
+    t.is(agent.started.length, 0);
+});
+
+test("a stop that overtakes its offer refuses the offer and reports that the task never started", (t) => {
+    // The caller cancels at once; the stop is delivered before the offer. Ignored, it would leave
+    // the cancelled task to start after it, and the caller waiting until the lease ran out.
+    const agent = buildAgent();
+    agent.stopLease({ lease: createId("l5"), epoch: 5, incarnation: "", mode: "stop" }, 1);
+    t.is(agent.acceptLease(buildLease(5), 2).status, "declined");
+    t.deepEqual(
+        agent.tick(3).map((r) => r.report),
+        ["declined"],
+    );
+});
--- a/standin/worker_host.ts
+++ b/standin/worker_host.ts
@@ -1,8 +1,9 @@
 /**
  * A process that carries many stand-in workers behind one JSON-RPC server, so that 1,100
- * workers fit in a few processes. It announces its workers to the entry instance (there is
+ * workers fit in a few processes. It announces its workers to the entry instances (there is
  * no list of them: they announce themselves), sends their heartbeats in one batch a period,
- * their reports within a tick, and announces their leaving when it is stopped.
+ * their reports within a tick and again until they are taken, and announces their leaving when
+ * it is stopped. Its workers belong to one group (one zone's, or the whole cell's).
  *
  * @example
  * ```ts
@@ -15,16 +16,18 @@
  */
 
 import { interval, type Subscription } from "rxjs";
+import { ulid } from "ulid";
 import type { Logger } from "winston";
-import type { LeaseMessage } from "../cell/mod.ts";
+import type { Effect, GrantMessage } from "../cell/mod.ts";
 import type { Instance, InstanceId, LeaseId } from "../inventory/mod.ts";
-import { createRpcClient, startRpcServer, type RpcClient, type RpcServer } from "../rpc/mod.ts";
+import { startRpcServer, type RpcServer } from "../rpc/mod.ts";
 import { createLogger } from "../telemetry/mod.ts";
-import { WorkerAgent, type AgentReport } from "./worker_agent.ts";
+import { EntryClient, parseEntries } from "./entry_client.ts";
+import { WorkerAgent, type AgentReport, type LeaseReply } from "./worker_agent.ts";
 
 /** Options of a worker host. */
 export interface WorkerHostOptions {
-    /** The entry instance's address. */
+    /** The entry instances, as {@link parseEntries} reads them. */
     readonly entry: string;
     readonly instances: readonly Instance[];
     /** Instances whose workers fail everything they start. */
@@ -35,21 +38,31 @@
     readonly logger?: Logger;
 }
 
+type StopMessage = Extract<Effect, { type: "stop" }>;
+
+const ANNOUNCE_FOR_MS = 60_000;
+const REPORT_RETRY_MS = 200;
+
 /** Many stand-in workers in one process. */
 export class WorkerHost {
     readonly #options: WorkerHostOptions;
     readonly agents = new Map<InstanceId, WorkerAgent>();
-    readonly #entry: RpcClient;
+    readonly #entry: EntryClient;
+    readonly #incarnation = ulid();
     readonly #log: Logger;
     #server: RpcServer | undefined;
     #subscriptions: Subscription[] = [];
+    #unreported: AgentReport[] = [];
+    #isReporting = false;
+    #isBeating = false;
+    #stopped = false;
 
     /**
-     * @param options The entry's address, the instances, timings.
+     * @param options The entry instances, the instances, timings.
      */
     constructor(options: WorkerHostOptions) {
         this.#options = options;
-        this.#entry = createRpcClient(options.entry, 3_000);
+        this.#entry = new EntryClient({ entries: parseEntries(options.entry), timeoutMs: 1_500 });
         this.#log =
             options.logger ??
             createLogger({
@@ -62,6 +75,7 @@
                 new WorkerAgent({
                     instance: instance.id,
                     capacity: instance.capacity,
+                    incarnation: this.#incarnation,
                     failEverything: options.failing?.has(instance.id) ?? false,
                 }),
             );
@@ -76,29 +90,15 @@
     async start(): Promise<string> {
         this.#server = await startRpcServer({
             methods: {
-                "leases.grant": (params) => this.#handleGrant(params as { leases: LeaseMessage[] }),
-                "leases.stop": (params) =>
-                    this.#handleStop(
-                        params as {
-                            stops: {
-                                instance: InstanceId;
-                                lease: LeaseId;
-                                epoch: number;
-                                mode: "stop" | "checkpoint";
-                            }[];
-                        },
-                    ),
+                "leases.grant": (params) => this.#handleGrant(params as { leases: GrantMessage[] }),
+                "leases.stop": (params) => this.#handleStop(params as { stops: StopMessage[] }),
             },
         });
-        const address = this.#server.address;
-        await this.#entry.call("workers.announce", {
-            workers: [...this.agents.keys()].map((instance) => ({ instance, address })),
-        });
-        this.#subscriptions.push(
-            interval(this.#options.tickMs ?? 10).subscribe(() => void this.#sendReports()),
-        );
+        const { address } = this.#server;
+        await this.#announce([...this.agents.keys()]);
         this.#subscriptions.push(
-            interval(this.#options.heartbeatMs ?? 500).subscribe(() => void this.#sendHeartbeats()),
+            interval(this.#options.tickMs ?? 10).subscribe(() => this.#runTick()),
+            interval(this.#options.heartbeatMs ?? 500).subscribe(() => void this.#sendBeats()),
         );
         this.#log.info("workers announced", { address, workers: this.agents.size });
         return address;
@@ -106,56 +106,80 @@
 
     /** Announces that the workers leave, then stops. Running tasks end with the process. */
     async stop(): Promise<void> {
+        this.#stopped = true;
         for (const subscription of this.#subscriptions) {
             subscription.unsubscribe();
         }
         await this.#entry
-            .call("workers.leave", { instances: [...this.agents.keys()] })
+            .sendUntil("workers.leave", { instances: [...this.agents.keys()] }, Date.now() + 1_000)
             .catch(() => undefined);
         await this.#server?.close();
     }
 
-    #handleGrant(params: { leases: LeaseMessage[] }): { replies: unknown[] } {
-        const now = Date.now();
-        const replies = params.leases.map((lease) => {
+    #announce(instances: readonly InstanceId[]): Promise<unknown> {
+        const address = this.#server?.address ?? "";
+        return this.#entry.sendUntil(
+            "workers.announce",
+            {
+                workers: instances.map((instance) => ({
+                    instance,
+                    address,
+                    incarnation: this.#incarnation,
+                    sentAt: getNow(),
+                })),
+            },
+            Date.now() + ANNOUNCE_FOR_MS,
+        );
+    }
+
+    #handleGrant(params: { leases: GrantMessage[] }): { replies: LeaseReply[] } {
+        const now = getNow();
+        const replies = params.leases.map((lease): LeaseReply => {
             const agent = this.agents.get(lease.instance);
             if (agent === undefined) {
-                return { lease: lease.lease, accepted: false, reason: "no such worker here" };
+                return { lease: lease.lease, status: "unknown", reason: "no such worker here" };
             }
+            const known = agent.started.length;
             const reply = agent.acceptLease(lease, now);
-            this.#log.info(reply.accepted ? "task started" : "lease declined", {
-                request: lease.request,
-                instance: lease.instance,
-                lease: lease.lease,
-                epoch: lease.epoch,
-                task: lease.task,
-                reason: reply.reason,
-            });
+            if (agent.started.length > known || reply.status !== "accepted") {
+                this.#recordReply(lease, reply);
+            }
             return reply;
         });
         return { replies };
     }
 
-    #handleStop(params: {
-        stops: {
-            instance: InstanceId;
-            lease: LeaseId;
-            epoch: number;
-            mode: "stop" | "checkpoint";
-        }[];
-    }): { ok: true } {
+    #recordReply(lease: GrantMessage, reply: LeaseReply): void {
+        this.#log.info(reply.status === "accepted" ? "task started" : "lease declined", {
+            request: lease.request,
+            instance: lease.instance,
+            lease: lease.lease,
+            epoch: lease.epoch,
+            task: lease.task,
+            cores: lease.demand.cores,
+            reason: reply.reason,
+        });
+    }
+
+    #handleStop(params: { stops: StopMessage[] }): { ok: true } {
         for (const stop of params.stops) {
-            this.agents.get(stop.instance)?.stopLease(stop.lease, stop.epoch, stop.mode);
+            this.agents.get(stop.instance)?.stopLease(stop, getNow());
         }
         return { ok: true };
     }
 
-    async #sendReports(): Promise<void> {
-        const now = Date.now();
-        const reports: AgentReport[] = [];
+    #runTick(): void {
+        this.#tickAgents();
+        if (!this.#isReporting && this.#unreported.length > 0) {
+            void this.#sendReports();
+        }
+    }
+
+    #tickAgents(): void {
+        const now = getNow();
         for (const agent of this.agents.values()) {
             for (const report of agent.tick(now)) {
-                reports.push(report);
+                this.#unreported.push(report);
                 if (report.report !== "started") {
                     this.#log.info(`task ${report.report}`, {
                         instance: agent.instance,
@@ -166,28 +190,69 @@
                 }
             }
         }
-        if (reports.length > 0) {
-            await this.#entry
-                .call("workers.report", { reports })
-                .catch((error: Error) =>
-                    this.#log.warn("reports not delivered", { error: error.message }),
-                );
+    }
+
+    /**
+     * Sends the reports owed, in order, until they are taken: a leader that dies before it
+     * commits them must not leave a finished batch "running" until its lease is lost.
+     */
+    async #sendReports(): Promise<void> {
+        this.#isReporting = true;
+        const reports = this.#unreported;
+        this.#unreported = [];
+        try {
+            await this.#entry.send("workers.report", { reports });
+        } catch (error) {
+            this.#unreported = [...reports, ...this.#unreported];
+            this.#log.warn("reports not taken", { error: (error as Error).message });
+            await new Promise((resolve) => setTimeout(resolve, REPORT_RETRY_MS));
+        } finally {
+            this.#isReporting = false;
         }
     }
 
-    async #sendHeartbeats(): Promise<void> {
-        const sentAt = Date.now();
+    async #sendBeats(): Promise<void> {
+        if (this.#isBeating) {
+            return;
+        }
+        this.#isBeating = true;
+        // First end what ran out: after a freeze, a heartbeat must not list what may by now run
+        // elsewhere.
+        this.#tickAgents();
+        const sentAt = getNow();
         const beats = [...this.agents.values()].map((agent) => ({
             instance: agent.instance,
+            incarnation: this.#incarnation,
+            sentAt,
             leases: agent.listHeld(sentAt),
         }));
         try {
-            await this.#entry.call("workers.heartbeat", { beats });
-            for (const [i, agent] of [...this.agents.values()].entries()) {
-                agent.renewLeases(sentAt, beats[i]?.leases.map((l) => l.lease) ?? []);
+            const answer = await this.#entry.send<{
+                announce: InstanceId[];
+                ended: LeaseId[];
+            }>("workers.heartbeat", { beats });
+            const ended = new Set(answer.ended);
+            for (const beat of beats) {
+                const held = beat.leases.map((l) => l.lease);
+                const agent = this.agents.get(beat.instance);
+                agent?.renewLeases(
+                    sentAt,
+                    held.filter((l) => !ended.has(l)),
+                );
+                agent?.closeEnded(held.filter((l) => ended.has(l)));
+            }
+            if (answer.announce.length > 0 && !this.#stopped) {
+                await this.#announce(answer.announce);
             }
         } catch (error) {
-            this.#log.warn("heartbeat not delivered", { error: (error as Error).message });
+            this.#log.warn("heartbeat not taken", { error: (error as Error).message });
+        } finally {
+            this.#isBeating = false;
         }
     }
 }
+
+/** The worker's clock: it never goes back, so a step of the time of day ends no lease early. */
+function getNow(): number {
+    return Math.round(performance.timeOrigin + performance.now());
+}
--- a/telemetry/metrics.ts
+++ b/telemetry/metrics.ts
@@ -22,7 +22,8 @@
     readonly finals: Counter<"state">;
     readonly packingCores: Gauge;
     readonly queued: Gauge;
-    readonly journalSyncSeconds: Histogram;
+    readonly logSyncSeconds: Histogram;
+    readonly leading: Gauge<"group">;
 }
 
 /**
@@ -63,11 +64,17 @@
             help: "Requests waiting.",
             registers: [registry],
         }),
-        journalSyncSeconds: new Histogram({
-            name: "poplarhead_journal_sync_seconds",
-            help: "Time of one journal write and fsync.",
+        logSyncSeconds: new Histogram({
+            name: "poplarhead_log_sync_seconds",
+            help: "Time of one write and fsync of a log.",
             buckets: [0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1],
             registers: [registry],
         }),
+        leading: new Gauge({
+            name: "poplarhead_leading",
+            help: "1 for each group that this instance leads.",
+            labelNames: ["group"],
+            registers: [registry],
+        }),
     };
 }
