Prove the cluster under failure on real processes, with an audit of the merged time line

Change: load/cluster_runner.ts starts entry instances and worker hosts with a relay on every path (standin/fault_relay.ts, silent or refusing cuts) and can kill, freeze, cut, wipe and restart them. telemetry/audit.ts checks the merged time line: no instance runs more than it has, no task in two places, at-most-once, every request ended, every fate true. entry/cluster_test.ts causes: kill -9 of the leader mid-dispatch, a frozen leader that wakes, a long silent isolation, a second loss right after a disk was replaced, a restart behind hundreds of changes, cancellation waves with impossible jobs and a failing worker, a rolling restart, a zone cut, racing operators.

--- a/cli/files.ts
+++ b/cli/files.ts
@@ -12,40 +12,72 @@
 
 import { readFileSync } from "node:fs";
 import type { Inventory } from "../inventory/mod.ts";
+import type { Deployment } from "../membership/mod.ts";
 import type { Rules } from "../rules/mod.ts";
 import { FindingsError, type Finding } from "../settings/findings.ts";
+import { loadDeploymentText } from "../settings/deployment_file.ts";
 import { loadInventoryText } from "../settings/inventory_file.ts";
 import { loadRulesText } from "../settings/rules_file.ts";
 
+/** The operators' files, checked. */
+export interface SettingsFiles {
+    readonly inventory: Inventory;
+    readonly rules: Rules;
+    readonly deployment: Deployment | undefined;
+}
+
 /**
- * Loads an inventory and a rules file; findings of both are reported together.
+ * Loads an inventory, a rules and a deployment file; findings of all are reported together.
  *
  * @param inventoryFile The inventory's path.
  * @param rulesFile The rules' path.
- * @returns Both, checked.
- * @throws {FindingsError} With every finding of both files.
+ * @param deploymentFile The deployment's path, if there is one.
+ * @returns All, checked.
+ * @throws {FindingsError} With every finding of every file.
  */
 export function loadSettingsFiles(
     inventoryFile: string,
     rulesFile: string,
-): { inventory: Inventory; rules: Rules } {
+    deploymentFile?: string,
+): SettingsFiles {
     const findings: Finding[] = [];
-    let inventory: Inventory | undefined;
-    let rules: Rules | undefined;
-    try {
-        inventory = loadInventoryText(inventoryFile, readFileSync(inventoryFile, "utf8"));
-    } catch (error) {
-        findings.push(...toFindings(error, inventoryFile));
-    }
-    try {
-        rules = loadRulesText(rulesFile, readFileSync(rulesFile, "utf8"));
-    } catch (error) {
-        findings.push(...toFindings(error, rulesFile));
+    const load = <T>(file: string, parse: (file: string, text: string) => T): T | undefined => {
+        try {
+            return parse(file, readFileSync(file, "utf8"));
+        } catch (error) {
+            findings.push(...toFindings(error, file));
+            return undefined;
+        }
+    };
+    const inventory = load(inventoryFile, loadInventoryText);
+    const rules = load(rulesFile, loadRulesText);
+    const deployment =
+        deploymentFile === undefined ? undefined : load(deploymentFile, loadDeploymentText);
+    if (inventory !== undefined && deployment !== undefined && deploymentFile !== undefined) {
+        findings.push(...checkZones(deployment, inventory, deploymentFile));
     }
     if (findings.length > 0 || inventory === undefined || rules === undefined) {
         throw new FindingsError(findings);
     }
-    return { inventory, rules };
+    return { inventory, rules, deployment };
+}
+
+/** Zones that the deployment names must be in the inventory. */
+function checkZones(deployment: Deployment, inventory: Inventory, file: string): Finding[] {
+    const named = [
+        ...deployment.members.map((m) => [m.zone, `members ${m.id}`] as const),
+        ...deployment.groups.flatMap((g) => g.zones.map((z) => [z, `groups ${g.id}`] as const)),
+        ...[...deployment.callers].map(([c, z]) => [z, `callers ${c}`] as const),
+    ];
+    return named
+        .filter(([zone]) => !inventory.zones.includes(zone))
+        .map(([zone, path]) => ({
+            file,
+            line: 0,
+            column: 0,
+            path,
+            message: `zone "${zone}" is not in the inventory`,
+        }));
 }
 
 function toFindings(error: unknown, file: string): readonly Finding[] {
--- a/cli/process_commands.ts
+++ b/cli/process_commands.ts
@@ -10,7 +10,7 @@
  * @module
  */
 
-import { Command, Option } from "clipanion";
+import { Command, Option, UsageError } from "clipanion";
 import { EntryInstance } from "../entry/mod.ts";
 import { createId, type InstanceId } from "../inventory/mod.ts";
 import { WorkerHost } from "../standin/mod.ts";
@@ -21,7 +21,7 @@
 export class EntryCommand extends Command {
     static override paths = [["entry"]];
     static override usage = Command.Usage({
-        description: "Run an entry instance: API, scheduler and journal.",
+        description: "Run an entry instance: API, scheduler, replicated log.",
     });
     inventory = Option.String("--inventory", { required: true });
     rules = Option.String("--rules", { required: true });
@@ -30,20 +30,48 @@
     zone = Option.String("--zone", "local");
     id = Option.String("--id", "entry-1");
     dataDir = Option.String("--data-dir");
+    deployment = Option.String("--deployment", {
+        description: "the deployment file; without it this instance is the whole cell",
+    });
+    bootstrap = Option.Boolean("--bootstrap", false, {
+        description: "the whole cell starts for the first time, with empty disks",
+    });
+    snapshotEvery = Option.String("--snapshot-every", {
+        description: "log entries between two snapshots",
+    });
     log = Option.String("--log");
 
     /** @returns The exit code. */
     async execute(): Promise<number> {
-        const { inventory, rules } = loadSettingsFiles(this.inventory, this.rules);
-        const logger = createLogger({ process: this.id, zone: this.zone, file: this.log });
+        const { inventory, rules, deployment } = loadSettingsFiles(
+            this.inventory,
+            this.rules,
+            this.deployment,
+        );
+        const member = deployment?.members.find((m) => m.id === this.id);
+        if (deployment !== undefined && member === undefined) {
+            throw new UsageError(`--id ${this.id} is not a member in ${this.deployment}`);
+        }
+        if (member?.hasDisk === true && this.dataDir === undefined) {
+            throw new UsageError(`${this.id} has a disk in ${this.deployment}: give --data-dir`);
+        }
+        const logger = createLogger({
+            process: this.id,
+            zone: member?.zone ?? this.zone,
+            file: this.log,
+        });
         const entry = new EntryInstance({
             inventory,
             rules,
             host: this.host,
             port: Number(this.port),
-            zone: this.zone,
+            zone: member?.zone ?? this.zone,
             processId: this.id,
-            dataDir: this.dataDir,
+            deployment,
+            bootstrap: deployment === undefined ? undefined : this.bootstrap,
+            dataDir: member?.hasDisk === false ? undefined : this.dataDir,
+            snapshotEvery:
+                this.snapshotEvery === undefined ? undefined : Number(this.snapshotEvery),
             logger,
         });
         const address = await entry.start();
@@ -60,7 +88,10 @@
     static override usage = Command.Usage({
         description: "Run stand-in workers for the inventory's instances, many in one process.",
     });
-    entry = Option.String("--entry", { required: true });
+    entry = Option.String("--entry", {
+        required: true,
+        description: "entry instances: id=host:port or host:port, separated by commas",
+    });
     inventory = Option.String("--inventory", { required: true });
     rules = Option.String("--rules", { required: true });
     zone = Option.String("--zone");
--- /dev/null
+++ b/entry/cluster_test.ts
@@ -0,0 +1,342 @@
+import test from "ava";
+import type { RulesChangeResult } from "../rules/mod.ts";
+import { waitUntil } from "../load/cluster_runner.ts";
+import { createRpcClient } from "../rpc/mod.ts";
+import { buildCluster, buildRulesFile, Workload } from "./_cluster_fixtures.ts";
+
+const ZONE = "z1";
+
+function waitFor(ms: number): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+test.serial(
+    "kill -9 of the leader in the middle of handing out billed batches runs none twice and loses none",
+    async (t) => {
+        // Callers go on sending batches while the leader's process is killed. Their resends reach
+        // the next leader, which knows every lease the first may have offered, asks the workers
+        // again about those without an answer, and never leases a batch a second time.
+        const cluster = await buildCluster({ zones: [ZONE], perZone: 3 });
+        t.teardown(() => cluster.stop());
+        const workload = new Workload(cluster);
+        workload.start({ everyMs: 10, kinds: ["batch", "reel", "batch", "preview"] });
+        await waitFor(1_000);
+        const leader = (await cluster.findLeader(ZONE)) as string;
+        await cluster.removeProcess(leader);
+        await cluster.waitLeaders();
+        const before = workload.count;
+        await waitUntil("the next leader takes requests", () => workload.count > before + 50);
+        const { answers, violations } = await workload.audit();
+        t.deepEqual(violations, []);
+        t.true(answers.every((a) => a.state === "completed"));
+        t.not(await cluster.findLeader(ZONE), leader);
+    },
+);
+
+test.serial(
+    "a leader frozen past its successor's election does no harm when it wakes",
+    async (t) => {
+        // The leader's process is paused with leases on their way, its successor counts them lost or
+        // asks about them, and then it wakes believing that it still leads. Its offers name old
+        // heartbeats, its commits find no quorum, and callers get nothing from it but another leader.
+        const cluster = await buildCluster({ zones: [ZONE], perZone: 3 });
+        t.teardown(() => cluster.stop());
+        const workload = new Workload(cluster);
+        workload.start({ everyMs: 10 });
+        await waitFor(800);
+        const leader = (await cluster.findLeader(ZONE)) as string;
+        cluster.sendSignal(leader, "SIGSTOP");
+        await cluster.waitLeaders(leader);
+        await waitFor(6_000);
+        cluster.sendSignal(leader, "SIGCONT");
+        await waitFor(1_500);
+        const { answers, violations } = await workload.audit();
+        t.deepEqual(violations, []);
+        t.true(answers.length > 100);
+        const status = await cluster.getStatus(leader);
+        t.false(status?.groups.some((g) => g.serving));
+    },
+);
+
+test.serial(
+    "a control instance cut off silently for long changes nothing and follows again",
+    async (t) => {
+        // The leader is cut off from the others and from the workers' calls without any connection
+        // closing; it can still reach the workers. Callers that hit it are told at once that no
+        // leader is within reach. After the cut it takes the log of the term it missed.
+        const cluster = await buildCluster({ zones: [ZONE], perZone: 3 });
+        t.teardown(() => cluster.stop());
+        const workload = new Workload(cluster);
+        workload.start({ everyMs: 10 });
+        await waitFor(800);
+        const leader = (await cluster.findLeader(ZONE)) as string;
+        cluster.setIsolated(leader, "silent");
+        await cluster.waitLeaders(leader);
+        await waitFor(6_000);
+        const isolated = await cluster.getStatus(leader);
+        t.false(
+            isolated?.groups.some((g) => g.serving),
+            "it knows that it may be replaced",
+        );
+        cluster.setIsolated(leader, "open");
+        const { answers, violations } = await workload.audit();
+        t.deepEqual(violations, []);
+        t.true(answers.filter((a) => a.state === "completed").length > 300);
+        await waitUntil("the instance has caught up", async () => {
+            const statuses = await cluster.listStatuses();
+            const applied = statuses.map(
+                (s) => s.groups.find((g) => g.id === ZONE)?.appliedIndex ?? 0,
+            );
+            return statuses.length === 3 && Math.max(...applied) - Math.min(...applied) <= 2;
+        });
+    },
+);
+
+test.serial(
+    "a second instance is lost right after the first one's disk was replaced",
+    async (t) => {
+        // One instance loses its disk and comes back empty; the group takes it in as a new member and
+        // drops the old one. Then another dies. The replaced member must count for the quorum, and
+        // must hold what was accepted before it came, or accepted work would be gone.
+        const cluster = await buildCluster({ zones: [ZONE], perZone: 3 });
+        t.teardown(() => cluster.stop());
+        const workload = new Workload(cluster);
+        workload.start({ everyMs: 20 });
+        await waitFor(800);
+        const leader = (await cluster.findLeader(ZONE)) as string;
+        const [replaced, other] = [1, 2, 3]
+            .map((i) => `e-${ZONE}-${i}`)
+            .filter((id) => id !== leader);
+        await cluster.removeProcess(replaced as string);
+        cluster.removeDisk(replaced as string);
+        await cluster.startEntry(replaced as string);
+        await waitUntil("the replaced member votes in place of the old one", async () => {
+            const status = await cluster.getStatus(leader);
+            return (status?.groups ?? []).every(
+                (g) =>
+                    g.voters.length === 3 &&
+                    g.voters.some((v) => v.startsWith(`${replaced}#`) && !v.endsWith("#0")),
+            );
+        });
+        await cluster.removeProcess(other as string);
+        const before = workload.count;
+        await waitUntil("requests go on", () => workload.count > before + 50);
+        const { answers, violations } = await workload.audit();
+        t.deepEqual(violations, []);
+        t.true(answers.every((a) => a.state === "completed"));
+    },
+);
+
+test.serial(
+    "an instance that comes back after hundreds of changes catches up from a snapshot",
+    async (t) => {
+        // While it is down, hundreds of requests and rules changes pass it by and the others drop the
+        // entries behind their snapshots. It must take the snapshot, then the entries after it, and
+        // know the newest rules; then it must be able to lead.
+        const cluster = await buildCluster({ zones: [ZONE], perZone: 3, snapshotEvery: 100 });
+        t.teardown(() => cluster.stop());
+        const leader = (await cluster.findLeader(ZONE)) as string;
+        const config = (await cluster.findLeader("config")) as string;
+        const late = [1, 2, 3]
+            .map((i) => `e-${ZONE}-${i}`)
+            .find((id) => id !== leader && id !== config) as string;
+        await cluster.removeProcess(late);
+        const workload = new Workload(cluster);
+        const { caller } = workload;
+        workload.start({ everyMs: 5, kinds: ["preview"], runMs: 5 });
+        for (let version = 1; version <= 150; version++) {
+            const result = await caller.setRules({
+                changeId: `c${version}`,
+                expectedVersion: version,
+                rules: buildRulesFile(),
+            });
+            t.is(result.status, "applied");
+        }
+        await waitUntil("hundreds of requests went by", () => workload.count > 700);
+        workload.stop();
+        await cluster.startEntry(late);
+        await waitUntil("it has everything", async () => {
+            const statuses = await cluster.listStatuses();
+            const own = statuses.find((s) => s.id === late);
+            const applied = statuses.map(
+                (s) => s.groups.find((g) => g.id === ZONE)?.appliedIndex ?? 0,
+            );
+            return (
+                own?.rulesVersion === 151 &&
+                own.groups.every((g) => g.rulesVersion === 151) &&
+                Math.max(...applied) - Math.min(...applied) <= 2
+            );
+        });
+        t.true(cluster.hasSnapshot(late, ZONE), "it took a snapshot, not every entry");
+        const { violations } = await workload.audit();
+        t.deepEqual(violations, []);
+    },
+);
+
+test.serial(
+    "waves of cancellations, impossible jobs and a worker that fails everything",
+    async (t) => {
+        // A third of the requests are cancelled at once, some jobs can never run, and one worker
+        // fails all it starts. Every request still gets a true end: impossible ones refused at once,
+        // cancelled ones cancelled or completed, and idempotent ones run elsewhere.
+        const cluster = await buildCluster({
+            zones: [ZONE],
+            perZone: 3,
+            failing: [`${ZONE}-r1-w1`],
+        });
+        t.teardown(() => cluster.stop());
+        const workload = new Workload(cluster);
+        workload.start({ everyMs: 10, cancelEvery: 3 });
+        const huge = { cores: 99, memoryMb: 1, accelerators: 0 };
+        const impossible = await Promise.all(
+            Array.from({ length: 20 }, () => workload.submit({ demand: huge })),
+        );
+        t.true(impossible.every((a) => a?.state === "refused" && !a.mayHaveRun));
+        await waitFor(3_000);
+        const { answers, violations } = await workload.audit();
+        t.deepEqual(violations, []);
+        t.true(answers.some((a) => a.state === "cancelled"));
+        t.true(answers.filter((a) => a.kind === "preview" && a.state === "failed").length <= 3);
+    },
+);
+
+test.serial(
+    "each instance in turn is stopped gracefully and started again; no request is cut off",
+    async (t) => {
+        // A rolling restart under load. An instance that stops answers what it owes, refuses new
+        // calls with "send elsewhere", and its followers elect; callers see delays but every request
+        // completes, and none runs twice.
+        const cluster = await buildCluster({ zones: [ZONE], perZone: 3, diskless: 1 });
+        t.teardown(() => cluster.stop());
+        const workload = new Workload(cluster);
+        workload.start({ everyMs: 15 });
+        for (const id of [`e-${ZONE}-1`, `e-${ZONE}-2`, `e-${ZONE}-3`, `d-${ZONE}-1`]) {
+            await waitFor(500);
+            await cluster.stopProcess(id);
+            await cluster.waitLeaders();
+            await cluster.startEntry(id);
+            await waitUntil("it follows again", async () => {
+                const status = await cluster.getStatus(id);
+                return (status?.groups ?? []).length > 0 && status?.ready === true;
+            });
+        }
+        const { answers, violations } = await workload.audit();
+        t.deepEqual(violations, []);
+        t.true(answers.every((a) => a.state === "completed"));
+        const status = await cluster.getStatus(`d-${ZONE}-1`);
+        t.true(
+            status?.groups.every((g) => g.role === "learner"),
+            "no disk, no vote",
+        );
+    },
+);
+
+test.serial(
+    "a cut-off zone goes on placing its own work; rules and answers meet after the cut",
+    async (t) => {
+        // Zone z1 is cut off from the others. Its callers' requests are accepted and run by its own
+        // instances and workers, as are the others' by theirs; a rules change is in force on the
+        // majority side at once and in z1 after the cut. Nothing runs twice.
+        const zones = ["z1", "z2", "z3"];
+        const cluster = await buildCluster({
+            zones,
+            perZone: 3,
+            workers: 9,
+            callers: zones.map((zone) => ({ caller: `console-${zone}`, zone })),
+        });
+        t.teardown(() => cluster.stop());
+        const loads = zones.map((zone) => new Workload(cluster, { name: `console-${zone}`, zone }));
+        loads.forEach((load) => load.start({ everyMs: 40 }));
+        await waitFor(1_000);
+        cluster.setZoneCut("z1", "silent");
+        await waitUntil("the majority side orders rules", async () => {
+            const leader = await cluster.findLeader("config");
+            return leader !== undefined && !leader.startsWith("e-z1");
+        });
+        const during = await Promise.all(
+            loads.map((load) => load.submit({ kind: "batch", work: buildShortWork() })),
+        );
+        const ends = await Promise.all(
+            during.map((a, i) =>
+                loads[i]?.caller.waitFinal(a?.requestId ?? "", Date.now() + 20_000),
+            ),
+        );
+        t.deepEqual(
+            ends.map((a) => a?.state),
+            ["completed", "completed", "completed"],
+            "every zone serves its own during the cut",
+        );
+        const change = { changeId: "during-cut", expectedVersion: 1, rules: buildRulesFile() };
+        const result = await loads[1]?.caller.setRules(change);
+        t.is(result?.status, "applied");
+        await waitUntil("the rules are in force in z2 and z3", () =>
+            hasRules(cluster, ["z2", "z3"]),
+        );
+        t.true(
+            await hasRules(cluster, ["z1"], 1),
+            "z1 cannot know yet, and keeps what is in force",
+        );
+        cluster.setZoneCut("z1", "open");
+        await waitUntil("the rules are in force in z1", () => hasRules(cluster, ["z1"]));
+        t.deepEqual(
+            await loads[0]?.caller.setRules(change),
+            result,
+            "a resend is answered as before",
+        );
+        for (const load of loads) {
+            const { answers, violations } = await load.audit();
+            t.deepEqual(violations, []);
+            t.true(answers.every((a) => a.state === "completed"));
+        }
+    },
+);
+
+test.serial(
+    "operators race on different instances with equal versions: one winner, in force everywhere",
+    async (t) => {
+        // Two operators send different rules for version 1 through different instances at once, and
+        // resend after lost answers. One is applied, the other told of the conflict, and every
+        // instance and zone has the winner's rules, also after the leader that decided died.
+        const cluster = await buildCluster({ zones: [ZONE], perZone: 3 });
+        t.teardown(() => cluster.stop());
+        const entries = cluster.listEntries().split(",");
+        const send = (at: number, changeId: string): Promise<RulesChangeResult> =>
+            createRpcClient(entries[at]?.split("=")[1] ?? "").call("rules.set", {
+                change: { changeId, expectedVersion: 1, rules: buildRulesFile() },
+            });
+        const results = await Promise.all([send(0, "a"), send(1, "b"), send(2, "a"), send(0, "b")]);
+        t.deepEqual(results[0], results[2]);
+        t.deepEqual(results[1], results[3]);
+        t.deepEqual([results[0]?.status, results[1]?.status].sort(), ["applied", "conflict"]);
+        await waitUntil("in force everywhere", () => hasRules(cluster, [ZONE]));
+        await cluster.removeProcess((await cluster.findLeader("config")) as string);
+        await cluster.waitLeaders();
+        t.true(await hasRules(cluster, [ZONE]), "an accepted change never reverts");
+        const workload = new Workload(cluster);
+        t.deepEqual(
+            await workload.caller.setRules({
+                changeId: "a",
+                expectedVersion: 1,
+                rules: buildRulesFile(),
+            }),
+            results[0],
+        );
+    },
+);
+
+function buildShortWork(): { runMs: number; usageFactor: number; fail: boolean } {
+    return { runMs: 50, usageFactor: 1, fail: false };
+}
+
+async function hasRules(
+    cluster: Awaited<ReturnType<typeof buildCluster>>,
+    zones: readonly string[],
+    version = 2,
+): Promise<boolean> {
+    const statuses = await cluster.listStatuses();
+    return statuses
+        .filter((s) => zones.some((zone) => s.id.startsWith(`e-${zone}-`)))
+        .every(
+            (s) => s.rulesVersion === version && s.groups.every((g) => g.rulesVersion === version),
+        );
+}
--- a/load/cell_runner.ts
+++ b/load/cell_runner.ts
@@ -92,10 +92,10 @@
             entry,
             logFiles,
             pids: children.map((c) => c.pid ?? 0),
-            stop: () => stopAll(children),
+            stop: () => stopChildren(children),
         };
     } catch (error) {
-        await stopAll(children);
+        await stopChildren(children);
         throw error;
     }
 }
@@ -103,13 +103,26 @@
 /** Extra node flags for every child, such as `--cpu-prof` (which NODE_OPTIONS does not take). */
 const NODE_ARGS = (process.env["POPLARHEAD_NODE_ARGS"] ?? "").split(" ").filter((a) => a !== "");
 
-function spawnCli(args: readonly string[]): ChildProcess {
+/**
+ * Starts the command line as a child process.
+ *
+ * @param args Its arguments.
+ * @returns The child; its standard output is for {@link waitListening}.
+ */
+export function spawnCli(args: readonly string[]): ChildProcess {
     return spawn(process.execPath, [...NODE_ARGS, "--import", "tsx", CLI, ...args], {
         stdio: ["ignore", "pipe", "inherit"],
     });
 }
 
-function waitListening(child: ChildProcess): Promise<string> {
+/**
+ * Waits until a child says where it listens.
+ *
+ * @param child The child.
+ * @returns The address.
+ * @throws {Error} When it exits first, or does not say in time.
+ */
+export function waitListening(child: ChildProcess): Promise<string> {
     return new Promise((resolve, reject) => {
         const timer = setTimeout(
             () => reject(new Error("a process did not start in time")),
@@ -133,8 +146,13 @@
     });
 }
 
-async function stopAll(children: readonly ChildProcess[]): Promise<void> {
-    // Workers first, so the entry instance hears them leave; then the entry instance.
+/**
+ * Ends children with SIGTERM, last started first (workers before entry instances, so that the
+ * entry instances hear them leave), and with SIGKILL what is left after a while.
+ *
+ * @param children The children.
+ */
+export async function stopChildren(children: readonly ChildProcess[]): Promise<void> {
     for (const child of [...children].reverse()) {
         if (child.exitCode === null && child.signalCode === null) {
             const exited = new Promise<void>((resolve) => child.once("exit", () => resolve()));
--- a/rpc/http_rpc.ts
+++ b/rpc/http_rpc.ts
@@ -47,6 +47,7 @@
     readonly maxBodyBytes?: number;
 }
 
+const CLOSE_SWEEP_MS = 20;
 const DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024;
 
 /** A running server. */
@@ -170,7 +171,13 @@
         bytes: () => ({ received, sent }),
         close: () =>
             new Promise<void>((resolve) => {
-                server.close(() => resolve());
+                // A connection that answers its last request after this goes idle then, and would
+                // hold the shutdown up for the keep-alive time.
+                const sweep = setInterval(() => server.closeIdleConnections(), CLOSE_SWEEP_MS);
+                server.close(() => {
+                    clearInterval(sweep);
+                    resolve();
+                });
                 server.closeIdleConnections();
             }),
     };
--- a/standin/caller.ts
+++ b/standin/caller.ts
@@ -13,6 +13,7 @@
  */
 
 import type { Answer, RequestSpec } from "../cell/mod.ts";
+import type { RulesChange, RulesChangeResult } from "../rules/mod.ts";
 import { EntryClient, parseEntries } from "./entry_client.ts";
 
 /** Options of a caller. */
@@ -63,6 +64,16 @@
         return this.#client.sendUntil("request.cancel", { requestId }, Date.now() + this.#resendMs);
     }
 
+    /**
+     * Sends a rules change, as an operator would, until it is answered.
+     *
+     * @param change The change.
+     * @returns Applied, a conflict, or rejected.
+     */
+    setRules(change: RulesChange): Promise<RulesChangeResult> {
+        return this.#client.sendUntil("rules.set", { change }, Date.now() + this.#resendMs);
+    }
+
     /**
      * Waits until a request is final, asking again as the cell advises.
      *
--- /dev/null
+++ b/standin/fault_relay.ts
@@ -0,0 +1,124 @@
+/**
+ * A relay between processes on loopback that can be cut: the stand-in for the network. A silent
+ * cut keeps connections open and loses every byte, as a partition does; a refusing one closes
+ * them. One relay stands for one direction of calls between two processes.
+ *
+ * @example
+ * ```ts
+ * import { FaultRelay } from "./fault_relay.ts";
+ * const relay = await FaultRelay.start();
+ * relay.setTarget("127.0.0.1:7001");
+ * relay.setMode("silent");
+ * ```
+ *
+ * @module
+ */
+
+import { createServer, Socket, type AddressInfo, type Server } from "node:net";
+
+/** What a relay does with bytes. */
+export type RelayMode = "open" | "silent" | "refuse";
+
+/** One relay. */
+export class FaultRelay {
+    readonly #server: Server;
+    readonly #sockets = new Set<Socket>();
+    #target: { host: string; port: number } | undefined;
+    #mode: RelayMode = "open";
+    #bytes = 0;
+
+    private constructor() {
+        this.#server = createServer((socket) => this.#handleConnection(socket));
+    }
+
+    /**
+     * Starts a relay on a free port of 127.0.0.1.
+     *
+     * @returns The relay; it refuses connections until it has a target.
+     */
+    static async start(): Promise<FaultRelay> {
+        const relay = new FaultRelay();
+        await new Promise<void>((resolve) => relay.#server.listen(0, "127.0.0.1", resolve));
+        return relay;
+    }
+
+    /** Where it listens, as `host:port`. */
+    get address(): string {
+        const { address, port } = this.#server.address() as AddressInfo;
+        return `${address}:${port}`;
+    }
+
+    /** Bytes relayed, both ways. */
+    get bytes(): number {
+        return this.#bytes;
+    }
+
+    /**
+     * Sets where connections go.
+     *
+     * @param address `host:port`.
+     */
+    setTarget(address: string): void {
+        const at = address.lastIndexOf(":");
+        this.#target = { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+    }
+
+    /**
+     * Cuts or heals. Connections that lost bytes are closed when the cut ends.
+     *
+     * @param mode What to do with bytes from now on.
+     */
+    setMode(mode: RelayMode): void {
+        const closes = mode === "refuse" || (mode === "open" && this.#mode === "silent");
+        this.#mode = mode;
+        if (closes) {
+            this.#closeSockets();
+        }
+    }
+
+    /** Closes the relay and its connections. */
+    close(): void {
+        this.#server.close();
+        this.#closeSockets();
+    }
+
+    #handleConnection(client: Socket): void {
+        this.#addSocket(client);
+        if (this.#mode === "refuse" || this.#target === undefined) {
+            client.destroy();
+            return;
+        }
+        const upstream = new Socket();
+        this.#addSocket(upstream);
+        upstream.connect(this.#target);
+        this.#relayBytes(client, upstream);
+        this.#relayBytes(upstream, client);
+    }
+
+    #relayBytes(from: Socket, to: Socket): void {
+        from.on("data", (chunk: Buffer) => {
+            if (this.#mode === "open") {
+                this.#bytes += chunk.length;
+                to.write(chunk);
+            }
+        });
+        from.on("close", () => {
+            if (this.#mode !== "silent") {
+                to.destroy();
+            }
+        });
+    }
+
+    #addSocket(socket: Socket): void {
+        this.#sockets.add(socket);
+        socket.setNoDelay(true);
+        socket.on("error", () => socket.destroy());
+        socket.on("close", () => this.#sockets.delete(socket));
+    }
+
+    #closeSockets(): void {
+        for (const socket of this.#sockets) {
+            socket.destroy();
+        }
+    }
+}
--- a/standin/mod.ts
+++ b/standin/mod.ts
@@ -13,3 +13,4 @@
 export * from "./worker_host.ts";
 export * from "./caller.ts";
 export * from "./entry_client.ts";
+export * from "./fault_relay.ts";
--- a/telemetry/mod.ts
+++ b/telemetry/mod.ts
@@ -12,3 +12,4 @@
 export * from "./logger.ts";
 export * from "./metrics.ts";
 export * from "./timeline.ts";
+export * from "./audit.ts";
