--- a/bench/idle_probe.ts
+++ b/bench/idle_probe.ts
@@ -27,9 +27,9 @@
     zones: ["hall-a", "hall-b", "hall-c"],
 });
 await new Promise((r) => setTimeout(r, 3000));
-const a = cell.pids.map((p) => readProcessStats(p).cpuSeconds);
+const a = [...cell.pids.values()].map((p) => readProcessStats(p).cpuSeconds);
 await new Promise((r) => setTimeout(r, 10000));
-const b = cell.pids.map((p) => readProcessStats(p).cpuSeconds);
+const b = [...cell.pids.values()].map((p) => readProcessStats(p).cpuSeconds);
 console.log(
     workers,
     "workers idle, share of a core per process over 10 s:",
--- /dev/null
+++ b/cell/replication_test.ts
@@ -0,0 +1,217 @@
+import test from "ava";
+import fc from "fast-check";
+import { createId, type InstanceId, type LeaseId } from "../inventory/mod.ts";
+import { createRulesFile } from "../settings/rules_file.ts";
+import { buildCell, buildInventoryFixture, buildRulesFixture, buildSpec } from "./_fixtures.ts";
+import { Cell, type CellInput, type Effect, type RequestSpec } from "./mod.ts";
+
+type Grant = Extract<Effect, { type: "grant" }>;
+
+function takeOf<T extends Effect["type"]>(cell: Cell, type: T): Extract<Effect, { type: T }>[] {
+    return cell.takeEffects().filter((e): e is Extract<Effect, { type: T }> => e.type === type);
+}
+
+test("a new leader sends again every offer without an answer and every stop without an end", (t) => {
+    // The leader commits a lease of a billed batch and a cancellation, and dies before either
+    // message leaves. The caller would see the batch "may have run" after the lease ran out, or
+    // the cancelled one go on; the successor instead asks the workers again, with the same lease.
+    const cell = buildCell({ workers: 2 });
+    cell.submit(buildSpec({ kind: "batch" }), 0);
+    const cancelled = cell.submit(buildSpec({ kind: "batch" }), 0);
+    cell.tick(1);
+    const grants = takeOf(cell, "grant");
+    cell.cancel(cancelled.requestId, 2);
+    const stops = takeOf(cell, "stop");
+    cell.handleTakeover(2_900);
+    const again = cell.takeEffects();
+    const offered = again.filter((e): e is Grant => e.type === "grant");
+    t.deepEqual(offered, [grants[0] as Grant], "the same lease and epoch");
+    t.deepEqual(
+        again.filter((e) => e.type === "stop").map((e) => e.type === "stop" && e.lease),
+        stops.map((e) => e.lease),
+    );
+    cell.tick(4_600);
+    t.is(cell.listLiveLeases().length, 2, "leases get their full time from the takeover");
+});
+
+test("a heartbeat of another worker process does not renew what the earlier one ran", (t) => {
+    // A worker restarts: its tasks are gone, but its instance's heartbeats go on. The lease must
+    // run out, and the batch be told as "may have run", rather than stay running for ever.
+    const cell = buildCell({ workers: 1, leaseTtlMs: 100, leaseGraceMs: 50 });
+    const batch = cell.submit(buildSpec({ kind: "batch" }), 0);
+    cell.tick(1);
+    const [grant] = takeOf(cell, "grant");
+    t.is(grant?.lease.incarnation, "");
+    cell.handleReport(grant?.lease.lease as LeaseId, grant?.lease.epoch ?? 0, "started", "", 2);
+    cell.announceWorker(createId<InstanceId>("w1"), "new", 50, "second");
+    t.false(cell.isRenewal(createId("w1"), []), "an empty heartbeat is not a renewal of the lease");
+    cell.handleHeartbeat(createId("w1"), [], 100);
+    cell.handleHeartbeat(createId("w1"), [], 170);
+    cell.tick(171);
+    t.like(cell.describeRequest(batch.requestId), { state: "failed", mayHaveRun: true });
+});
+
+test("an operator's drain survives the worker's next announcement; undrain ends it", (t) => {
+    // The operator drains an instance for repair; its worker process restarts and announces
+    // itself. Work must not come back to it before the operator says so.
+    const cell = buildCell({ workers: 1 });
+    const instance = createId<InstanceId>("w1");
+    cell.drainWorker(instance, 0, "drained");
+    cell.announceWorker(instance, "a", 1, "second");
+    cell.submit(buildSpec(), 2);
+    cell.tick(3);
+    t.is(takeOf(cell, "grant").length, 0);
+    cell.releaseDrain(instance);
+    cell.tick(4);
+    t.is(takeOf(cell, "grant").length, 1);
+});
+
+test("rules that make a kind idempotent do not make accepted work run twice", (t) => {
+    // The batch was accepted as at most once. The operator then marks batches idempotent, and the
+    // worker goes silent. The caller was promised one run; the change holds for later requests.
+    const cell = buildCell({ workers: 2, leaseTtlMs: 100, leaseGraceMs: 50 });
+    const batch = cell.submit(buildSpec({ kind: "batch" }), 0);
+    cell.tick(1);
+    takeOf(cell, "grant");
+    const file = createRulesFile(buildRulesFixture());
+    const rules = {
+        ...file,
+        version: 2,
+        kinds: file.kinds.map((k) => ({ ...k, idempotent: true })),
+    };
+    t.true(cell.adoptRules(rules));
+    t.false(cell.adoptRules({ ...rules, version: 1 }), "an older version never comes back");
+    cell.tick(500);
+    t.is(cell.describeRequest(batch.requestId)?.state, "failed");
+});
+
+test("a kind dropped while this zone was cut off stays known to its requests only", (t) => {
+    // The zone could not object to the change. Its queued batch is still placed by the old rule;
+    // a new batch is refused with the reason.
+    const cell = buildCell({ workers: 1 });
+    const old = cell.submit(buildSpec({ kind: "batch" }), 0);
+    const file = createRulesFile(buildRulesFixture());
+    cell.adoptRules({ ...file, version: 2, kinds: file.kinds.filter((k) => k.name !== "batch") });
+    cell.tick(1);
+    t.is(cell.describeRequest(old.requestId)?.state, "leased");
+    t.like(cell.submit(buildSpec({ kind: "batch" }), 2), { state: "refused" });
+});
+
+test("an old request keeps its end state and its key when its time line is dropped", (t) => {
+    // A resend a week later must not bill the client again. The time line is gone to keep memory
+    // bounded; the end and the key are not.
+    const cell = buildCell({ workers: 1, retentionMs: 1_000, keyRetentionMs: 10_000 });
+    const spec = buildSpec({ kind: "batch" });
+    const { requestId } = cell.submit(spec, 0);
+    cell.tick(1);
+    const [grant] = takeOf(cell, "grant");
+    cell.handleReport(grant?.lease.lease as LeaseId, grant?.lease.epoch ?? 0, "started", "", 2);
+    cell.handleReport(grant?.lease.lease as LeaseId, grant?.lease.epoch ?? 0, "completed", "", 3);
+    cell.tick(2_000);
+    t.is(cell.listRequests().length, 0);
+    t.is(cell.listLeases().length, 0);
+    t.like(cell.submit(spec, 2_001), { requestId, state: "completed", events: [] });
+    t.throws(() => cell.submit({ ...spec, count: 2 }, 2_002), { name: "KeyConflictError" });
+    cell.tick(20_000);
+    t.is(cell.describeRequest(requestId), undefined);
+});
+
+test("a quota is shared out between zones and never exceeded by their sum", (t) => {
+    // Two zones each give out their own share of the team's 8 cores while they cannot talk.
+    const cells = [0.5, 0.5].map((quotaShare) => buildCell({ quotaCores: 8, quotaShare }));
+    for (const cell of cells) {
+        for (let i = 0; i < 5; i++) {
+            cell.submit(buildSpec({ demand: { cores: 2, memoryMb: 1, accelerators: 0 } }), 0);
+        }
+        cell.tick(1);
+    }
+    const held = cells.flatMap((c) => c.listLiveLeases()).reduce((n, l) => n + l.held.cores, 0);
+    t.is(held, 8);
+});
+
+const inputArb = fc.record({
+    kind: fc.constantFrom("submit", "tick", "start", "complete", "fail", "beat", "cancel", "leap"),
+    pick: fc.nat(20),
+    cores: fc.integer({ min: 1, max: 12 }),
+    isRestored: fc.boolean(),
+});
+
+test("a cell restored from a snapshot decides exactly as one that took every input", (t) => {
+    // A member that catches up from a snapshot may lead next. Any difference in what it decides
+    // would be two replicas of one cell giving out the same cores twice.
+    const kinds = ["preview", "batch", "hero", "gang", "service"];
+    fc.assert(
+        fc.property(fc.array(inputArb, { minLength: 10, maxLength: 60 }), (steps) => {
+            const options = {
+                inventory: buildInventoryFixture({ workers: 3 }),
+                rules: buildRulesFixture(20),
+                leaseTtlMs: 100,
+                leaseGraceMs: 50,
+                retentionMs: 500,
+            };
+            const whole = new Cell(options);
+            let other = new Cell(options);
+            const grants: Grant[] = [];
+            let at = 0;
+            const apply = (input: CellInput): void => {
+                const results = [whole, other].map((cell) => cell.applyInput(input));
+                t.deepEqual(toPlain(results[1]), toPlain(results[0]));
+                const [effects, same] = [whole.takeEffects(), other.takeEffects()];
+                t.deepEqual(toPlain(same), toPlain(effects));
+                grants.push(...effects.filter((e): e is Grant => e.type === "grant"));
+            };
+            for (const instance of options.inventory.instances) {
+                const { id } = instance;
+                apply({ type: "announce", at, instance: id, address: "a", incarnation: "1" });
+            }
+            for (const step of steps) {
+                at += step.kind === "leap" ? 200 : 10;
+                const spec = createStepSpec(kinds[step.pick % kinds.length] as string, step.cores);
+                listInputs(step, at, spec, grants, whole).forEach(apply);
+                if (step.isRestored) {
+                    const text = other.encode();
+                    other = new Cell(options);
+                    other.restore(text);
+                    t.is(other.encode(), text);
+                }
+            }
+        }),
+        { numRuns: 150, seed: 11 },
+    );
+});
+
+function createStepSpec(kind: string, cores: number): RequestSpec {
+    const count = kind === "gang" || kind === "service" ? 2 : 1;
+    return buildSpec({ kind, count, demand: { cores, memoryMb: 512, accelerators: 0 } });
+}
+
+function listInputs(
+    step: { readonly kind: string; readonly pick: number },
+    at: number,
+    spec: RequestSpec,
+    grants: readonly Grant[],
+    cell: Cell,
+): CellInput[] {
+    const lease = grants[step.pick % Math.max(1, grants.length)]?.lease;
+    const report = { started: "start", completed: "complete", failed: "fail" } as const;
+    const name = (["started", "completed", "failed"] as const).find((r) => report[r] === step.kind);
+    if (step.kind === "submit") {
+        return [{ type: "submit", at, spec }];
+    }
+    if (step.kind === "beat") {
+        return [{ type: "renew", at, workers: cell.listWorkers().map((w) => w.instance.id) }];
+    }
+    if (step.kind === "cancel" && lease !== undefined) {
+        return [{ type: "cancel", at, request: lease.request }];
+    }
+    if (name !== undefined && lease !== undefined) {
+        const { lease: id, epoch } = lease;
+        return [{ type: "report", at, lease: id, epoch, report: name, detail: "" }];
+    }
+    return [{ type: "tick", at }];
+}
+
+/** Drops `undefined` fields, as a snapshot does. */
+function toPlain(value: unknown): unknown {
+    return value === undefined ? undefined : JSON.parse(JSON.stringify(value));
+}
--- a/cli/load_command.ts
+++ b/cli/load_command.ts
@@ -28,6 +28,9 @@
     experiment = Option.String("--experiment", { required: true });
     workers = Option.String("--workers", { description: "override the file's worker count" });
     rate = Option.String("--rate", { description: "override the file's requests per second" });
+    instances = Option.String("--instances", {
+        description: "override the file's entry instances",
+    });
     out = Option.String("--out");
 
     /** @returns 0 when every request reached an end state. */
@@ -46,10 +49,11 @@
             ...experiment,
             workers: this.workers === undefined ? experiment.workers : Number(this.workers),
             ratePerSecond: this.rate === undefined ? experiment.ratePerSecond : Number(this.rate),
+            instances: this.instances === undefined ? experiment.instances : Number(this.instances),
         };
         experiment = {
             ...experiment,
-            name: `${experiment.name}-w${experiment.workers}-r${experiment.ratePerSecond}`,
+            name: `${experiment.name}-w${experiment.workers}-r${experiment.ratePerSecond}-i${experiment.instances}`,
         };
         const dir = mkdtempSync(join(tmpdir(), "poplarhead-load-"));
         const report = await runExperiment(experiment, {
@@ -60,7 +64,7 @@
         if (this.out !== undefined) {
             writeFileSync(
                 this.out,
-                `${JSON.stringify({ command: `poplarhead load --experiment ${this.experiment} --workers ${experiment.workers} --rate ${experiment.ratePerSecond}`, at: new Date().toISOString(), report }, null, 2)}\n`,
+                `${JSON.stringify({ command: `poplarhead load --experiment ${this.experiment} --workers ${experiment.workers} --rate ${experiment.ratePerSecond} --instances ${experiment.instances}`, at: new Date().toISOString(), report }, null, 2)}\n`,
             );
         }
         const unfinished =
--- a/load/cell_runner.ts
+++ b/load/cell_runner.ts
@@ -18,6 +18,8 @@
 import { join } from "node:path";
 import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
+import type { EntryStatus } from "../entry/mod.ts";
+import { createRpcClient } from "../rpc/mod.ts";
 
 const CLI = fileURLToPath(new URL("../bin/poplarhead.ts", import.meta.url));
 const START_TIMEOUT_MS = 20_000;
@@ -36,9 +38,13 @@
 
 /** A running local cell. */
 export interface SpawnedCell {
+    /** The entry instances, as callers reach them. */
     readonly entry: string;
     readonly logFiles: readonly string[];
-    readonly pids: readonly number[];
+    /** The processes' ids by name; entry instances first. */
+    readonly pids: ReadonlyMap<string, number>;
+    /** The statuses of the entry instances that answer. */
+    readonly listStatuses: () => Promise<EntryStatus[]>;
     /** SIGTERM to every process, then waits for all to exit. */
     readonly stop: () => Promise<void>;
 }
@@ -91,7 +97,10 @@
         return {
             entry,
             logFiles,
-            pids: children.map((c) => c.pid ?? 0),
+            pids: new Map(children.map((c, i) => [i === 0 ? "entry" : `workers-${i}`, c.pid ?? 0])),
+            listStatuses: async () => [
+                await createRpcClient(entry).call<EntryStatus>("cell.status", {}),
+            ],
             stop: () => stopChildren(children),
         };
     } catch (error) {
--- a/load/experiment.ts
+++ b/load/experiment.ts
@@ -32,6 +32,10 @@
         cancelShare: z.number().min(0).max(1).default(0),
         /** Workers that fail everything they start. */
         failingWorkers: z.number().int().nonnegative().default(0),
+        /** Entry instances, spread over the zones; 1 is the whole cell in one process. */
+        instances: z.number().int().min(1).max(12).default(1),
+        /** One group for the whole cell instead of one per zone. */
+        oneGroup: z.boolean().default(false),
         /** Seed of the mix. */
         seed: z.number().int().default(1),
     })
--- a/load/run_load.ts
+++ b/load/run_load.ts
@@ -21,9 +21,11 @@
 import { parse, stringify } from "yaml";
 import type { Answer } from "../cell/mod.ts";
 import { buildInventory } from "../examples/build_examples.ts";
-import { createRpcClient } from "../rpc/mod.ts";
+import type { EntryStatus } from "../entry/mod.ts";
+import { CONFIG_GROUP } from "../membership/mod.ts";
 import { Caller } from "../standin/mod.ts";
-import { spawnCell } from "./cell_runner.ts";
+import { spawnCell, type SpawnedCell } from "./cell_runner.ts";
+import { Cluster, type ClusterOptions } from "./cluster_runner.ts";
 import type { Experiment } from "./experiment.ts";
 import { buildMix } from "./mix.ts";
 import { readProcessStats } from "./process_stats.ts";
@@ -65,7 +67,13 @@
     readonly packingWhileQueued: number;
     readonly packingMean: number;
     readonly processes: readonly ProcessCost[];
-    readonly entryBytesPerSecond: { readonly received: number; readonly sent: number };
+    /** Who led which group at the end. */
+    readonly leaders: readonly string[];
+    readonly entryBytesPerSecond: readonly {
+        readonly id: string;
+        readonly received: number;
+        readonly sent: number;
+    }[];
     readonly elapsedMs: number;
 }
 
@@ -77,11 +85,13 @@
     readonly onProgress?: (line: string) => void;
 }
 
-interface Status {
-    packingCores: number;
-    requests: Record<string, number>;
-    counters: { placements: number };
-    bytes: { received: number; sent: number };
+/** The cell's state summed over its groups' leaders. */
+interface CellFigures {
+    readonly packingCores: number;
+    readonly queued: number;
+    readonly placements: number;
+    /** Bytes received and sent by each entry instance so far. */
+    readonly bytes: ReadonlyMap<string, { readonly received: number; readonly sent: number }>;
 }
 
 /**
@@ -112,45 +122,89 @@
         .flatMap((r) => r.instances.map((i) => i.id))
         .slice(0, experiment.failingWorkers);
     const classes = buildClassOfKind(rulesFile);
-    const cell = await spawnCell({
-        inventoryFile,
-        rulesFile,
-        dir: options.dir,
-        zones: deployment.zones,
-        failing,
-    });
+    const files = { inventoryFile, rulesFile, dir: options.dir, failing };
+    const cell =
+        experiment.instances === 1
+            ? await spawnCell({ ...files, zones: deployment.zones })
+            : await startCluster(experiment, files, deployment.zones);
     try {
-        return await runDriver(experiment, cell.entry, cell.pids, classes, options);
+        return await runDriver(experiment, cell, classes, options);
     } finally {
         await cell.stop();
     }
 }
 
+async function startCluster(
+    experiment: Experiment,
+    files: Pick<ClusterOptions, "inventoryFile" | "rulesFile" | "dir" | "failing">,
+    zones: readonly string[],
+): Promise<SpawnedCell> {
+    const members = Array.from({ length: experiment.instances }, (_, i) => {
+        const zone = zones[i % zones.length] as string;
+        return { id: `entry-${zone}-${Math.floor(i / zones.length) + 1}`, zone };
+    });
+    const cluster = await Cluster.start({
+        ...files,
+        members,
+        workerZones: zones,
+        groups: experiment.oneGroup ? [{ id: "cell", zones }] : [],
+    });
+    return {
+        entry: cluster.listEntries(),
+        logFiles: [],
+        pids: cluster.pids,
+        listStatuses: () => cluster.listStatuses(),
+        stop: () => cluster.stop(),
+    };
+}
+
+/** Sums the statuses: each group counts once, at the instance that leads it. */
+async function measureCell(cell: SpawnedCell): Promise<CellFigures> {
+    const statuses = await cell.listStatuses();
+    const leading = new Map<string, EntryStatus>();
+    for (const status of statuses) {
+        const led = status.groups.find((g) => g.serving && g.id !== CONFIG_GROUP);
+        if (led !== undefined) {
+            leading.set(led.id, status);
+        }
+    }
+    const leaders = [...leading.values()];
+    const workers = leaders.reduce((sum, s) => sum + s.workers, 0);
+    return {
+        packingCores:
+            workers === 0
+                ? 0
+                : leaders.reduce((sum, s) => sum + s.packingCores * s.workers, 0) / workers,
+        queued: leaders.reduce((sum, s) => sum + (s.requests["queued"] ?? 0), 0),
+        placements: leaders.reduce((sum, s) => sum + s.counters.placements, 0),
+        bytes: new Map(statuses.map((s) => [s.id, s.bytes])),
+    };
+}
+
 async function runDriver(
     experiment: Experiment,
-    entry: string,
-    pids: readonly number[],
+    cell: SpawnedCell,
     classes: ReadonlyMap<string, string>,
     options: RunOptions,
 ): Promise<LoadReport> {
     const total = Math.round((experiment.ratePerSecond * experiment.durationMs) / 1_000);
     const specs = buildMix(experiment.deployment, total, experiment.seed);
-    const caller = new Caller({ entry, deadlineMs: experiment.drainMs });
-    const status = createRpcClient(entry);
+    const callers = createCallers(cell.entry, experiment.drainMs);
     const started = Date.now();
+    const pids = [...cell.pids.values()];
     const cpuBefore = pids.map((pid) => readProcessStats(pid).cpuSeconds);
     const maxRss = pids.map(() => 0);
-    const before = await status.call<Status>("cell.status", {});
+    const before = await measureCell(cell);
     const packing: number[] = [];
     const packingQueued: number[] = [];
     const sampler = setInterval(() => {
         pids.forEach((pid, i) => {
             maxRss[i] = Math.max(maxRss[i] ?? 0, readProcessStats(pid).rssBytes);
         });
-        void status.call<Status>("cell.status", {}).then((s) => {
-            packing.push(s.packingCores);
-            if ((s.requests["queued"] ?? 0) > 0) {
-                packingQueued.push(s.packingCores);
+        void measureCell(cell).then((figures) => {
+            packing.push(figures.packingCores);
+            if (figures.queued > 0) {
+                packingQueued.push(figures.packingCores);
             }
         });
     }, SAMPLE_EVERY_MS);
@@ -174,12 +228,11 @@
                 }
                 random = (random * 1_103_515_245 + 12_345) % 2 ** 31;
                 const cancel = random / 2 ** 31 < experiment.cancelShare;
+                const caller = callers[accepted.length % callers.length] as Caller;
                 accepted.push(
                     caller.submit(spec).then(async (answer) => {
                         if (cancel) {
-                            await status
-                                .call("request.cancel", { requestId: answer.requestId })
-                                .catch(() => undefined);
+                            await caller.cancel(answer.requestId).catch(() => undefined);
                         }
                         return answer;
                     }),
@@ -193,38 +246,53 @@
     });
     const until = Date.now() + experiment.drainMs;
     const answers = await Promise.all(
-        accepted.map(async (a) => caller.waitFinal((await a).requestId, until)),
+        accepted.map(async (a, i) =>
+            (callers[i % callers.length] as Caller).waitFinal((await a).requestId, until),
+        ),
     );
     clearInterval(sampler);
     clearInterval(progress);
     const elapsedMs = Date.now() - started;
-    const after = await status.call<Status>("cell.status", {});
+    const after = await measureCell(cell);
     const seconds = elapsedMs / 1_000;
     return {
         experiment,
         requests: answers.length,
         states: computeStates(answers),
         waitMsByClass: summarizeWaits(answers, classes),
-        placementsPerSecond: Math.round(
-            (after.counters.placements - before.counters.placements) / seconds,
-        ),
+        placementsPerSecond: Math.round((after.placements - before.placements) / seconds),
         packingWhileQueued: computeMean(packingQueued),
         packingMean: computeMean(packing),
-        processes: pids.map((pid, i) => ({
-            role: i === 0 ? "entry" : `workers-${i}`,
+        processes: [...cell.pids].map(([role, pid], i) => ({
+            role,
             cpuShare: Number(
                 ((readProcessStats(pid).cpuSeconds - (cpuBefore[i] ?? 0)) / seconds).toFixed(4),
             ),
             maxRssMb: Math.round((maxRss[i] ?? 0) / 1_048_576),
         })),
-        entryBytesPerSecond: {
-            received: Math.round((after.bytes.received - before.bytes.received) / seconds),
-            sent: Math.round((after.bytes.sent - before.bytes.sent) / seconds),
-        },
+        leaders: (await cell.listStatuses()).flatMap((s) =>
+            s.groups.filter((g) => g.serving).map((g) => `${g.id}: ${s.id}`),
+        ),
+        entryBytesPerSecond: [...after.bytes].map(([id, bytes]) => ({
+            id,
+            received: Math.round(
+                (bytes.received - (before.bytes.get(id)?.received ?? 0)) / seconds,
+            ),
+            sent: Math.round((bytes.sent - (before.bytes.get(id)?.sent ?? 0)) / seconds),
+        })),
         elapsedMs,
     };
 }
 
+/** One caller per entry instance, as a balancer would spread them. */
+function createCallers(entry: string, deadlineMs: number): Caller[] {
+    const entries = entry.split(",");
+    return entries.map((_, i) => {
+        const inTurn = [...entries.slice(i), ...entries.slice(0, i)].join(",");
+        return new Caller({ entry: inTurn, deadlineMs });
+    });
+}
+
 function buildClassOfKind(rulesFile: string): Map<string, string> {
     const rules = parse(readFileSync(rulesFile, "utf8")) as {
         kinds: { name: string; class: string }[];
@@ -300,9 +368,12 @@
         ),
         ...report.processes.map(
             (p) =>
-                `  ${p.role.padEnd(10)} cpu ${(p.cpuShare * 100).toFixed(1)}% of a core, rss max ${p.maxRssMb} MB`,
+                `  ${p.role.padEnd(16)} cpu ${(p.cpuShare * 100).toFixed(1)}% of a core, rss max ${p.maxRssMb} MB`,
+        ),
+        ...report.entryBytesPerSecond.map(
+            (b) => `  ${b.id} bytes/s received ${b.received}, sent ${b.sent}`,
         ),
-        `  entry bytes/s received ${report.entryBytesPerSecond.received}, sent ${report.entryBytesPerSecond.sent}`,
+        `  leaders ${report.leaders.join(", ")}`,
     ];
     return `${lines.join("\n")}\n`;
 }
