Write the log with one system call and one sync beside the event loop

Each append made three trips through the thread pool (stat, append, datasync).

Change: the size is kept, the write goes to the page cache at once, only the fdatasync runs in the pool.

--- a/log/storage.ts
+++ b/log/storage.ts
@@ -17,7 +17,10 @@
 import {
     closeSync,
     existsSync,
+    fdatasync,
+    fstatSync,
     fsyncSync,
+    ftruncateSync,
     mkdirSync,
     openSync,
     readFileSync,
@@ -25,11 +28,13 @@
     writeFileSync,
     writeSync,
 } from "node:fs";
-import { open, rename, type FileHandle } from "node:fs/promises";
+import { open, rename } from "node:fs/promises";
 import { join } from "node:path";
+import { promisify } from "node:util";
 import { crc32 } from "node:zlib";
 import type { HardState, LogEntry, Snapshot, Storage, StoredState } from "./types.ts";
 
+const syncData = promisify(fdatasync);
 const LOG_FILE = "log.jsonl";
 const SNAPSHOT_FILE = "snapshot.json";
 
@@ -51,7 +56,7 @@
 /** A member's durable files. */
 export class FileStorage implements Storage {
     readonly #dir: string;
-    #log: FileHandle | undefined;
+    #log: { readonly fd: number; readonly size: number } | undefined;
     #logBytes = 0;
 
     private constructor(dir: string) {
@@ -112,18 +117,21 @@
             return;
         }
         const text = formatRecords(records);
-        this.#log ??= await open(join(this.#dir, LOG_FILE), "a");
-        const { size } = await this.#log.stat();
+        const { fd, size } = this.#openLog();
+        const bytes = Buffer.from(text);
         try {
-            await this.#log.appendFile(text);
-            await this.#log.datasync();
+            // The write only fills the page cache; the sync is what takes long, and runs beside
+            // the event loop so that heartbeats go on meanwhile.
+            writeSync(fd, bytes);
+            await syncData(fd);
         } catch (error) {
             // A full disk may have taken part of the text. Cut it off, so that the retry does not
             // join a torn line in the middle of the file, which would read as damage.
-            await this.#log.truncate(size).catch(() => undefined);
+            ftruncateSync(fd, size);
             throw error;
         }
-        this.#logBytes += text.length;
+        this.#log = { fd, size: size + bytes.length };
+        this.#logBytes += bytes.length;
     }
 
     /** See {@link Storage.compact}. */
@@ -132,18 +140,27 @@
         // older entries are skipped on load. The other order would lose the entries between.
         await this.#writeReplacing(SNAPSHOT_FILE, `${formatLine(JSON.stringify(snapshot))}\n`);
         const text = formatRecords([{ hard }, ...rest.map((entry) => ({ entry }))]);
-        await this.#log?.close();
-        this.#log = undefined;
+        this.close();
         await this.#writeReplacing(LOG_FILE, text);
         this.#logBytes = 0;
     }
 
     /** Closes the log file. */
     close(): void {
-        void this.#log?.close();
+        if (this.#log !== undefined) {
+            closeSync(this.#log.fd);
+        }
         this.#log = undefined;
     }
 
+    #openLog(): { readonly fd: number; readonly size: number } {
+        if (this.#log === undefined) {
+            const fd = openSync(join(this.#dir, LOG_FILE), "a");
+            this.#log = { fd, size: fstatSync(fd).size };
+        }
+        return this.#log;
+    }
+
     #loadSnapshot(): Snapshot | undefined {
         const file = join(this.#dir, SNAPSHOT_FILE);
         if (!existsSync(file)) {
