Hand requests that wait over to zones with room, by intent and outcome

Change: a request that waited 100 ms for its own zone goes to the group that told (by gossip) of the most room: the intent is in the home group's log before the other hears of it, the other takes it under a key of its own, and it comes back only when that group says it never ran (or idempotent work failed there). A new leader asks after all of them. Requests too large for every instance of the home zone are no longer refused when another zone can hold them. maxWaitMs counts to the first start only; before, a preempted request past it was failed. The audit follows a request's second id.

--- a/cell/_books.ts
+++ b/cell/_books.ts
@@ -60,6 +60,11 @@
     readonly maxPlacementsPerTick?: number;
     /** An attempt that ran at least this long does not count towards the most attempts, in ms. */
     readonly attemptResetMs?: number;
+    /**
+     * The instances of the other zones' groups, one list per group: what fits there is not
+     * refused here, because it can be handed over.
+     */
+    readonly elsewhere?: readonly (readonly WorkerState[])[];
     /** How long an ended request keeps its whole time line, in ms. */
     readonly retentionMs?: number;
     /** How long its idempotency key and end state are kept after that, in ms. */
@@ -78,6 +83,7 @@
     quarantineMs: 30_000,
     maxPlacementsPerTick: 5_000,
     attemptResetMs: 60_000,
+    elsewhere: [] as readonly (readonly WorkerState[])[],
     retentionMs: DAY_MS,
     keyRetentionMs: 30 * DAY_MS,
 };
@@ -129,6 +135,8 @@
     };
     nextSeq = 1;
     nextEpoch = 1;
+    /** Requests in the care of another zone's group. */
+    readonly handed = new Set<RequestId>();
     /** The time of the newest input; the next leader's clock starts from it. */
     lastAt = 0;
     /** Something changed that may let a queued request be placed. */
@@ -257,6 +265,7 @@
      * @param request The request.
      */
     addToQueue(request: RequestRecord): void {
+        request.queuedAt = this.lastAt;
         this.queue.add(request, this.getPolicy(request).kindClass.precedence);
         this.isDirty = true;
     }
--- a/cell/_placer.ts
+++ b/cell/_placer.ts
@@ -71,7 +71,14 @@
     }
 
     #checkDeadline(request: RequestRecord, at: number): boolean {
-        if (request.spec.maxWaitMs <= 0 || at - request.acceptedAt <= request.spec.maxWaitMs) {
+        // The wait is for the first start: a request that started and was preempted or lost its
+        // worker keeps its place in the queue.
+        const { maxWaitMs } = request.spec;
+        if (
+            maxWaitMs <= 0 ||
+            request.startedAt !== undefined ||
+            at - request.acceptedAt <= maxWaitMs
+        ) {
             return false;
         }
         const reason = `not started within ${request.spec.maxWaitMs} ms`;
@@ -207,7 +214,9 @@
         if (quota !== undefined && spec.demand.cores * spec.count > quota + 1e-9) {
             return `asks ${spec.demand.cores * spec.count} cores; the quota of ${spec.customer} is ${quota}${this.#books.options.quotaShare < 1 ? " here (this zone's share)" : ""}`;
         }
-        if (!isEverFeasible(this.#books.workerList, this.#createAsk(undefined, rule, spec))) {
+        const ask = this.#createAsk(undefined, rule, spec);
+        const lists = [this.#books.workerList, ...this.#books.options.elsewhere];
+        if (!lists.some((workers) => isEverFeasible(workers, ask))) {
             return `no instance of ${spec.service} could ever hold ${spec.count} x ${JSON.stringify(spec.demand)}`;
         }
         return undefined;
--- a/cell/_snapshot.ts
+++ b/cell/_snapshot.ts
@@ -132,9 +132,12 @@
     books.nextEpoch = snapshot.nextEpoch;
     books.lastAt = snapshot.lastAt;
     books.queue = new RequestQueue();
+    books.handed.clear();
     for (const request of snapshot.requests) {
         if (request.state === "queued") {
-            books.addToQueue(request);
+            books.queue.add(request, books.getPolicy(request).kindClass.precedence);
+        } else if (request.state === "handed") {
+            books.handed.add(request.id);
         }
     }
     books.isDirty = true;
--- a/cell/cell.ts
+++ b/cell/cell.ts
@@ -35,7 +35,7 @@
     type RulesChange,
     type RulesChangeResult,
 } from "../rules/mod.ts";
-import type { WorkerState } from "../scheduler/mod.ts";
+import { getFree, isTakingWork, type WorkerState } from "../scheduler/mod.ts";
 import { listRulesProblems, type RulesFile } from "../settings/rules_file.ts";
 import {
     Books,
@@ -45,10 +45,13 @@
     type CellOptions,
     type Tombstone,
 } from "./_books.ts";
+import { HandOvers } from "./_hand_overs.ts";
 import { leaseChart, Lifecycle, NO_GUARDS, requestChart } from "./_lifecycle.ts";
 import { Placer } from "./_placer.ts";
 import { encodeBooks, restoreBooks } from "./_snapshot.ts";
 import {
+    ADOPTED_CALLER,
+    HANDED_OVER_AS,
     KeyConflictError,
     type Answer,
     type CellInput,
@@ -70,6 +73,7 @@
     readonly #books: Books;
     readonly #lifecycle: Lifecycle;
     readonly #placer: Placer;
+    readonly #handOvers: HandOvers;
     #lastPlacedAt = 0;
 
     /**
@@ -79,6 +83,7 @@
         this.#books = new Books(options);
         this.#lifecycle = new Lifecycle(this.#books);
         this.#placer = new Placer(this.#books, this.#lifecycle);
+        this.#handOvers = new HandOvers(this.#books, this.#lifecycle);
     }
 
     /**
@@ -122,6 +127,12 @@
             case "report":
                 this.handleReport(input.lease, input.epoch, input.report, input.detail, input.at);
                 return undefined;
+            case "handOver":
+                this.#handOvers.startHandOver(input.request, input.to, input.at);
+                return undefined;
+            case "handOverResult":
+                this.#handOvers.handleResult(input.request, input.key, input.answer, input.at);
+                return undefined;
             case "setRules":
                 return this.setRules(input.change);
             case "adoptRules":
@@ -196,11 +207,12 @@
         const request = this.#createRequest(id, seq, spec, at);
         this.#books.requests.set(id, request);
         this.#books.byKey.set(keyOf, id);
+        const isAdopted = spec.caller.startsWith(ADOPTED_CALLER);
         this.#books.recordFate(
             request,
             at,
             "accepted",
-            `${spec.kind} x${spec.count} for ${spec.customer}`,
+            `${spec.kind} x${spec.count} for ${spec.customer}${isAdopted ? `, ${HANDED_OVER_AS}${spec.key}` : ""}`,
         );
         const refusal = this.#placer.findRefusal(spec);
         if (refusal !== undefined) {
@@ -232,6 +244,8 @@
             this.#lifecycle.applyRequestEvent(request, "cancel", at, "cancel asked; stopping");
             request.stopping = "cancel";
             this.#lifecycle.stopLeases(request, "stop");
+        } else if (request.state === "handed") {
+            this.#handOvers.cancel(request, at);
         }
         return this.describeRequest(id);
     }
@@ -281,6 +295,16 @@
         return this.#books.byKey.get(createKey(caller, key));
     }
 
+    /**
+     * Gives what a caller asked for.
+     *
+     * @param id The request.
+     * @returns The request as sent, or `undefined` when its time line was dropped.
+     */
+    findSpec(id: RequestId): RequestSpec | undefined {
+        return this.#books.requests.get(id)?.spec;
+    }
+
     /**
      * Lists every request id whose time line is kept, oldest first.
      *
@@ -484,6 +508,7 @@
             lease.renewedAt = Math.max(lease.renewedAt, at);
         }
         this.#lifecycle.emitUnanswered();
+        this.#handOvers.emitAll();
         this.#books.isDirty = true;
     }
 
@@ -622,6 +647,33 @@
         this.#lastPlacedAt = at;
     }
 
+    /**
+     * Lists queued requests that could be handed over to another zone's group: waiting for a
+     * while, and not themselves handed over by one.
+     *
+     * @param at The time in ms.
+     * @param most The most to list.
+     * @returns The requests, highest precedence first.
+     */
+    listWaiting(at: number, most: number): RequestRecord[] {
+        return this.#handOvers.listWaiting(at, most);
+    }
+
+    /**
+     * Tells how much of the cell's cores is free for new work.
+     *
+     * @param at The time in ms.
+     * @returns Free cores; 0 while work is queued here.
+     */
+    computeFreeCores(at: number): number {
+        if (!this.#books.queue.isEmpty) {
+            return 0;
+        }
+        return this.#books.workerList
+            .filter((w) => isTakingWork(w, at))
+            .reduce((sum, w) => sum + getFree(w).cores, 0);
+    }
+
     /**
      * Tells whether a tick at a time could change anything, so that an idle leader asks its
      * group to agree on nothing.
@@ -757,6 +809,9 @@
             stopping: undefined,
             trouble: undefined,
             troubleDetail: "",
+            queuedAt: at,
+            handedTo: undefined,
+            handOvers: 0,
             blockedBy: undefined,
             tasks: Array.from({ length: spec.count }, (_, i) => ({
                 id: createId<TaskId>(`${id}.${i}`),
--- a/cell/replication_test.ts
+++ b/cell/replication_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import fc from "fast-check";
-import { createId, type InstanceId, type LeaseId } from "../inventory/mod.ts";
+import { createId, type InstanceId, type LeaseId, type RequestId } from "../inventory/mod.ts";
+import { createWorkerState } from "../scheduler/mod.ts";
 import { createRulesFile } from "../settings/rules_file.ts";
 import { buildCell, buildInventoryFixture, buildRulesFixture, buildSpec } from "./_fixtures.ts";
 import { Cell, type CellInput, type Effect, type RequestSpec } from "./mod.ts";
@@ -129,6 +130,66 @@
     t.is(held, 8);
 });
 
+test("a request handed to another zone comes back only when that zone says it never ran", (t) => {
+    // A billed batch waits for room; another zone takes it. Until that zone has said how it ended
+    // the batch may run there, so it is neither placed here nor said not to have run. "Refused,
+    // never started" brings it back; an answer about an earlier hand-over is ignored.
+    const cell = buildCell({ workers: 1, cores: 2 });
+    cell.submit(buildSpec({ kind: "reel" }), 0);
+    const { requestId } = cell.submit(buildSpec({ kind: "batch" }), 0);
+    cell.tick(1);
+    t.deepEqual(
+        cell.listWaiting(200, 10).map((r) => r.id),
+        [requestId],
+    );
+    cell.applyInput({ type: "handOver", at: 200, request: requestId, to: "z2" });
+    const [effect] = takeOf(cell, "handOver");
+    const key = effect?.handOver.key ?? "";
+    t.like(cell.describeRequest(requestId), { state: "handed", mayHaveRun: true, final: false });
+    cell.handleTakeover(300);
+    t.is(takeOf(cell, "handOver").length, 1, "a new leader asks after it");
+    const refused = {
+        requestId: createId<RequestId>("z2.r1"),
+        state: "refused",
+        started: false,
+        mayHaveRun: false,
+        startedAt: undefined,
+        reason: "not started within 1000 ms",
+    };
+    cell.applyInput({ type: "handOverResult", at: 400, request: requestId, key, answer: refused });
+    t.like(cell.describeRequest(requestId), { state: "queued", mayHaveRun: false });
+    cell.applyInput({ type: "handOver", at: 2_000, request: requestId, to: "z2" });
+    cell.applyInput({
+        type: "handOverResult",
+        at: 2_100,
+        request: requestId,
+        key,
+        answer: refused,
+    });
+    t.is(cell.describeRequest(requestId)?.state, "handed", "the late answer is of the first time");
+    const failed = { ...refused, state: "failed", mayHaveRun: true, started: true };
+    const again = takeOf(cell, "handOver").at(-1)?.handOver.key ?? "";
+    cell.applyInput({
+        type: "handOverResult",
+        at: 2_200,
+        request: requestId,
+        key: again,
+        answer: failed,
+    });
+    t.like(cell.describeRequest(requestId), { state: "failed", mayHaveRun: true });
+});
+
+test("a request too large for every instance here is kept for a zone that can hold it", (t) => {
+    // The zone's instances have 4 cores; another zone's have 16. Refused at once, the caller would
+    // be told that no instance could ever hold it, which is not true of the whole cell.
+    const large = buildInventoryFixture({ workers: 1, cores: 16 });
+    const elsewhere = [large.instances.map((i) => createWorkerState(i, large.executors))];
+    const cell = buildCell({ workers: 1, cores: 4, elsewhere });
+    const demand = { cores: 8, memoryMb: 1, accelerators: 0 };
+    t.is(cell.submit(buildSpec({ demand }), 0).state, "queued");
+    t.is(cell.submit(buildSpec({ demand: { ...demand, cores: 99 } }), 0).state, "refused");
+});
+
 const inputArb = fc.record({
     kind: fc.constantFrom("submit", "tick", "start", "complete", "fail", "beat", "cancel", "leap"),
     pick: fc.nat(20),
--- a/cell/types.ts
+++ b/cell/types.ts
@@ -33,6 +33,11 @@
     readonly fail: boolean;
 }
 
+/** What the caller of a request that another zone's group handed over begins with. */
+export const ADOPTED_CALLER = "@";
+/** In the time line of such a request: the first group's id of it follows. */
+export const HANDED_OVER_AS = "handed over as ";
+
 /** A caller's request. */
 export interface RequestSpec {
     /** The caller (a merchandiser's tool, a chapel console). */
@@ -76,6 +81,16 @@
 /** How a lease ended, for the task that ran under it. */
 export type TaskOutcome = "completed" | "failed" | "stopped" | "lost" | "declined";
 
+/** A request in the care of another zone's group. */
+export interface HandOver {
+    /** The group. */
+    readonly to: string;
+    /** Its idempotency key there: the same after every resend, another at the next hand-over. */
+    readonly key: string;
+    /** The caller withdrew it. */
+    readonly isCancelled: boolean;
+}
+
 /** A request in the cell. */
 export interface RequestRecord {
     readonly id: RequestId;
@@ -106,6 +121,12 @@
     /** The first task outcome other than completed, since the last grant. */
     trouble: TaskOutcome | undefined;
     troubleDetail: string;
+    /** When it last entered the queue, in ms. */
+    queuedAt: number;
+    /** While another zone's group has it: which one, under what key. */
+    handedTo: HandOver | undefined;
+    /** How often it was handed over. */
+    handOvers: number;
     /** The last reason it could not be placed, told once. */
     blockedBy: string | undefined;
     readonly tasks: TaskRecord[];
@@ -190,6 +211,8 @@
           readonly epoch: number;
           readonly mode: "stop" | "checkpoint";
       }
+    /** Another zone's group is to take (or withdraw) a request. */
+    | { readonly type: "handOver"; readonly request: RequestId; readonly handOver: HandOver }
     | { readonly type: "fate"; readonly request: RequestId; readonly event: FateEvent }
     | {
           readonly type: "started";
@@ -228,6 +251,21 @@
     | { readonly type: "renew"; readonly at: number; readonly workers: readonly InstanceId[] }
     /** A new leader serves: it has heard no heartbeats yet, so every lease gets its full time. */
     | { readonly type: "takeover"; readonly at: number }
+    /** A queued request goes to another zone's group. */
+    | {
+          readonly type: "handOver";
+          readonly at: number;
+          readonly request: RequestId;
+          readonly to: string;
+      }
+    /** What the other group made of it in the end. */
+    | {
+          readonly type: "handOverResult";
+          readonly at: number;
+          readonly request: RequestId;
+          readonly key: string;
+          readonly answer: HandOverAnswer;
+      }
     /** Rules decided by the configuration group. */
     | { readonly type: "adoptRules"; readonly at: number; readonly rules: RulesFile }
     | {
@@ -253,6 +291,12 @@
       }
     | { readonly type: "setRules"; readonly at: number; readonly change: RulesChange };
 
+/** The end of a request in another zone's group. */
+export type HandOverAnswer = Pick<
+    Answer,
+    "requestId" | "state" | "started" | "mayHaveRun" | "startedAt" | "reason"
+>;
+
 /** Thrown when a caller reuses an idempotency key for a different request. */
 export class KeyConflictError extends Error {
     /**
--- a/entry/api_schema.ts
+++ b/entry/api_schema.ts
@@ -117,6 +117,21 @@
 /** `workers.leave`. */
 export const leaveSchema = z.object({ instances: z.array(z.string()).min(1) });
 
+/** `zone.adopt`: requests that another zone's group hands over, or asks after. */
+export const adoptSchema = z.object({
+    from: z.string(),
+    items: z
+        .array(
+            z.object({
+                key: z.string(),
+                isCancelled: z.boolean(),
+                /** Left out when only asking after it. */
+                spec: submitSchema.shape.spec.optional(),
+            }),
+        )
+        .max(1_000),
+});
+
 const memberId = z.string().regex(/^[^#]+#[^#]+$/);
 
 /** `peer.group`: the message itself is trusted, it comes from our own processes. */
@@ -144,7 +159,9 @@
             id: z.string(),
             startedAt: z.number(),
             counter: z.number(),
-            leads: z.array(z.tuple([z.string(), z.number()])),
+            leads: z.array(
+                z.object({ group: z.string(), term: z.number(), freeCores: z.number() }),
+            ),
             stopping: z.boolean(),
         }),
     ),
--- a/entry/cluster_test.ts
+++ b/entry/cluster_test.ts
@@ -291,6 +291,37 @@
     },
 );
 
+test.serial(
+    "a zone without room hands work to zones that have it, and a cut in the middle runs none twice",
+    async (t) => {
+        // Every caller is at home in z1, whose two workers are soon full; z2 and z3 are idle. Work
+        // is handed over, z1 is cut off with requests in the others' care, and the cut heals. What
+        // z1 could not hear of stays "handed" until it hears; no batch runs in two zones.
+        const zones = ["z1", "z2", "z3"];
+        const cluster = await buildCluster({
+            zones,
+            perZone: 2,
+            workers: 6,
+            callers: [{ caller: "console-1", zone: "z1" }],
+        });
+        t.teardown(() => cluster.stop());
+        const workload = new Workload(cluster, { zone: "z1" });
+        workload.start({ everyMs: 25, kinds: ["batch", "reel", "hero"], runMs: 900 });
+        await waitUntil("work runs in the other zones", () => {
+            const events = cluster.loadTimeline().filter((e) => e.message === "task started");
+            return ["workers-z2", "workers-z3"].every((p) => events.some((e) => e.process === p));
+        });
+        cluster.setZoneCut("z1", "silent");
+        await waitFor(3_000);
+        cluster.setZoneCut("z1", "open");
+        await waitFor(1_000);
+        const { answers, violations } = await workload.audit();
+        t.deepEqual(violations, []);
+        t.true(answers.length > 100);
+        t.true(answers.every((a) => a.state === "completed"));
+    },
+);
+
 test.serial(
     "operators race on different instances with equal versions: one winner, in force everywhere",
     async (t) => {
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -44,11 +44,13 @@
     type GossipEntry,
     type GroupLayout,
     type Layout,
+    type LeadClaim,
 } from "../membership/mod.ts";
 import type { Rules, RulesChange } from "../rules/mod.ts";
 import { MethodError, startRpcServer, type RpcServer } from "../rpc/mod.ts";
 import { createEntryMetrics, createLogger, type EntryMetrics } from "../telemetry/mod.ts";
 import {
+    adoptSchema,
     announceSchema,
     drainSchema,
     envelopeSchema,
@@ -72,6 +74,7 @@
     NOT_FOUND_CODE,
     SHUTTING_DOWN_CODE,
 } from "./errors.ts";
+import type { AdoptItem, GroupRoom } from "./hand_over_agent.ts";
 import { PeerNetwork } from "./peer_network.ts";
 import { EndWaiters } from "./end_waiters.ts";
 import { describeStatus, type EntryStatus } from "./status.ts";
@@ -174,6 +177,8 @@
                     leaseGraceMs: options.leaseGraceMs,
                     tickMs: options.tickMs,
                     metrics: this.metrics,
+                    listRoom: (service) => this.#listRoom(group.id, service),
+                    sendAdopt: (to, items) => this.#sendAdopt(group.id, to, items),
                     onFinal: (request) => this.#waiters.wake(request),
                 });
                 this.#zones.set(group.id, zone);
@@ -471,6 +476,10 @@
                 const isKnown = await zone.drain(type, createId<InstanceId>(instance));
                 return { drained: isKnown && type === "drain" };
             }
+            case "zone.adopt": {
+                const { from, items } = parseParams(adoptSchema, params);
+                return zone.adopt(from as GroupId, items as unknown as AdoptItem[]);
+            }
             case "rules.check":
                 return zone.cell.listRulesProblems(parseParams(rulesCheckSchema, params).rules);
             default:
@@ -478,6 +487,28 @@
         }
     }
 
+    /** Other groups with workers of a service, and the room their leaders told of last. */
+    #listRoom(own: GroupId, service: string): GroupRoom[] {
+        const zones = this.#options.inventory.services.find((s) => s.id === service)?.zones ?? [];
+        const now = performance.now();
+        return this.#layout.groups
+            .filter((g) => g.id !== own && g.zones.some((z) => zones.includes(z)))
+            .map((g) => ({ group: g.id, freeCores: this.#gossip.getFreeCores(g.id, now) }));
+    }
+
+    #sendAdopt(
+        from: GroupId,
+        to: GroupId,
+        items: readonly AdoptItem[],
+    ): Promise<readonly (Answer | null)[]> {
+        const group = this.#layout.groups.find((g) => g.id === to);
+        if (group === undefined) {
+            return Promise.reject(new Error(`the settings name no group ${to}`));
+        }
+        const params = { from, items };
+        return this.#router.route(group, "zone.adopt", params) as Promise<(Answer | null)[]>;
+    }
+
     #getZone(group: GroupId): ZoneGroup {
         const zone = this.#zones.get(group);
         if (zone === undefined) {
@@ -590,14 +621,16 @@
     }
 
     #updateGossip(): void {
-        const leads: [GroupId, number][] = [];
-        for (const [id, zone] of this.#zones) {
+        const leads: LeadClaim[] = [];
+        for (const [group, zone] of this.#zones) {
             if (zone.isServing) {
-                leads.push([id, zone.member.replica.term]);
+                const { term } = zone.member.replica;
+                leads.push({ group, term, freeCores: zone.freeCores });
             }
         }
         if (this.#config.member.isServing) {
-            leads.push([this.#layout.config.id, this.#config.member.replica.term]);
+            const { term } = this.#config.member.replica;
+            leads.push({ group: this.#layout.config.id, term, freeCores: 0 });
         }
         this.#gossip.setSelf(leads, !this.#isAccepting);
     }
--- a/entry/zone_group.ts
+++ b/entry/zone_group.ts
@@ -15,6 +15,7 @@
 
 import { interval, type Subscription } from "rxjs";
 import {
+    ADOPTED_CALLER,
     Cell,
     KeyConflictError,
     type Answer,
@@ -25,13 +26,21 @@
     type RequestSpec,
     type TaskReport,
 } from "../cell/mod.ts";
-import type { InstanceId, LeaseId, RequestId } from "../inventory/mod.ts";
-import { createGroupInventory, createIdPrefix, type Layout } from "../membership/mod.ts";
+import type { InstanceId, Inventory, LeaseId, RequestId } from "../inventory/mod.ts";
+import type { GroupId } from "../log/mod.ts";
+import {
+    createGroupInventory,
+    createIdPrefix,
+    type GroupLayout,
+    type Layout,
+} from "../membership/mod.ts";
 import { MethodError } from "../rpc/mod.ts";
+import { createWorkerState, type WorkerState } from "../scheduler/mod.ts";
 import type { EntryMetrics } from "../telemetry/mod.ts";
 import { CellClock } from "./cell_clock.ts";
 import type { ConfigGroup } from "./config_group.ts";
 import { KEY_CONFLICT_CODE } from "./errors.ts";
+import { HandOverAgent, type AdoptItem, type HandOverAgentOptions } from "./hand_over_agent.ts";
 import { GroupMember, type GroupMemberOptions } from "./group_member.ts";
 import { WorkerLink } from "./worker_link.ts";
 
@@ -48,6 +57,10 @@
     readonly tickMs?: number;
     /** Heartbeats arriving within this many ms are renewed by one command. */
     readonly renewWindowMs?: number;
+    /** See {@link HandOverAgentOptions}. */
+    readonly listRoom: HandOverAgentOptions["listRoom"];
+    /** See {@link HandOverAgentOptions}. */
+    readonly sendAdopt: HandOverAgentOptions["sendAdopt"];
     /** A request reached its end on this replica. */
     readonly onFinal: (request: RequestId) => void;
 }
@@ -85,6 +98,7 @@
     readonly #options: ZoneGroupOptions;
     readonly #clock = new CellClock();
     readonly #workers: WorkerLink;
+    readonly #handOvers: HandOverAgent;
     readonly cell: Cell;
     readonly member: GroupMember<CellInput, CellResult>;
     #ticks: Subscription | undefined;
@@ -105,6 +119,16 @@
             inventory: createGroupInventory(options.inventory, group),
             idPrefix: createIdPrefix(layout, group),
             quotaShare: group.quotaShare,
+            elsewhere: layout.groups
+                .filter((other) => other.id !== group.id)
+                .map((other) => createWorkerStates(options.inventory, other)),
+        });
+        this.#handOvers = new HandOverAgent({
+            group: group.id,
+            cell: this.cell,
+            listRoom: options.listRoom,
+            sendAdopt: options.sendAdopt,
+            propose: (createInput) => this.#propose(createInput),
         });
         this.#workers = new WorkerLink({
             isServing: () => this.isServing,
@@ -181,6 +205,37 @@
         return (await this.#propose((at) => ({ type, at, instance }))) as boolean;
     }
 
+    /**
+     * Takes requests that another zone's group hands over, or tells how those it has stand.
+     *
+     * @param from The other group.
+     * @param items The requests.
+     * @returns An answer per item; `null` for a key that is unknown and came without a request.
+     */
+    adopt(from: GroupId, items: readonly AdoptItem[]): Promise<(Answer | null)[]> {
+        return Promise.all(items.map((item) => this.#adoptOne(from, item)));
+    }
+
+    async #adoptOne(from: GroupId, item: AdoptItem): Promise<Answer | null> {
+        const known = this.cell.findByKey(`${ADOPTED_CALLER}${from}`, item.key);
+        if (known === undefined && item.spec === undefined) {
+            return null;
+        }
+        const answer =
+            known === undefined
+                ? await this.submit(item.spec as RequestSpec)
+                : this.cell.describeRequest(known);
+        if (answer !== undefined && item.isCancelled && !answer.final) {
+            return (await this.cancel(answer.requestId)) ?? null;
+        }
+        return answer ?? null;
+    }
+
+    /** Cores free for new work, for the other groups. */
+    get freeCores(): number {
+        return this.isServing ? this.cell.computeFreeCores(this.#clock.getNow()) : 0;
+    }
+
     /**
      * Takes workers that announce themselves.
      *
@@ -368,6 +423,7 @@
         this.#ticks = undefined;
         this.#options.metrics.leading.set({ group: this.#options.group.id }, 0);
         this.#workers.close();
+        this.#handOvers.close();
     }
 
     #runTick(): void {
@@ -376,6 +432,7 @@
         }
         this.#workers.sendHeld();
         this.#adoptRules();
+        this.#handOvers.runRound(this.#clock.getNow());
         if (!this.#isTicking && this.cell.hasTickWork(this.#clock.getNow())) {
             this.#isTicking = true;
             this.#propose((at) => this.#createTick(at))
@@ -432,6 +489,9 @@
                 case "stop":
                     stops.push(effect);
                     break;
+                case "handOver":
+                    this.#handOvers.handleEffect(effect);
+                    break;
                 default:
                     this.#recordEffect(effect);
             }
@@ -458,3 +518,8 @@
         }
     }
 }
+
+function createWorkerStates(inventory: Inventory, group: GroupLayout): WorkerState[] {
+    const { instances, executors } = createGroupInventory(inventory, group);
+    return instances.map((instance) => createWorkerState(instance, executors));
+}
--- a/membership/gossip.ts
+++ b/membership/gossip.ts
@@ -18,14 +18,22 @@
 import type { GroupId } from "../log/mod.ts";
 import type { EntryId } from "./layout.ts";
 
+/** What a leader says of a group it leads. */
+export interface LeadClaim {
+    readonly group: GroupId;
+    readonly term: number;
+    /** Cores free for new work; 0 while its own work waits. */
+    readonly freeCores: number;
+}
+
 /** What instances tell each other about one of them. */
 export interface GossipEntry {
     readonly id: EntryId;
     /** When the instance started, so that a restarted one's low counter is not taken as old. */
     readonly startedAt: number;
     readonly counter: number;
-    /** Groups it leads, with the term. */
-    readonly leads: readonly (readonly [GroupId, number])[];
+    /** Groups it leads. */
+    readonly leads: readonly LeadClaim[];
     /** It is shutting down: send it nothing new. */
     readonly stopping: boolean;
 }
@@ -56,7 +64,7 @@
     readonly #options: Required<GossipOptions>;
     readonly #known = new Map<EntryId, Known>();
     #counter = 0;
-    #leads: readonly (readonly [GroupId, number])[] = [];
+    #leads: readonly LeadClaim[] = [];
     #stopping = false;
 
     /**
@@ -69,10 +77,10 @@
     /**
      * Sets what this instance tells of itself.
      *
-     * @param leads Groups it leads, with the term.
+     * @param leads Groups it leads.
      * @param stopping Whether it is shutting down.
      */
-    setSelf(leads: readonly (readonly [GroupId, number])[], stopping: boolean): void {
+    setSelf(leads: readonly LeadClaim[], stopping: boolean): void {
         this.#leads = leads;
         this.#stopping = stopping;
     }
@@ -149,15 +157,30 @@
      * @returns The leader, or `undefined` when nobody heard of lately says it leads.
      */
     findLeader(group: GroupId, now: number): EntryId | undefined {
-        let best: { id: EntryId; term: number } | undefined;
+        return this.#findClaim(group, now)?.id;
+    }
+
+    /**
+     * Gives the free cores that a group's leader told of last.
+     *
+     * @param group The group.
+     * @param now The time in ms.
+     * @returns The cores; 0 when no leader was heard of lately.
+     */
+    getFreeCores(group: GroupId, now: number): number {
+        return this.#findClaim(group, now)?.claim.freeCores ?? 0;
+    }
+
+    #findClaim(group: GroupId, now: number): { id: EntryId; claim: LeadClaim } | undefined {
+        let best: { id: EntryId; claim: LeadClaim } | undefined;
         for (const [id, known] of this.#known) {
-            const term = known.entry.leads.find(([g]) => g === group)?.[1];
+            const claim = known.entry.leads.find((c) => c.group === group);
             const isHeard = now - known.changedAt <= this.#options.suspectMs;
-            if (term !== undefined && isHeard && (best === undefined || term > best.term)) {
-                best = { id, term };
+            if (claim !== undefined && isHeard && claim.term > (best?.claim.term ?? -1)) {
+                best = { id, claim };
             }
         }
-        return best?.id;
+        return best;
     }
 
     #createOwnEntry(): GossipEntry {
--- a/telemetry/audit.ts
+++ b/telemetry/audit.ts
@@ -61,12 +61,12 @@
 
 function listRuns(events: readonly TimelineEvent[], killedAt: ReadonlyMap<string, number>): Run[] {
     const byLease = new Map<string, Run>();
+    const origins = listOrigins(events);
     for (const event of events) {
         const lease = `${event.process}|${String(event["lease"])}`;
         if (event.message === "task started") {
             byLease.set(lease, {
-                task: String(event["task"]),
-                request: String(event.request),
+                ...createOriginIds(String(event.request), String(event["task"]), origins),
                 instance: String(event["instance"]),
                 cores: Number(event["cores"]),
                 startedAt: event.t,
@@ -85,6 +85,27 @@
     return [...byLease.values()];
 }
 
+/** A request handed over to another zone's group runs there under another id. */
+function listOrigins(events: readonly TimelineEvent[]): Map<string, string> {
+    const origins = new Map<string, string>();
+    for (const event of events) {
+        const as = /handed over as (\S+)#\d+$/.exec(String(event["detail"] ?? ""))?.[1];
+        if (event.message === "accepted" && as !== undefined && event.request !== undefined) {
+            origins.set(event.request, as);
+        }
+    }
+    return origins;
+}
+
+function createOriginIds(
+    request: string,
+    task: string,
+    origins: ReadonlyMap<string, string>,
+): { readonly request: string; readonly task: string } {
+    const origin = origins.get(request) ?? request;
+    return { request: origin, task: origin + task.slice(request.length) };
+}
+
 function listOvercommits(runs: readonly Run[], capacities: ReadonlyMap<string, number>): string[] {
     const changes = runs.flatMap((run) => [
         { at: run.startedAt, instance: run.instance, cores: run.cores },
