Hand the lead over at a graceful stop; tell members of commits without waiting for a heartbeat

Change: a member that is owed a commit notice gets it after 20 ms without other traffic. A leader that stops asks the voter with the most of the log to campaign at once; its own lease is over from that moment. The status gives figures per group; before, an instance with three replicas counted placements three times. findLeader no longer asks a frozen process, which had put its 1 s timeout into the election figure.

--- /dev/null
+++ b/bench/cluster_bench.ts
@@ -0,0 +1,167 @@
+/**
+ * What replication costs and how fast it recovers, on real processes on loopback: commit latency,
+ * the time to elect after a leader dies or is frozen, the time until a rules change is in force on
+ * every instance, and the recovery of an instance behind many changes. Not a test; figures go to
+ * `bench/results/cluster-<instances>.json`. Every loop is bounded.
+ *
+ * @example
+ * ```sh
+ * npx tsx bench/cluster_bench.ts 3
+ * npx tsx bench/cluster_bench.ts 9
+ * ```
+ *
+ * @module
+ */
+
+import { writeFileSync } from "node:fs";
+import * as hdr from "hdr-histogram-js";
+import { buildCluster, buildRulesFile, Workload } from "../entry/_cluster_fixtures.ts";
+import { waitUntil, type Cluster } from "../load/cluster_runner.ts";
+
+const COMMITS = 300;
+const CHANGES = 50;
+const ELECTIONS = 3;
+const MISSED = 1_000;
+const ALL_ZONES = ["z1", "z2", "z3"];
+
+/** Percentiles of a series, in ms. */
+interface Figures {
+    readonly p50: number;
+    readonly p99: number;
+    readonly max: number;
+    readonly count: number;
+}
+
+async function measureSeries(count: number, run: (i: number) => Promise<void>): Promise<Figures> {
+    const histogram = hdr.build({ numberOfSignificantValueDigits: 3 });
+    for (let i = 0; i < count; i++) {
+        const startedAt = performance.now();
+        await run(i);
+        histogram.recordValue(Math.round((performance.now() - startedAt) * 1_000));
+    }
+    const toMs = (us: number): number => Number((us / 1_000).toFixed(1));
+    return {
+        p50: toMs(histogram.getValueAtPercentile(50)),
+        p99: toMs(histogram.getValueAtPercentile(99)),
+        max: toMs(histogram.maxValue),
+        count,
+    };
+}
+
+async function measureCommits(workload: Workload): Promise<Figures> {
+    const demand = { cores: 99, memoryMb: 1, accelerators: 0 };
+    return measureSeries(COMMITS, async () => {
+        // Refused at once, so that only the commit is measured, not the worker.
+        await workload.submit({ kind: "batch", demand });
+    });
+}
+
+async function measureChanges(cluster: Cluster, workload: Workload): Promise<Figures> {
+    const first = (await cluster.listStatuses())[0]?.rulesVersion ?? 1;
+    return measureSeries(CHANGES, async (i) => {
+        const version = first + i;
+        await workload.caller.setRules({
+            changeId: `bench-${version}`,
+            expectedVersion: version,
+            rules: buildRulesFile(),
+        });
+        for (;;) {
+            const statuses = await cluster.listStatuses();
+            if (statuses.every((s) => s.groups.every((g) => g.rulesVersion === version + 1))) {
+                return;
+            }
+        }
+    });
+}
+
+/** Times of elections alone: restarts are outside the measured part. */
+async function measureElectionTimes(
+    cluster: Cluster,
+    group: string,
+    signal: "SIGKILL" | "SIGSTOP" | "SIGTERM",
+): Promise<number[]> {
+    const times: number[] = [];
+    for (let i = 0; i < ELECTIONS; i++) {
+        const leader = (await cluster.findLeader(group)) as string;
+        const startedAt = performance.now();
+        cluster.sendSignal(leader, signal);
+        await waitUntil("another leads", async () => {
+            return (await cluster.findLeader(group, leader)) !== undefined;
+        });
+        times.push(Math.round(performance.now() - startedAt));
+        if (signal === "SIGSTOP") {
+            cluster.sendSignal(leader, "SIGCONT");
+        } else {
+            await cluster.stopProcess(leader);
+            await cluster.startEntry(leader);
+        }
+        await cluster.waitLeaders();
+        await waitUntil("all follow", async () => {
+            const statuses = await cluster.listStatuses();
+            return statuses.every((s) => s.ready);
+        });
+    }
+    return times;
+}
+
+async function measureRecovery(cluster: Cluster, workload: Workload): Promise<object> {
+    const leaders = [await cluster.findLeader("z1"), await cluster.findLeader("config")];
+    const late = [1, 2, 3].map((i) => `e-z1-${i}`).find((id) => !leaders.includes(id)) as string;
+    await cluster.removeProcess(late);
+    const demand = { cores: 99, memoryMb: 1, accelerators: 0 };
+    for (let i = 0; i < MISSED / 10; i++) {
+        await Promise.all(
+            Array.from({ length: 10 }, () => workload.submit({ kind: "batch", demand })),
+        );
+    }
+    const startedAt = performance.now();
+    await cluster.startEntry(late);
+    const listeningMs = Math.round(performance.now() - startedAt);
+    await waitUntil("it has everything", async () => {
+        const statuses = await cluster.listStatuses();
+        const applied = statuses.flatMap(
+            (s) => s.groups.find((g) => g.id === "z1")?.appliedIndex ?? [],
+        );
+        const own = statuses.find((s) => s.id === late);
+        return own?.ready === true && Math.max(...applied) - Math.min(...applied) <= 2;
+    });
+    const totalMs = Math.round(performance.now() - startedAt);
+    return { missed: MISSED, listeningMs, caughtUpAfterListeningMs: totalMs - listeningMs };
+}
+
+const instances = Number(process.argv[2] ?? 3);
+const zones = instances >= 9 ? ALL_ZONES : ["z1"];
+const cluster = await buildCluster({
+    zones,
+    perZone: Math.ceil(instances / zones.length),
+    workers: 6,
+    snapshotEvery: 200,
+    callers: [{ caller: "console-1", zone: "z1" }],
+});
+try {
+    const workload = new Workload(cluster);
+    const commits = await measureCommits(workload);
+    const changes = await measureChanges(cluster, workload);
+    const recovery = await measureRecovery(cluster, workload);
+    const killed = await measureElectionTimes(cluster, "z1", "SIGKILL");
+    const frozen = await measureElectionTimes(cluster, "z1", "SIGSTOP");
+    const stopped = await measureElectionTimes(cluster, "z1", "SIGTERM");
+    const result = {
+        command: `npx tsx bench/cluster_bench.ts ${instances}`,
+        at: new Date().toISOString(),
+        instances,
+        commitMs: commits,
+        changeInForceEverywhereMs: changes,
+        recovery,
+        electionAfterKillMs: killed,
+        electionAfterFreezeMs: frozen,
+        nextLeaderAfterGracefulStopMs: stopped,
+    };
+    console.log(JSON.stringify(result, null, 2));
+    writeFileSync(
+        new URL(`./results/cluster-${instances}.json`, import.meta.url),
+        `${JSON.stringify(result, null, 2)}\n`,
+    );
+} finally {
+    await cluster.stop();
+}
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -260,10 +260,10 @@
         await this.#sendGossip();
         await this.#server?.close();
         this.#gossiping?.unsubscribe();
-        for (const zone of this.#zones.values()) {
-            await zone.stop();
-        }
-        await this.#config.member.stop();
+        await Promise.all([
+            ...[...this.#zones.values()].map((zone) => zone.stop()),
+            this.#config.member.stop(),
+        ]);
         this.#network.close();
         this.#log.info("stopped", {});
     }
--- a/entry/group_member.ts
+++ b/entry/group_member.ts
@@ -92,9 +92,12 @@
         this.#runMaintenance();
     }
 
-    /** Stops both. */
+    /** Hands the lead over, if this instance leads, and stops both. */
     async stop(): Promise<void> {
         this.#maintenance?.unsubscribe();
+        if (this.#replica.role === "leader" && this.#replica.voters.length > 1) {
+            await this.#replica.resign();
+        }
         await this.#replica.stop();
     }
 
--- a/entry/status.ts
+++ b/entry/status.ts
@@ -10,9 +10,9 @@
  * @module
  */
 
-import type { CellCounters } from "../cell/mod.ts";
+import type { Cell, CellCounters } from "../cell/mod.ts";
 import type { GroupId, MemberId, Role } from "../log/mod.ts";
-import type { EntryId, Gossip, MemberStatus } from "../membership/mod.ts";
+import { CONFIG_GROUP, type EntryId, type Gossip, type MemberStatus } from "../membership/mod.ts";
 import type { ConfigGroup } from "./config_group.ts";
 import type { ZoneGroup } from "./zone_group.ts";
 
@@ -27,18 +27,24 @@
     readonly appliedIndex: number;
     readonly voters: readonly MemberId[];
     readonly rulesVersion: number;
+    /** Its cell, as this instance's replica has it; not for the configuration group. */
+    readonly cell: CellStatus | undefined;
 }
 
-/** The status of one entry instance; sums are over the groups it keeps. */
-export interface EntryStatus {
-    readonly id: EntryId;
-    readonly ready: boolean;
-    readonly rulesVersion: number;
+/** A group's cell in figures. */
+export interface CellStatus {
     readonly requests: Readonly<Record<string, number>>;
     readonly workersAlive: number;
     readonly workers: number;
     readonly packingCores: number;
     readonly counters: CellCounters;
+}
+
+/** The status of one entry instance; sums are over the groups it keeps. */
+export interface EntryStatus extends CellStatus {
+    readonly id: EntryId;
+    readonly ready: boolean;
+    readonly rulesVersion: number;
     readonly bytes: { readonly received: number; readonly sent: number };
     readonly groups: readonly GroupStatus[];
     readonly members: Readonly<Record<string, MemberStatus>>;
@@ -63,46 +69,49 @@
  * @returns The status.
  */
 export function describeStatus(sources: StatusSources): EntryStatus {
-    const cells = [...sources.zones.values()].map((z) => z.cell);
-    const workers = cells.flatMap((c) => c.listWorkers());
-    const held = workers.reduce((sum, w) => sum + w.held.cores, 0);
-    const total = workers.reduce((sum, w) => sum + w.instance.capacity.cores, 0);
-    const requests: Record<string, number> = {};
-    for (const cell of cells) {
-        for (const [state, count] of cell.computeStates()) {
-            requests[state] = (requests[state] ?? 0) + count;
-        }
-    }
+    const zones = [...sources.zones].map(([id, zone]) =>
+        describeGroup(id, zone.member, zone.cell.rules.version, describeCells([zone.cell])),
+    );
+    const config = describeGroup(CONFIG_GROUP, sources.config.member, sources.rulesVersion);
     const now = performance.now();
     return {
         id: sources.self,
         ready: sources.isReady,
         rulesVersion: sources.rulesVersion,
-        requests,
-        workersAlive: workers.filter((w) => w.alive).length,
-        workers: workers.length,
-        packingCores: total === 0 ? 0 : held / total,
-        counters: addCounters(cells.map((c) => c.counters)),
+        ...describeCells([...sources.zones.values()].map((z) => z.cell)),
         bytes: sources.bytes.reduce<{ received: number; sent: number }>(
             (sum, b) => ({ received: sum.received + b.received, sent: sum.sent + b.sent }),
             { received: 0, sent: 0 },
         ),
-        groups: [
-            ...[...sources.zones].map(([id, zone]) =>
-                describeGroup(id, zone.member, zone.cell.rules.version),
-            ),
-            describeGroup("config" as GroupId, sources.config.member, sources.rulesVersion),
-        ],
+        groups: [...zones, config],
         members: Object.fromEntries(
             sources.members.map((m) => [m, sources.gossip.getStatus(m, now)]),
         ),
     };
 }
 
+function describeCells(cells: readonly Cell[]): CellStatus {
+    const workers = cells.flatMap((c) => c.listWorkers());
+    const held = workers.reduce((sum, w) => sum + w.held.cores, 0);
+    const total = workers.reduce((sum, w) => sum + w.instance.capacity.cores, 0);
+    const requests: Record<string, number> = {};
+    for (const [state, count] of cells.flatMap((c) => [...c.computeStates()])) {
+        requests[state] = (requests[state] ?? 0) + count;
+    }
+    return {
+        requests,
+        workersAlive: workers.filter((w) => w.alive).length,
+        workers: workers.length,
+        packingCores: total === 0 ? 0 : held / total,
+        counters: addCounters(cells.map((c) => c.counters)),
+    };
+}
+
 function describeGroup(
     id: GroupId,
     member: ZoneGroup["member"] | ConfigGroup["member"],
     rulesVersion: number,
+    cell?: CellStatus,
 ): GroupStatus {
     const { replica } = member;
     return {
@@ -114,6 +123,7 @@
         appliedIndex: replica.appliedIndex,
         voters: replica.voters,
         rulesVersion,
+        cell,
     };
 }
 
--- a/entry/zone_group.ts
+++ b/entry/zone_group.ts
@@ -169,8 +169,8 @@
 
     /** Stops the replica. */
     async stop(): Promise<void> {
-        this.#stopLeading();
         await this.member.stop();
+        this.#stopLeading();
     }
 
     /**
--- a/load/cluster_runner.ts
+++ b/load/cluster_runner.ts
@@ -272,10 +272,12 @@
     /**
      * Lists the statuses of every instance that answers.
      *
+     * @param except An instance that is not asked (a frozen one would not answer).
      * @returns The statuses.
      */
-    async listStatuses(): Promise<EntryStatus[]> {
-        const all = await Promise.all(this.#options.members.map((m) => this.getStatus(m.id)));
+    async listStatuses(except?: string): Promise<EntryStatus[]> {
+        const asked = this.#options.members.filter((m) => m.id !== except);
+        const all = await Promise.all(asked.map((m) => this.getStatus(m.id)));
         return all.filter((s) => s !== undefined);
     }
 
@@ -287,10 +289,8 @@
      * @returns The instance, or `undefined`.
      */
     async findLeader(group: string, except?: string): Promise<string | undefined> {
-        const statuses = await this.listStatuses();
-        return statuses.find(
-            (s) => s.id !== except && s.groups.some((g) => g.id === group && g.serving),
-        )?.id;
+        const statuses = await this.listStatuses(except);
+        return statuses.find((s) => s.groups.some((g) => g.id === group && g.serving))?.id;
     }
 
     /**
@@ -300,7 +300,7 @@
      */
     async waitLeaders(except?: string): Promise<void> {
         await waitUntil("every group has a leader", async () => {
-            const statuses = (await this.listStatuses()).filter((s) => s.id !== except);
+            const statuses = await this.listStatuses(except);
             const wanted = new Set(statuses.flatMap((s) => s.groups.map((g) => g.id)));
             const led = new Set(
                 statuses.flatMap((s) => s.groups.filter((g) => g.serving).map((g) => g.id)),
--- a/load/run_load.ts
+++ b/load/run_load.ts
@@ -21,8 +21,6 @@
 import { parse, stringify } from "yaml";
 import type { Answer } from "../cell/mod.ts";
 import { buildInventory } from "../examples/build_examples.ts";
-import type { EntryStatus } from "../entry/mod.ts";
-import { CONFIG_GROUP } from "../membership/mod.ts";
 import { Caller } from "../standin/mod.ts";
 import { spawnCell, type SpawnedCell } from "./cell_runner.ts";
 import { Cluster, type ClusterOptions } from "./cluster_runner.ts";
@@ -161,22 +159,15 @@
 /** Sums the statuses: each group counts once, at the instance that leads it. */
 async function measureCell(cell: SpawnedCell): Promise<CellFigures> {
     const statuses = await cell.listStatuses();
-    const leading = new Map<string, EntryStatus>();
-    for (const status of statuses) {
-        const led = status.groups.find((g) => g.serving && g.id !== CONFIG_GROUP);
-        if (led !== undefined) {
-            leading.set(led.id, status);
-        }
-    }
-    const leaders = [...leading.values()];
-    const workers = leaders.reduce((sum, s) => sum + s.workers, 0);
+    const cells = statuses.flatMap((s) =>
+        s.groups.flatMap((g) => (g.serving && g.cell !== undefined ? [g.cell] : [])),
+    );
+    const workers = cells.reduce((sum, c) => sum + c.workers, 0);
+    const held = cells.reduce((sum, c) => sum + c.packingCores * c.workers, 0);
     return {
-        packingCores:
-            workers === 0
-                ? 0
-                : leaders.reduce((sum, s) => sum + s.packingCores * s.workers, 0) / workers,
-        queued: leaders.reduce((sum, s) => sum + (s.requests["queued"] ?? 0), 0),
-        placements: leaders.reduce((sum, s) => sum + s.counters.placements, 0),
+        packingCores: workers === 0 ? 0 : held / workers,
+        queued: cells.reduce((sum, c) => sum + (c.requests["queued"] ?? 0), 0),
+        placements: cells.reduce((sum, c) => sum + c.counters.placements, 0),
         bytes: new Map(statuses.map((s) => [s.id, s.bytes])),
     };
 }
--- a/log/consensus.ts
+++ b/log/consensus.ts
@@ -27,6 +27,7 @@
     Snapshot,
     SnapshotRequest,
     StoredState,
+    TransferRequest,
     VoteRequest,
     VoteResponse,
 } from "./types.ts";
@@ -34,6 +35,11 @@
 const roleChart = loadChart(new URL("./role_chart.yaml", import.meta.url));
 const NO_GUARDS: ReadonlySet<string> = new Set();
 const MAX_ENTRIES_PER_APPEND = 256;
+/**
+ * Members learn a commit with the next message, or after this many ms without one: rules come into
+ * force and waiting callers are woken by replicas, which would otherwise lag by a heartbeat.
+ */
+const COMMIT_NOTICE_MS = 20;
 const SNAPSHOT_RESEND_MS = 5_000;
 /** Entries kept in memory behind a snapshot, so a member slightly behind needs no snapshot. */
 const KEPT_BEHIND_SNAPSHOT = 512;
@@ -88,6 +94,8 @@
     /** The index sent up to and not yet answered; avoids resending the same entries. */
     inFlightUntil: number;
     lastSentAt: number;
+    /** The commit index it was told last. */
+    toldCommit: number;
     /** When a snapshot left that was not answered yet; 0 when none is on its way. */
     snapshotSentAt: number;
 }
@@ -121,6 +129,8 @@
     #ledSince = 0;
     readonly #progress = new Map<MemberId, Progress>();
     #termStartIndex = 0;
+    /** When it asked another member to lead: its lease is over, whatever the clock says. */
+    #transferAt: number | undefined;
     /** The snapshot to send to members that are far behind; kept by the caller. */
     snapshotForPeers: (() => Snapshot | undefined) | undefined;
 
@@ -216,6 +226,7 @@
     hasLease(now: number): boolean {
         return (
             this.#role === "leader" &&
+            this.#transferAt === undefined &&
             this.#commitIndex >= this.#termStartIndex &&
             now - this.#computeQuorumContact(now) < this.#timings.electionMs * LEASE_SHARE
         );
@@ -257,6 +268,9 @@
             case "snapshot":
                 this.#handleSnapshot(from, message);
                 return;
+            case "transfer":
+                this.#handleTransfer(from, message);
+                return;
             case "appendResponse":
                 this.#handleAppendResponse(from, message);
                 return;
@@ -300,6 +314,27 @@
         return index;
     }
 
+    /**
+     * Asks the voter that holds the most of the log to lead instead, if this member leads. Its
+     * followers would otherwise miss the leader for a whole election timeout.
+     */
+    resignTo(): void {
+        const target = this.#voters
+            .filter((v) => v !== this.#self && this.#progress.has(v))
+            .sort((a, b) => (this.getMatchIndex(b) ?? 0) - (this.getMatchIndex(a) ?? 0))[0];
+        if (this.#role !== "leader" || target === undefined) {
+            return;
+        }
+        // From here on the other may be elected at any time: no answer may rest on this lease.
+        this.#transferAt = this.#now;
+        const message: TransferRequest = {
+            type: "transfer",
+            term: this.#term,
+            sentAt: this.#now,
+        };
+        this.#sendNow.push({ to: target, message });
+    }
+
     /**
      * Starts sending the log to a member that does not vote.
      *
@@ -430,16 +465,28 @@
     }
 
     #tickLeader(now: number): void {
-        const silentFor = now - this.#computeQuorumContact(now);
+        const unheardFor = now - this.#computeQuorumContact(now);
+        // The request to lead may be lost or late. The lease cannot come back (the other may still
+        // campaign on it), so this member follows, and somebody is elected the ordinary way.
+        const isOverdue = now - (this.#transferAt ?? now) > this.#timings.electionMs;
+        if (isOverdue) {
+            this.#resign("lose_quorum", undefined);
+            return;
+        }
         if (
-            silentFor > this.#timings.electionMs &&
+            unheardFor > this.#timings.electionMs &&
             now - this.#ledSince > this.#timings.electionMs
         ) {
             this.#resign("lose_quorum", undefined);
             return;
         }
         for (const [member, progress] of this.#progress) {
-            if (now - progress.lastSentAt >= this.#timings.heartbeatMs) {
+            const silentFor = now - progress.lastSentAt;
+            const owesNotice = progress.toldCommit < this.#commitIndex;
+            if (
+                silentFor >= this.#timings.heartbeatMs ||
+                (owesNotice && silentFor >= COMMIT_NOTICE_MS && progress.inFlightUntil === 0)
+            ) {
                 this.#sendAppend(member);
             }
         }
@@ -454,22 +501,23 @@
         this.#checkVotes(true);
     }
 
-    #startVote(): void {
+    #startVote(isTransfer: boolean): void {
         this.#applyRoleEvent("win_pre_vote");
         this.#setTerm(this.#term + 1, this.#self);
         this.#votes = new Set([this.#self]);
         this.#setElectionDeadline();
-        this.#sendVoteRequests(false);
+        this.#sendVoteRequests(false, isTransfer);
         this.#checkVotes(false);
     }
 
-    #sendVoteRequests(pre: boolean): void {
+    #sendVoteRequests(pre: boolean, isTransfer = false): void {
         const message: VoteRequest = {
             type: "voteRequest",
             pre,
             term: pre ? this.#term + 1 : this.#term,
             lastIndex: this.lastIndex,
             lastTerm: this.#getTermAt(this.lastIndex) ?? 0,
+            isTransfer,
         };
         for (const voter of this.#voters) {
             if (voter !== this.#self) {
@@ -484,7 +532,7 @@
             return;
         }
         if (pre) {
-            this.#startVote();
+            this.#startVote(false);
         } else {
             this.#startLeading();
         }
@@ -493,6 +541,7 @@
     #startLeading(): void {
         this.#applyRoleEvent("win_vote");
         this.#leader = this.#self;
+        this.#transferAt = undefined;
         this.#ledSince = this.#now;
         this.#progress.clear();
         for (const voter of this.#voters) {
@@ -512,6 +561,7 @@
             ackedSentAt: Number.NEGATIVE_INFINITY,
             inFlightUntil: 0,
             lastSentAt: Number.NEGATIVE_INFINITY,
+            toldCommit: 0,
             snapshotSentAt: 0,
         };
     }
@@ -561,6 +611,7 @@
         const from = previousIndex - this.#baseIndex;
         const entries = this.#entries.slice(from, from + MAX_ENTRIES_PER_APPEND);
         progress.inFlightUntil = entries.at(-1)?.index ?? progress.inFlightUntil;
+        progress.toldCommit = this.#commitIndex;
         const message: AppendRequest = {
             type: "append",
             term: this.#term,
@@ -591,7 +642,7 @@
         }
         // A member asked for its vote gives it even when its own log does not name it a voter yet:
         // the candidate's may, and a group that just grew would otherwise wait for a dead leader.
-        if (hearsLeader) {
+        if (hearsLeader && !message.isTransfer) {
             this.#answerVote(from, false, this.#term, false);
             return;
         }
@@ -658,6 +709,16 @@
         this.#answerAppend(from, true, lastNew, message.sentAt);
     }
 
+    /** The leader is about to stop: campaign without the pre-vote, which its followers would refuse. */
+    #handleTransfer(from: MemberId, message: TransferRequest): void {
+        this.#answerAppend(from, true, this.#commitIndex, message.sentAt);
+        if (this.#role === "follower" && message.term === this.#term && this.#leader === from) {
+            this.#applyRoleEvent("election_timeout");
+            this.#leader = undefined;
+            this.#startVote(true);
+        }
+    }
+
     #handleSnapshot(from: MemberId, message: SnapshotRequest): void {
         if (!this.#acceptLeader(from, message.term, message.sentAt)) {
             return;
--- a/log/consensus_test.ts
+++ b/log/consensus_test.ts
@@ -116,18 +116,37 @@
     group.stopMember(restarted);
     group.startMember(restarted);
     group.setLink(leader, restarted, false);
-    group.nodes
-        .get(restarted)
-        ?.receive(
-            campaigner,
-            { type: "voteRequest", pre: false, term: 99, lastIndex: 99, lastTerm: 98 },
-            group.now,
-        );
+    group.nodes.get(restarted)?.receive(
+        campaigner,
+        {
+            type: "voteRequest",
+            pre: false,
+            term: 99,
+            lastIndex: 99,
+            lastTerm: 98,
+            isTransfer: false,
+        },
+        group.now,
+    );
     const answer = group.nodes.get(restarted)?.takeReady().sendAfter[0]?.message;
     t.true(group.nodes.get(leader)?.hasLease(group.now));
     t.like(answer, { type: "voteResponse", granted: false });
 });
 
+test("a leader that stops hands the lead over at once, and trusts its lease no more", (t) => {
+    // A rolling restart: without it, callers would find no leader for an election timeout at each
+    // instance. The old leader must not answer on its lease while the new one is elected.
+    const group = new GroupFixture({ members: 3, seed: 4 });
+    group.runFor(5_000);
+    const old = getLeader(group);
+    group.nodes.get(old)?.resignTo();
+    t.false(group.nodes.get(old)?.hasLease(group.now));
+    group.runMember(old);
+    group.runFor(100);
+    t.not(getLeader(group), old);
+    t.deepEqual(group.violations, []);
+});
+
 test("an entry of an earlier term is not committed by counting its copies", (t) => {
     // A leader of term 2 died after storing an entry on a minority. Its successor in term 4 copies
     // the entry to a quorum. Counted as committed now, it could still be overwritten by a member
@@ -165,6 +184,7 @@
         { weight: 1, arbitrary: fc.record({ kind: fc.constant("restart"), n: fc.nat(4) }) },
         { weight: 1, arbitrary: fc.record({ kind: fc.constant("isolate"), n: fc.nat(4) }) },
         { weight: 1, arbitrary: fc.record({ kind: fc.constant("heal"), n: fc.nat(4) }) },
+        { weight: 1, arbitrary: fc.record({ kind: fc.constant("transfer"), n: fc.nat(4) }) },
         { weight: 1, arbitrary: fc.record({ kind: fc.constant("cut"), n: fc.nat(24) }) },
         { weight: 1, arbitrary: fc.record({ kind: fc.constant("freeze"), n: fc.nat(4_000) }) },
         { weight: 2, arbitrary: fc.record({ kind: fc.constant("run"), n: fc.nat(3_000) }) },
@@ -221,6 +241,10 @@
         case "isolate":
             group.setIsolated(id, true);
             return;
+        case "transfer":
+            group.nodes.get(id)?.resignTo();
+            group.runMember(id);
+            return;
         case "cut":
             group.setLink(id, group.ids[(n >> 2) % group.ids.length] as MemberId, false);
             return;
--- a/log/replica.ts
+++ b/log/replica.ts
@@ -123,6 +123,7 @@
 
 const TICK_MS = 25;
 const STORAGE_RETRY_MS = 500;
+const RESIGN_WAIT_MS = 500;
 const DEFAULT_BATCH_WINDOW_MS = 2;
 const DEFAULT_SNAPSHOT_EVERY = 2_000;
 
@@ -176,6 +177,18 @@
         void this.#runReady();
     }
 
+    /**
+     * Asks another voter to lead, and waits a moment for it to do so.
+     */
+    async resign(): Promise<void> {
+        this.#consensus.resignTo();
+        void this.#runReady();
+        const until = this.#getNow() + RESIGN_WAIT_MS;
+        while (this.#consensus.role === "leader" && this.#getNow() < until) {
+            await new Promise((resolve) => setTimeout(resolve, TICK_MS));
+        }
+    }
+
     /** Stops the clock, waits for writes under way, closes the storage. */
     async stop(): Promise<void> {
         this.#stopped = true;
--- a/log/types.ts
+++ b/log/types.ts
@@ -62,6 +62,8 @@
     readonly term: number;
     readonly lastIndex: number;
     readonly lastTerm: number;
+    /** The leader itself asked for this campaign: it holds no lease any more. */
+    readonly isTransfer: boolean;
 }
 
 /** The answer to a {@link VoteRequest}. */
@@ -92,7 +94,14 @@
     readonly sentAt: number;
 }
 
-/** The answer to an append or a snapshot. */
+/** Asks a member to campaign at once: its leader is about to stop. Answered like an append. */
+export interface TransferRequest {
+    readonly type: "transfer";
+    readonly term: number;
+    readonly sentAt: number;
+}
+
+/** The answer to an append, a snapshot or a transfer. */
 export interface AppendResponse {
     readonly type: "appendResponse";
     readonly term: number;
@@ -104,7 +113,7 @@
 
 /** A message between two members of a group. */
 export type GroupMessage =
-    VoteRequest | VoteResponse | AppendRequest | SnapshotRequest | AppendResponse;
+    VoteRequest | VoteResponse | AppendRequest | SnapshotRequest | TransferRequest | AppendResponse;
 
 /** A message with its receiver. */
 export interface Outgoing {
