Keep waiting cheap: one quota line a request, waits held by the leader, hand-overs that back off

Cause: poplarhead load on 9 instances at 300 workers and 400/s (a team's demand of twice its quota): the leader of one zone sent 2,311 KB/s and grew to 246 MB. Ruled out by taking them out one at a time: asking after handed-over requests with whole answers (2,290 KB/s after), asking for a request's state again and again for callers at other zones' instances (1,665 KB/s after). The cause was a new line in the time line of every waiting request for each change in its team's use.

Change: the line carries no changing figure; request.wait is passed on to the leader, which holds it up to 1.5 s; hand-overs that come back wait twice as long each time; the other group answers in full only at the end. Test: fails with the old line (9 lines), passes with the new one.

--- a/cell/_hand_overs.ts
+++ b/cell/_hand_overs.ts
@@ -19,8 +19,9 @@
 
 /** A request waits this long for a worker of its own zone first, in ms. */
 const WAIT_FIRST_MS = 100;
-/** After each return it waits this much longer, in ms: the other zone's room was gone. */
+/** After the first return it waits this long, in ms, and twice as long after each further one. */
 const WAIT_AFTER_RETURN_MS = 1_000;
+const MOST_WAIT_MS = 30_000;
 
 /** Hands requests over and takes them back. */
 export class HandOvers {
@@ -50,7 +51,7 @@
                 if (found.length >= most) {
                     return found;
                 }
-                const waits = WAIT_FIRST_MS + request.handOvers * WAIT_AFTER_RETURN_MS;
+                const waits = computeWaitMs(request.handOvers);
                 // One that was handed over to us is not passed on: it could go in circles.
                 const isAdopted = request.spec.caller.startsWith(ADOPTED_CALLER);
                 if (!isAdopted && at - request.queuedAt >= waits) {
@@ -156,3 +157,13 @@
         }
     }
 }
+
+/**
+ * Work that comes back, because the other zone's room or its share of the quota was gone, must not
+ * circle: at 400 requests/s against a quota, a fixed second between tries cost megabytes a second.
+ */
+function computeWaitMs(handOvers: number): number {
+    return handOvers === 0
+        ? WAIT_FIRST_MS
+        : Math.min(MOST_WAIT_MS, WAIT_AFTER_RETURN_MS * 2 ** (handOvers - 1));
+}
--- a/cell/_placer.ts
+++ b/cell/_placer.ts
@@ -102,10 +102,12 @@
         if (quota !== undefined) {
             const used = this.#books.customerCores.get(request.spec.customer) ?? 0;
             if (used + request.spec.demand.cores * request.spec.count > quota + 1e-9) {
+                // No figures that change: each new text is a line of the time line, and a request
+                // that waited for its quota for seconds had hundreds of them.
                 this.#recordBlocked(
                     request,
                     at,
-                    `quota of ${request.spec.customer}: ${used} of ${quota} cores in use`,
+                    `quota of ${request.spec.customer}: ${quota} cores here, not enough left`,
                 );
                 return true;
             }
--- a/cell/replication_test.ts
+++ b/cell/replication_test.ts
@@ -117,6 +117,29 @@
     t.is(cell.describeRequest(requestId), undefined);
 });
 
+test("a request that waits long for its quota has one line of it in its time line", (t) => {
+    // The team's other work starts and ends while the request waits. A line for every change of
+    // what is in use made answers, logs and memory grow with the wait.
+    const cell = buildCell({ quotaCores: 4 });
+    cell.submit(buildSpec({ demand: { cores: 3, memoryMb: 1, accelerators: 0 } }), 0);
+    cell.tick(1);
+    const waiting = cell.submit(
+        buildSpec({ kind: "hero", demand: { cores: 4, memoryMb: 1, accelerators: 0 } }),
+        2,
+    );
+    for (let at = 3; at < 20; at += 2) {
+        cell.submit(
+            buildSpec({ maxWaitMs: 1, demand: { cores: 0.01 * at, memoryMb: 1, accelerators: 0 } }),
+            at,
+        );
+        cell.tick(at + 1);
+    }
+    const lines = cell
+        .describeRequest(waiting.requestId)
+        ?.events.filter((e) => e.event === "waiting");
+    t.is(lines?.length, 1);
+});
+
 test("a quota is shared out between zones and never exceeded by their sum", (t) => {
     // Two zones each give out their own share of the team's 8 cores while they cannot talk.
     const cells = [0.5, 0.5].map((quotaShare) => buildCell({ quotaCores: 8, quotaShare }));
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -74,7 +74,7 @@
     NOT_FOUND_CODE,
     SHUTTING_DOWN_CODE,
 } from "./errors.ts";
-import type { AdoptItem, GroupRoom } from "./hand_over_agent.ts";
+import type { AdoptAnswer, AdoptItem, GroupRoom } from "./hand_over_agent.ts";
 import { PeerNetwork } from "./peer_network.ts";
 import { EndWaiters } from "./end_waiters.ts";
 import { describeStatus, type EntryStatus } from "./status.ts";
@@ -108,6 +108,8 @@
 }
 
 const GOSSIP_MS = 500;
+/** How long a leader holds a wait that another instance passed on, in ms. */
+const FORWARDED_WAIT_MS = 1_500;
 const START_WAIT_MS = 10_000;
 const WHOLE_CELL = "cell" as GroupId;
 
@@ -337,7 +339,7 @@
             return now.final ? now : this.#getAnswer(params);
         }
         if (this.#findReplica(now.requestId) === undefined) {
-            return this.#pollAnswer(params, until);
+            return this.#pollAnswer(now.requestId, until);
         }
         await this.#waiters.wait(now.requestId, timeoutMs, () => {
             return this.#findLocalAnswer(params)?.final ?? false;
@@ -345,16 +347,19 @@
         return this.#getAnswer(params);
     }
 
-    /** Waits for a request whose group has no replica here. */
-    async #pollAnswer(params: unknown, until: number): Promise<Answer> {
+    /**
+     * Waits for a request whose group has no replica here: its leader holds the wait. Asking for
+     * the state again and again instead sent every waiting request's whole time line each time.
+     */
+    async #pollAnswer(id: RequestId, until: number): Promise<Answer> {
         for (;;) {
-            const answer = await this.#getAnswer(params);
-            const left = until - performance.now();
-            if (answer.final || left <= 0 || !this.#isAccepting) {
+            const left = Math.max(0, until - performance.now());
+            const timeoutMs = this.#isAccepting ? Math.min(left, FORWARDED_WAIT_MS) : 0;
+            const params = { requestId: id, timeoutMs };
+            const answer = (await this.#routeRequest("request.wait", params)) as Answer;
+            if (answer.final || timeoutMs === 0) {
                 return answer;
             }
-            const pause = Math.min(left, answer.retryAfterMs ?? left);
-            await new Promise((resolve) => setTimeout(resolve, pause));
         }
     }
 
@@ -465,6 +470,8 @@
                     customer: createId<CustomerId>(spec.customer),
                 });
             }
+            case "request.wait":
+                return this.#waitHere(zone.cell, params);
             case "request.fate":
                 return zone.cell.describeRequest(findRequest(zone.cell, params));
             case "request.cancel":
@@ -500,13 +507,21 @@
         from: GroupId,
         to: GroupId,
         items: readonly AdoptItem[],
-    ): Promise<readonly (Answer | null)[]> {
+    ): Promise<readonly AdoptAnswer[]> {
         const group = this.#layout.groups.find((g) => g.id === to);
         if (group === undefined) {
             return Promise.reject(new Error(`the settings name no group ${to}`));
         }
         const params = { from, items };
-        return this.#router.route(group, "zone.adopt", params) as Promise<(Answer | null)[]>;
+        return this.#router.route(group, "zone.adopt", params) as Promise<AdoptAnswer[]>;
+    }
+
+    async #waitHere(cell: Cell, params: unknown): Promise<Answer | undefined> {
+        const id = findRequest(cell, params);
+        const { timeoutMs } = parseParams(requestRefSchema, params);
+        const isFinal = (): boolean => cell.describeRequest(id)?.final ?? false;
+        await this.#waiters.wait(id, this.#isAccepting ? timeoutMs : 0, isFinal);
+        return cell.describeRequest(id);
     }
 
     #getZone(group: GroupId): ZoneGroup {
--- a/entry/hand_over_agent.ts
+++ b/entry/hand_over_agent.ts
@@ -14,11 +14,11 @@
 
 import {
     ADOPTED_CALLER,
-    type Answer,
     type Cell,
     type CellInput,
     type Effect,
     type HandOver,
+    type HandOverAnswer,
     type RequestSpec,
 } from "../cell/mod.ts";
 import type { RequestId } from "../inventory/mod.ts";
@@ -32,6 +32,12 @@
     readonly spec: RequestSpec | undefined;
 }
 
+/**
+ * How a request stands in the other group: `unknown` for a key that came without a request. Only
+ * an end is told in full; what still runs is asked after often, and must stay short.
+ */
+export type AdoptAnswer = "unknown" | "open" | HandOverAnswer;
+
 /** Another group's room. */
 export interface GroupRoom {
     readonly group: GroupId;
@@ -44,11 +50,11 @@
     readonly cell: Cell;
     /** Other groups that serve a service, with the room their leaders told of last. */
     readonly listRoom: (service: string) => readonly GroupRoom[];
-    /** Sends requests to a group's leader; answers per item, `null` for an unknown key. */
+    /** Sends requests to a group's leader; answers per item. */
     readonly sendAdopt: (
         to: GroupId,
         items: readonly AdoptItem[],
-    ) => Promise<readonly (Answer | null)[]>;
+    ) => Promise<readonly AdoptAnswer[]>;
     readonly propose: (createInput: (at: number) => CellInput) => Promise<unknown>;
 }
 
@@ -59,6 +65,8 @@
 }
 
 const ROUND_MS = 100;
+/** How often the other groups are asked after what they have, in ms. */
+const ASK_MS = 200;
 const MOST_PER_ROUND = 64;
 /** What the other group may take of its told room in one round: others may hand over too. */
 const ROOM_SHARE = 0.5;
@@ -70,6 +78,7 @@
     readonly #options: HandOverAgentOptions;
     readonly #pending = new Map<RequestId, Pending>();
     #nextRoundAt = 0;
+    #nextAskAt = 0;
     #isAsking = false;
 
     /**
@@ -109,7 +118,9 @@
         }
         this.#nextRoundAt = at + ROUND_MS;
         this.#startHandOvers(at);
-        if (this.#pending.size > 0 && !this.#isAsking) {
+        const isDue = at >= this.#nextAskAt || [...this.#pending.values()].some((p) => !p.isKnown);
+        if (this.#pending.size > 0 && isDue && !this.#isAsking) {
+            this.#nextAskAt = at + ASK_MS;
             this.#isAsking = true;
             void this.#sendAll().finally(() => {
                 this.#isAsking = false;
@@ -160,8 +171,8 @@
         }
         list.forEach(([id, pending], i) => {
             const answer = answers[i];
-            pending.isKnown = answer !== null && answer !== undefined;
-            if (answer?.final === true) {
+            pending.isKnown = answer !== undefined && answer !== "unknown";
+            if (typeof answer === "object") {
                 this.#handleEnd(id, pending.handOver.key, answer);
             }
         });
@@ -185,16 +196,9 @@
         };
     }
 
-    #handleEnd(request: RequestId, key: string, answer: Answer): void {
-        const { requestId, state, started, mayHaveRun, startedAt, reason } = answer;
+    #handleEnd(request: RequestId, key: string, answer: HandOverAnswer): void {
         this.#options
-            .propose((at) => ({
-                type: "handOverResult",
-                at,
-                request,
-                key,
-                answer: { requestId, state, started, mayHaveRun, startedAt, reason },
-            }))
+            .propose((at) => ({ type: "handOverResult", at, request, key, answer }))
             .then(() => {
                 if (this.#pending.get(request)?.handOver.key === key) {
                     this.#pending.delete(request);
--- a/entry/zone_group.ts
+++ b/entry/zone_group.ts
@@ -40,7 +40,12 @@
 import { CellClock } from "./cell_clock.ts";
 import type { ConfigGroup } from "./config_group.ts";
 import { KEY_CONFLICT_CODE } from "./errors.ts";
-import { HandOverAgent, type AdoptItem, type HandOverAgentOptions } from "./hand_over_agent.ts";
+import {
+    HandOverAgent,
+    type AdoptAnswer,
+    type AdoptItem,
+    type HandOverAgentOptions,
+} from "./hand_over_agent.ts";
 import { GroupMember, type GroupMemberOptions } from "./group_member.ts";
 import { WorkerLink } from "./worker_link.ts";
 
@@ -210,25 +215,29 @@
      *
      * @param from The other group.
      * @param items The requests.
-     * @returns An answer per item; `null` for a key that is unknown and came without a request.
+     * @returns How each stands.
      */
-    adopt(from: GroupId, items: readonly AdoptItem[]): Promise<(Answer | null)[]> {
+    adopt(from: GroupId, items: readonly AdoptItem[]): Promise<AdoptAnswer[]> {
         return Promise.all(items.map((item) => this.#adoptOne(from, item)));
     }
 
-    async #adoptOne(from: GroupId, item: AdoptItem): Promise<Answer | null> {
+    async #adoptOne(from: GroupId, item: AdoptItem): Promise<AdoptAnswer> {
         const known = this.cell.findByKey(`${ADOPTED_CALLER}${from}`, item.key);
         if (known === undefined && item.spec === undefined) {
-            return null;
+            return "unknown";
         }
-        const answer =
+        let answer =
             known === undefined
                 ? await this.submit(item.spec as RequestSpec)
                 : this.cell.describeRequest(known);
         if (answer !== undefined && item.isCancelled && !answer.final) {
-            return (await this.cancel(answer.requestId)) ?? null;
+            answer = await this.cancel(answer.requestId);
+        }
+        if (answer?.final !== true) {
+            return "open";
         }
-        return answer ?? null;
+        const { requestId, state, started, mayHaveRun, startedAt, reason } = answer;
+        return { requestId, state, started, mayHaveRun, startedAt, reason };
     }
 
     /** Cores free for new work, for the other groups. */
--- a/load/mix.ts
+++ b/load/mix.ts
@@ -24,6 +24,9 @@
     readonly customer: string;
 }
 
+/** Callers that a deployment's requests come from in turn. */
+const CONSOLES = 24;
+
 const MIXES: Record<string, { service: string; kinds: readonly KindShare[] }> = {
     umhlanga: {
         service: "studio-intake",
@@ -150,7 +153,7 @@
         const kind = mix.kinds.find((k) => (pick -= k.share) < 0) ?? (mix.kinds[0] as KindShare);
         const declaredFactor = 1 / 3 + random() * (3 - 1 / 3);
         return {
-            caller: `${deployment}-console`,
+            caller: `${deployment}-console-${i % CONSOLES}`,
             key: `${deployment}-${seed}-${i}`,
             kind: kind.kind,
             service: createId<ServiceId>(mix.service),
