--- a/cli/operator_commands.ts
+++ b/cli/operator_commands.ts
@@ -41,13 +41,19 @@
     });
     inventory = Option.String("--inventory", { required: true });
     rules = Option.String("--rules", { required: true });
+    deployment = Option.String("--deployment");
 
-    /** @returns 0 when both files are good, 1 with findings. */
+    /** @returns 0 when every file is good, 1 with findings. */
     async execute(): Promise<number> {
         try {
-            const { inventory, rules } = loadSettingsFiles(this.inventory, this.rules);
+            const { inventory, rules, deployment } = loadSettingsFiles(
+                this.inventory,
+                this.rules,
+                this.deployment,
+            );
+            const members = deployment?.members.length;
             this.context.stdout.write(
-                `ok: ${inventory.instances.length} instances, ${inventory.executors.length} executors, ${rules.kinds.size} kinds, rules version ${rules.version}\n`,
+                `ok: ${inventory.instances.length} instances, ${inventory.executors.length} executors, ${rules.kinds.size} kinds, rules version ${rules.version}${members === undefined ? "" : `, ${members} entry instances`}\n`,
             );
             return 0;
         } catch (error) {
@@ -133,10 +139,12 @@
         description: "Drain an instance: it keeps its tasks and gets no new ones.",
     });
     instance = Option.String();
+    undo = Option.Boolean("--undo", false, { description: "end the drain" });
 
     /** @returns The exit code. */
     async execute(): Promise<number> {
-        return this.sendCall("instance.drain", { instance: this.instance });
+        const method = this.undo ? "instance.undrain" : "instance.drain";
+        return this.sendCall(method, { instance: this.instance });
     }
 }
 
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -441,7 +441,14 @@
             throw new MethodError(`unknown method ${method}`, -32601);
         }
         const { change } = parseParams(rulesChangeSchema, params);
-        return this.#config.setRules(change, await this.#listRulesProblems(change));
+        const problems = await this.#listRulesProblems(change);
+        const result = await this.#config.setRules(change, problems);
+        // In force in the zones led here before the operator hears of it; elsewhere within the
+        // next tick of each zone's leader.
+        await Promise.all([...this.#zones.values()].map((z) => z.adoptRules())).catch(
+            (error: Error) => this.#log.warn("rules not adopted yet", { error: error.message }),
+        );
+        return result;
     }
 
     /**
--- a/entry/zone_group.ts
+++ b/entry/zone_group.ts
@@ -109,7 +109,7 @@
     #ticks: Subscription | undefined;
     #isTicking = false;
     #lastTickAt = 0;
-    #isAdopting = false;
+    #adoption: Promise<unknown> | undefined;
     #renewing = new Set<InstanceId>();
     #renewal: Promise<unknown> | undefined;
 
@@ -240,6 +240,24 @@
         return { requestId, state, started, mayHaveRun, startedAt, reason };
     }
 
+    /**
+     * Carries the configuration group's newest rules into this group's log, if it leads.
+     */
+    async adoptRules(): Promise<void> {
+        const { config } = this.#options;
+        if (!this.isServing || config.rules.version <= this.cell.rules.version) {
+            return;
+        }
+        this.#adoption ??= this.#propose((at) => ({
+            type: "adoptRules",
+            at,
+            rules: config.rulesFile,
+        })).finally(() => {
+            this.#adoption = undefined;
+        });
+        await this.#adoption;
+    }
+
     /** Cores free for new work, for the other groups. */
     get freeCores(): number {
         return this.isServing ? this.cell.computeFreeCores(this.#clock.getNow()) : 0;
@@ -440,7 +458,7 @@
             return;
         }
         this.#workers.sendHeld();
-        this.#adoptRules();
+        this.adoptRules().catch(() => undefined);
         this.#handOvers.runRound(this.#clock.getNow());
         if (!this.#isTicking && this.cell.hasTickWork(this.#clock.getNow())) {
             this.#isTicking = true;
@@ -465,19 +483,6 @@
         return isDue && brings ? [this.#createTick(at)] : [];
     }
 
-    #adoptRules(): void {
-        const { config } = this.#options;
-        if (this.#isAdopting || config.rules.version <= this.cell.rules.version) {
-            return;
-        }
-        this.#isAdopting = true;
-        this.#propose((at) => ({ type: "adoptRules", at, rules: config.rulesFile }))
-            .catch(() => undefined)
-            .finally(() => {
-                this.#isAdopting = false;
-            });
-    }
-
     /** Only the leader acts on effects; every replica wakes those who wait for an end. */
     #handleEffects(effects: readonly Effect[]): void {
         const leads = this.member.replica.role === "leader";
