Split the workers' and the peers' calls out of entry.ts; one client pool for both sides

Change: entry/worker_api.ts, entry/peer_api.ts, rpc/client_pool.ts; Layout.findZoneGroup in place of the same search three times. Behaviour unchanged.

--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -23,26 +23,16 @@
     type CustomerId,
     type InstanceId,
     type Inventory,
-    type LeaseId,
     type RequestId,
     type ServiceId,
 } from "../inventory/mod.ts";
-import {
-    DEFAULT_TIMINGS,
-    NotLeaderError,
-    OutcomeUnknownError,
-    type GroupId,
-    type GroupMessage,
-    type MemberId,
-} from "../log/mod.ts";
+import { DEFAULT_TIMINGS, type GroupId } from "../log/mod.ts";
 import {
     createLayout,
     Gossip,
     loadIncarnation,
     type Deployment,
     type EntryId,
-    type GossipEntry,
-    type GroupLayout,
     type Layout,
     type LeadClaim,
 } from "../membership/mod.ts";
@@ -51,33 +41,27 @@
 import { createEntryMetrics, createLogger, type EntryMetrics } from "../telemetry/mod.ts";
 import {
     adoptSchema,
-    announceSchema,
     drainSchema,
-    envelopeSchema,
-    forwardSchema,
-    gossipSchema,
-    heartbeatSchema,
-    leaveSchema,
     parseParams,
-    reportSchema,
     requestRefSchema,
     rulesChangeSchema,
     rulesCheckSchema,
     submitSchema,
-    subscribeSchema,
 } from "./api_schema.ts";
-import { CallRouter } from "./call_router.ts";
+import { CallRouter, type LocalMember } from "./call_router.ts";
 import { ConfigGroup } from "./config_group.ts";
 import {
+    createLeaderError,
     createNoLeaderError,
-    createNotLeaderError,
     NOT_FOUND_CODE,
     SHUTTING_DOWN_CODE,
 } from "./errors.ts";
 import type { AdoptAnswer, AdoptItem, GroupRoom } from "./hand_over_agent.ts";
+import { PeerApi, type PeerMember } from "./peer_api.ts";
 import { PeerNetwork } from "./peer_network.ts";
 import { EndWaiters } from "./end_waiters.ts";
 import { describeStatus, type EntryStatus } from "./status.ts";
+import { WorkerApi } from "./worker_api.ts";
 import { ZoneGroup } from "./zone_group.ts";
 
 /** Options of an entry instance. */
@@ -280,24 +264,18 @@
             "instance.undrain": (params) => this.#routeInstance("instance.undrain", params),
             "rules.set": (params) => this.#router.route(this.#layout.config, "rules.set", params),
             "cell.status": () => this.#describeStatus(),
-            "workers.announce": (params) => this.#handleAnnounce(params),
-            "workers.heartbeat": (params) => this.#handleHeartbeat(params),
-            "workers.report": (params) => this.#handleReport(params),
-            "workers.leave": (params) => this.#handleLeave(params),
-            "peer.group": (params) => this.#handleGroupMessage(params),
-            "peer.subscribe": (params) => this.#handleSubscribe(params),
-            "peer.forward": (params) => {
-                const call = parseParams(forwardSchema, params);
-                return this.#router.runForwarded({
-                    ...call,
-                    group: call.group as GroupId,
-                    params: call.params,
-                });
-            },
-            "peer.gossip": (params) => {
-                const { table } = parseParams(gossipSchema, params);
-                return this.#gossip.receive(table as unknown as GossipEntry[], performance.now());
-            },
+            ...new WorkerApi({
+                layout: this.#layout,
+                inventory: this.#options.inventory,
+                getZone: (group) => this.#zones.get(group),
+                findLeader: (group) => this.#gossip.findLeader(group, performance.now()),
+                log: this.#log,
+            }).createMethods(),
+            ...new PeerApi({
+                getMember: (group) => this.#getMember(group),
+                router: this.#router,
+                gossip: this.#gossip,
+            }).createMethods(),
         };
     }
 
@@ -416,7 +394,7 @@
     #routeInstance(method: string, params: unknown): Promise<unknown> {
         const { instance } = parseParams(drainSchema, params);
         const zone = this.#options.inventory.instances.find((i) => i.id === instance)?.zone;
-        const group = this.#layout.groups.find((g) => zone !== undefined && g.zones.includes(zone));
+        const group = this.#layout.findZoneGroup(zone);
         if (group === undefined) {
             return Promise.resolve({ drained: false });
         }
@@ -539,102 +517,6 @@
         return zone;
     }
 
-    // Workers' calls.
-
-    async #handleAnnounce(params: unknown): Promise<{ ok: true }> {
-        const { workers } = parseParams(announceSchema, params);
-        const typed = workers.map((w) => ({ ...w, instance: createId<InstanceId>(w.instance) }));
-        await this.#runForWorkers(typed, (zone) => zone.announceWorkers(typed));
-        return { ok: true };
-    }
-
-    #handleHeartbeat(params: unknown): Promise<unknown> {
-        const { beats } = parseParams(heartbeatSchema, params);
-        const typed = beats.map((beat) => ({
-            ...beat,
-            instance: createId<InstanceId>(beat.instance),
-            leases: beat.leases.map((l) => ({
-                lease: createId<LeaseId>(l.lease),
-                epoch: l.epoch,
-                usage: l.usage,
-            })),
-        }));
-        return this.#runForWorkers(typed, (zone) => zone.handleBeats(typed));
-    }
-
-    async #handleReport(params: unknown): Promise<{ ok: true }> {
-        const { reports } = parseParams(reportSchema, params);
-        const typed = reports.map((r) => ({ ...r, lease: createId<LeaseId>(r.lease) }));
-        const owner = this.#layout.findOwner(typed[0]?.lease ?? "");
-        if (owner === undefined) {
-            throw new MethodError("no group gave out this lease", NOT_FOUND_CODE);
-        }
-        await this.#runAsLeader(owner, (zone) => zone.handleReports(typed));
-        return { ok: true };
-    }
-
-    async #handleLeave(params: unknown): Promise<{ ok: true }> {
-        const { instances } = parseParams(leaveSchema, params);
-        this.#log.info("upstream leaving", { instances });
-        const typed = instances.map((i) => createId<InstanceId>(i));
-        await this.#runForWorkers(
-            typed.map((instance) => ({ instance })),
-            (zone) => zone.handleLeaving(typed),
-        );
-        return { ok: true };
-    }
-
-    #runForWorkers<T>(
-        items: readonly { readonly instance: InstanceId }[],
-        run: (zone: ZoneGroup) => Promise<T>,
-    ): Promise<T> {
-        const first = items[0]?.instance;
-        const zone = this.#options.inventory.instances.find((i) => i.id === first)?.zone;
-        const group = this.#layout.groups.find((g) => zone !== undefined && g.zones.includes(zone));
-        if (group === undefined) {
-            throw new MethodError(`no instance "${first}" in the inventory`, NOT_FOUND_CODE);
-        }
-        return this.#runAsLeader(group, run);
-    }
-
-    /** Workers talk to the leader itself; others only name it. */
-    async #runAsLeader<T>(group: GroupLayout, run: (zone: ZoneGroup) => Promise<T>): Promise<T> {
-        const zone = this.#zones.get(group.id);
-        if (zone?.isServing !== true) {
-            const leader =
-                zone?.member.leader ?? this.#gossip.findLeader(group.id, performance.now());
-            throw createNotLeaderError(group.id, leader);
-        }
-        try {
-            return await run(zone);
-        } catch (error) {
-            throw createLeaderError(group.id, error);
-        }
-    }
-
-    // The other entry instances' calls.
-
-    #handleGroupMessage(params: unknown): Promise<GroupMessage | null> {
-        const { group, from, to, message } = parseParams(envelopeSchema, params);
-        const member =
-            group === this.#layout.config.id
-                ? this.#config.member
-                : this.#zones.get(group as GroupId)?.member;
-        if (member === undefined) {
-            return Promise.resolve(null);
-        }
-        return member.receive(from as MemberId, to as MemberId, message as unknown as GroupMessage);
-    }
-
-    #handleSubscribe(params: unknown): { readonly leader: EntryId | undefined } {
-        const { group, member } = parseParams(subscribeSchema, params);
-        const kept =
-            group === this.#layout.config.id
-                ? this.#config.member
-                : this.#zones.get(group as GroupId)?.member;
-        return kept?.addLearner(member as MemberId) ?? { leader: undefined };
-    }
-
     #startGossip(): void {
         this.#gossiping = interval(GOSSIP_MS).subscribe(() => {
             this.#updateGossip();
@@ -664,7 +546,7 @@
             peers.map(async (peer) => {
                 const answer = await this.#network
                     .getClient(peer)
-                    ?.call<GossipEntry[]>("peer.gossip", { table })
+                    ?.call<ReturnType<Gossip["listTable"]>>("peer.gossip", { table })
                     .catch(() => undefined);
                 if (answer !== undefined) {
                     this.#gossip.receive(answer, performance.now());
@@ -675,7 +557,7 @@
 
     // Status.
 
-    #getMember(group: GroupId): { isServing: boolean; leader: EntryId | undefined } | undefined {
+    #getMember(group: GroupId): (LocalMember & PeerMember) | undefined {
         return group === this.#layout.config.id
             ? this.#config.member
             : this.#zones.get(group)?.member;
@@ -753,14 +635,3 @@
     }
     return id;
 }
-
-/** Leadership may end under a call: tell whether it can still take effect. */
-function createLeaderError(group: GroupId, error: unknown): unknown {
-    if (error instanceof NotLeaderError) {
-        return createNoLeaderError(group, "not_accepted");
-    }
-    if (error instanceof OutcomeUnknownError) {
-        return createNoLeaderError(group, "unknown");
-    }
-    return error;
-}
--- a/entry/errors.ts
+++ b/entry/errors.ts
@@ -10,7 +10,7 @@
  * @module
  */
 
-import type { GroupId } from "../log/mod.ts";
+import { NotLeaderError, OutcomeUnknownError, type GroupId } from "../log/mod.ts";
 import type { EntryId } from "../membership/mod.ts";
 import { MethodError } from "../rpc/mod.ts";
 
@@ -73,3 +73,21 @@
     const data: NoLeaderData = { outcome: "not_accepted", retryAfterMs: RETRY_AFTER_MS, leader };
     return new MethodError(`this instance does not lead ${group}`, NOT_LEADER_CODE, data);
 }
+
+/**
+ * Creates the error for a call whose leader lost its lead under it: it tells whether the call can
+ * still take effect. Other errors stay as they are.
+ *
+ * @param group The group.
+ * @param error What the call threw.
+ * @returns The error to answer with.
+ */
+export function createLeaderError(group: GroupId, error: unknown): unknown {
+    if (error instanceof NotLeaderError) {
+        return createNoLeaderError(group, "not_accepted");
+    }
+    if (error instanceof OutcomeUnknownError) {
+        return createNoLeaderError(group, "unknown");
+    }
+    return error;
+}
--- a/entry/peer_network.ts
+++ b/entry/peer_network.ts
@@ -15,7 +15,7 @@
 
 import type { GroupId, GroupMessage, MemberId, Transport } from "../log/mod.ts";
 import { parseEntryId, type EntryId, type EntryMember } from "../membership/mod.ts";
-import { createRpcClient, type RpcClient } from "../rpc/mod.ts";
+import { RpcClientPool, type ByteCounts, type RpcClient } from "../rpc/mod.ts";
 
 /** A group's message on the wire. */
 export interface PeerEnvelope {
@@ -52,7 +52,7 @@
 /** Connections to the other entry instances. */
 export class PeerNetwork {
     readonly #options: PeerNetworkOptions;
-    readonly #clients = new Map<EntryId, RpcClient>();
+    readonly #clients: RpcClientPool;
     readonly #channels = new Map<string, Channel>();
     #isClosed = false;
 
@@ -61,6 +61,7 @@
      */
     constructor(options: PeerNetworkOptions) {
         this.#options = options;
+        this.#clients = new RpcClientPool({ timeoutMs: options.timeoutMs ?? DEFAULT_TIMEOUT_MS });
     }
 
     /**
@@ -70,28 +71,13 @@
      * @returns Its client, or `undefined` when the settings do not name it.
      */
     getClient(id: EntryId): RpcClient | undefined {
-        const known = this.#clients.get(id);
-        if (known !== undefined) {
-            return known;
-        }
         const address = this.#options.members.find((m) => m.id === id)?.address;
-        if (address === undefined) {
-            return undefined;
-        }
-        const client = createRpcClient(address, this.#options.timeoutMs ?? DEFAULT_TIMEOUT_MS);
-        this.#clients.set(id, client);
-        return client;
+        return address === undefined ? undefined : this.#clients.getClient(address);
     }
 
     /** Bytes sent to and received from the other entry instances. */
-    get bytes(): { received: number; sent: number } {
-        let received = 0;
-        let sent = 0;
-        for (const client of this.#clients.values()) {
-            received += client.bytes().received;
-            sent += client.bytes().sent;
-        }
-        return { received, sent };
+    get bytes(): ByteCounts {
+        return this.#clients.bytes;
     }
 
     /** Sends nothing from now on. */
--- a/entry/status.ts
+++ b/entry/status.ts
@@ -13,6 +13,7 @@
 import type { Cell, CellCounters } from "../cell/mod.ts";
 import type { GroupId, MemberId, Role } from "../log/mod.ts";
 import { CONFIG_GROUP, type EntryId, type Gossip, type MemberStatus } from "../membership/mod.ts";
+import { addByteCounts, type ByteCounts } from "../rpc/mod.ts";
 import type { ConfigGroup } from "./config_group.ts";
 import type { ZoneGroup } from "./zone_group.ts";
 
@@ -45,7 +46,7 @@
     readonly id: EntryId;
     readonly ready: boolean;
     readonly rulesVersion: number;
-    readonly bytes: { readonly received: number; readonly sent: number };
+    readonly bytes: ByteCounts;
     readonly groups: readonly GroupStatus[];
     readonly members: Readonly<Record<string, MemberStatus>>;
 }
@@ -59,7 +60,7 @@
     readonly config: ConfigGroup;
     readonly gossip: Gossip;
     readonly members: readonly EntryId[];
-    readonly bytes: readonly { readonly received: number; readonly sent: number }[];
+    readonly bytes: readonly ByteCounts[];
 }
 
 /**
@@ -79,10 +80,7 @@
         ready: sources.isReady,
         rulesVersion: sources.rulesVersion,
         ...describeCells([...sources.zones.values()].map((z) => z.cell)),
-        bytes: sources.bytes.reduce<{ received: number; sent: number }>(
-            (sum, b) => ({ received: sum.received + b.received, sent: sum.sent + b.sent }),
-            { received: 0, sent: 0 },
-        ),
+        bytes: addByteCounts(sources.bytes),
         groups: [...zones, config],
         members: Object.fromEntries(
             sources.members.map((m) => [m, sources.gossip.getStatus(m, now)]),
--- a/entry/worker_link.ts
+++ b/entry/worker_link.ts
@@ -17,7 +17,7 @@
 import type { Logger } from "winston";
 import type { Effect, GrantMessage, LeaseMessage } from "../cell/mod.ts";
 import type { InstanceId, LeaseId } from "../inventory/mod.ts";
-import { createRpcClient, type RpcClient } from "../rpc/mod.ts";
+import { RpcClientPool, type ByteCounts } from "../rpc/mod.ts";
 
 /** A worker's answer to one offer. */
 export interface GrantReply {
@@ -46,7 +46,7 @@
 /** The leader's connections to its workers. */
 export class WorkerLink {
     readonly #options: WorkerLinkOptions;
-    readonly #clients = new Map<string, RpcClient>();
+    readonly #clients = new RpcClientPool({ timeoutMs: CALL_TIMEOUT_MS });
     readonly #beats = new Map<InstanceId, number>();
     #held: Grant[] = [];
 
@@ -58,14 +58,8 @@
     }
 
     /** Bytes sent to and received from workers by this side's calls. */
-    get bytes(): { received: number; sent: number } {
-        let received = 0;
-        let sent = 0;
-        for (const client of this.#clients.values()) {
-            received += client.bytes().received;
-            sent += client.bytes().sent;
-        }
-        return { received, sent };
+    get bytes(): ByteCounts {
+        return this.#clients.bytes;
     }
 
     /** Forgets everything: another instance leads now, and sends again what is unanswered. */
@@ -118,7 +112,8 @@
      */
     sendStops(stops: readonly Stop[]): void {
         for (const [address, batch] of createBatches(stops)) {
-            this.#getClient(address)
+            this.#clients
+                .getClient(address)
                 .call("leases.stop", { stops: batch })
                 .catch((error: Error) =>
                     this.#options.log.warn("stop not delivered", {
@@ -151,10 +146,9 @@
             return;
         }
         try {
-            const { replies } = await this.#getClient(address).call<{ replies: GrantReply[] }>(
-                "leases.grant",
-                { leases: offers },
-            );
+            const { replies } = await this.#clients
+                .getClient(address)
+                .call<{ replies: GrantReply[] }>("leases.grant", { leases: offers });
             for (const reply of replies) {
                 if (reply.status === "declined") {
                     this.#options.onDeclined(reply.lease, reply.reason);
@@ -174,15 +168,6 @@
             }
         }
     }
-
-    #getClient(address: string): RpcClient {
-        let client = this.#clients.get(address);
-        if (client === undefined) {
-            client = createRpcClient(address, CALL_TIMEOUT_MS);
-            this.#clients.set(address, client);
-        }
-        return client;
-    }
 }
 
 function createBatches<T extends { readonly address: string }>(
--- a/membership/layout.ts
+++ b/membership/layout.ts
@@ -74,6 +74,13 @@
      * @returns The group.
      */
     readonly findHome: (caller: string, service: ServiceId) => GroupLayout;
+    /**
+     * Finds the group that owns a zone's workers.
+     *
+     * @param zone The zone.
+     * @returns The group, or `undefined` for no or an unknown zone.
+     */
+    readonly findZoneGroup: (zone: ZoneId | undefined) => GroupLayout | undefined;
     /**
      * Finds the group that accepted a request.
      *
@@ -126,6 +133,7 @@
         config,
         groups,
         findHome: (caller, service) => findHome(deployment, inventory, groups, caller, service),
+        findZoneGroup: (zone) => groups.find((g) => zone !== undefined && g.zones.includes(zone)),
         findOwner: (id) =>
             groups.length === 1
                 ? groups[0]
--- a/rpc/mod.ts
+++ b/rpc/mod.ts
@@ -10,3 +10,4 @@
  */
 
 export * from "./http_rpc.ts";
+export * from "./client_pool.ts";
--- a/standin/entry_client.ts
+++ b/standin/entry_client.ts
@@ -19,7 +19,13 @@
     SHUTTING_DOWN_CODE,
     type NoLeaderData,
 } from "../entry/errors.ts";
-import { createRpcClient, RpcError, type RpcClient } from "../rpc/mod.ts";
+import {
+    addByteCounts,
+    createRpcClient,
+    RpcError,
+    type ByteCounts,
+    type RpcClient,
+} from "../rpc/mod.ts";
 
 /** An entry instance as an outside process knows it. */
 export interface EntryAddress {
@@ -78,14 +84,8 @@
     }
 
     /** Bytes sent and received. */
-    get bytes(): { received: number; sent: number } {
-        return this.#clients.reduce(
-            (sum, c) => ({
-                received: sum.received + c.bytes().received,
-                sent: sum.sent + c.bytes().sent,
-            }),
-            { received: 0, sent: 0 },
-        );
+    get bytes(): ByteCounts {
+        return addByteCounts(this.#clients.map((c) => c.bytes()));
     }
 
     /**
