--- a/cell/replication_test.ts
+++ b/cell/replication_test.ts
@@ -35,6 +35,17 @@
     t.is(cell.listLiveLeases().length, 2, "leases get their full time from the takeover");
 });
 
+test("a gang of four that lost a worker is tried again: one try is one attempt", (t) => {
+    // The caller sees an idempotent gang run after a worker went silent. Counted per task, its first
+    // try used up four of three attempts, and the gang failed at the first trouble.
+    const cell = buildCell({ workers: 4, leaseTtlMs: 100, leaseGraceMs: 50 });
+    const gang = cell.submit(buildSpec({ kind: "gang", count: 4 }), 0);
+    cell.tick(1);
+    t.is(takeOf(cell, "grant").length, 4);
+    cell.tick(500);
+    t.like(cell.describeRequest(gang.requestId), { state: "queued", attempts: 1 });
+});
+
 test("a heartbeat of another worker process does not renew what the earlier one ran", (t) => {
     // A worker restarts: its tasks are gone, but its instance's heartbeats go on. The lease must
     // run out, and the batch be told as "may have run", rather than stay running for ever.
