Do not confirm a log write that the disk took only in part

Change: the whole text is written or the append fails and is cut off. A byte counter that nothing read and a file created twice in writeWhole are gone.

--- a/log/storage.ts
+++ b/log/storage.ts
@@ -26,7 +26,6 @@
     readFileSync,
     renameSync,
     writeFileSync,
-    writeSync,
 } from "node:fs";
 import { open, rename } from "node:fs/promises";
 import { join } from "node:path";
@@ -57,7 +56,6 @@
 export class FileStorage implements Storage {
     readonly #dir: string;
     #log: { readonly fd: number; readonly size: number } | undefined;
-    #logBytes = 0;
 
     private constructor(dir: string) {
         this.#dir = dir;
@@ -74,11 +72,6 @@
         return new FileStorage(options.dir);
     }
 
-    /** Bytes appended to the log file since it was opened or compacted. */
-    get logBytes(): number {
-        return this.#logBytes;
-    }
-
     /**
      * Reads the snapshot and the log. A torn end (the process died mid-write, before its fsync,
      * so nobody was answered for it) is dropped; damage before the end throws.
@@ -122,7 +115,9 @@
         try {
             // The write only fills the page cache; the sync is what takes long, and runs beside
             // the event loop so that heartbeats go on meanwhile.
-            writeSync(fd, bytes);
+            // writeFileSync writes all or throws; one writeSync may stop short on a full disk, and the
+            // sync of half a line would be taken for a durable entry.
+            writeFileSync(fd, bytes);
             await syncData(fd);
         } catch (error) {
             // A full disk may have taken part of the text. Cut it off, so that the retry does not
@@ -131,7 +126,6 @@
             throw error;
         }
         this.#log = { fd, size: size + bytes.length };
-        this.#logBytes += bytes.length;
     }
 
     /** See {@link Storage.compact}. */
@@ -142,7 +136,6 @@
         const text = formatRecords([{ hard }, ...rest.map((entry) => ({ entry }))]);
         this.close();
         await this.#writeReplacing(LOG_FILE, text);
-        this.#logBytes = 0;
     }
 
     /** Closes the log file. */
@@ -245,9 +238,8 @@
 
 function writeWhole(file: string, text: string): void {
     const temporary = `${file}.new`;
-    writeFileSync(temporary, "");
     const fd = openSync(temporary, "w");
-    writeSync(fd, text);
+    writeFileSync(fd, text);
     fsyncSync(fd);
     closeSync(fd);
     renameSync(temporary, file);
--- a/log/storage_test.ts
+++ b/log/storage_test.ts
@@ -1,3 +1,4 @@
+import { spawnSync } from "node:child_process";
 import { appendFileSync, mkdtempSync, readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -58,6 +59,37 @@
     t.regex(error?.message ?? "", /log\.jsonl:2/);
 });
 
+test("a write that the disk takes only in part is an error, and leaves the log as it was", (t) => {
+    // The disk fills up in the middle of a write. The system call reports the part it took and no
+    // error; synced and confirmed, the caller would be answered for an entry that is half there.
+    // A limit on the file's size stands in for the full disk, in a process of its own.
+    const dir = buildDir();
+    const module = new URL("./storage.ts", import.meta.url).href;
+    const script = `
+        import { FileStorage } from ${JSON.stringify(module)};
+        process.on("SIGXFSZ", () => {});
+        const storage = FileStorage.open({ dir: ${JSON.stringify(dir)} });
+        storage.load();
+        const build = (index, text) => ({ index, term: 1, type: "commands", commands: [text] });
+        await storage.append([build(1, "small")], undefined);
+        await storage.append([build(2, "x".repeat(2_000_000))], undefined).then(
+            () => console.log("confirmed"),
+            (error) => console.log(error.code),
+        );
+        await storage.append([build(2, "after")], undefined);
+    `;
+    const node = `exec '${process.execPath}' --import=tsx --input-type=module -e "$SCRIPT"`;
+    const child = spawnSync("bash", ["-c", `ulimit -f 1000; ${node}`], {
+        env: { ...process.env, SCRIPT: script },
+        encoding: "utf8",
+    });
+    t.is(child.stdout.trim(), "EFBIG", child.stderr);
+    t.deepEqual(FileStorage.open({ dir }).load().entries, [
+        buildEntry(1, 1, "small"),
+        buildEntry(2, 1, "after"),
+    ]);
+});
+
 test("a snapshot replaces the entries it covers, also when the crash came between the renames", async (t) => {
     const dir = buildDir();
     const storage = FileStorage.open({ dir });
