--- a/cell/cell.ts
+++ b/cell/cell.ts
@@ -336,6 +336,16 @@
         return this.#books.workerList;
     }
 
+    /**
+     * Finds a worker's view (read only by callers).
+     *
+     * @param instance The worker's instance.
+     * @returns The view, or `undefined` for an unknown instance.
+     */
+    findWorker(instance: InstanceId): WorkerState | undefined {
+        return this.#books.workers.get(instance);
+    }
+
     /**
      * Lists every lease of a request whose time line is kept, live or ended.
      *
@@ -469,6 +479,19 @@
         );
     }
 
+    /**
+     * Lists which of a worker's leases it must stop: those that ended here, and those that were
+     * told to stop and still run (the stop may have been lost).
+     *
+     * @param held The leases the worker holds.
+     * @returns The leases to stop.
+     */
+    listToStop(held: readonly HeldLease[]): LeaseId[] {
+        return held
+            .filter((item) => this.#findLiveLease(item.lease, item.epoch)?.stopSent !== false)
+            .map((item) => item.lease);
+    }
+
     /**
      * Renews workers and every live lease on them.
      *
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -190,8 +190,9 @@
 
     /** Whether this instance leads every group it keeps (a lone instance, once it started). */
     get isServing(): boolean {
-        return [this.#config, ...this.#zones.values()].every((g) =>
-            g instanceof ConfigGroup ? g.member.isServing : g.isServing,
+        return (
+            this.#config.member.isServing &&
+            [...this.#zones.values()].every((zone) => zone.isServing)
         );
     }
 
--- a/entry/zone_group.ts
+++ b/entry/zone_group.ts
@@ -91,7 +91,7 @@
 export interface BeatsAnswer {
     /** Workers that must announce themselves again (unknown here, or another process). */
     readonly announce: readonly InstanceId[];
-    /** Leases that ended: the worker stops their tasks and does not renew them. */
+    /** Leases that ended or were told to stop: the worker stops their tasks, renews none. */
     readonly ended: readonly LeaseId[];
 }
 
@@ -305,11 +305,10 @@
      * @returns What the workers must do.
      */
     async handleBeats(beats: readonly Beat[]): Promise<BeatsAnswer> {
-        const known = new Map(this.cell.listWorkers().map((w) => [w.instance.id, w]));
         const announce: InstanceId[] = [];
         const waits: Promise<unknown>[] = [];
         for (const beat of beats) {
-            const worker = known.get(beat.instance);
+            const worker = this.cell.findWorker(beat.instance);
             if (worker?.address === undefined || worker.incarnation !== beat.incarnation) {
                 announce.push(beat.instance);
                 continue;
@@ -321,17 +320,15 @@
                           type: "heartbeat",
                           at,
                           instance: beat.instance,
-                          leases: this.#listBeatLeases(beat),
+                          leases: beat.leases,
                       })),
             );
         }
         await Promise.all(waits);
         beats.forEach((beat) => this.#workers.recordBeat(beat.instance, beat.sentAt));
         this.#workers.sendHeld();
-        this.#sendStopsAgain(beats);
-        const live = new Set(this.cell.listLiveLeases().map((l) => l.id));
-        const held = beats.flatMap((beat) => beat.leases.map((l) => l.lease));
-        return { announce, ended: held.filter((id) => !live.has(id)) };
+        const ended = beats.flatMap((beat) => this.cell.listToStop(beat.leases));
+        return { announce, ended };
     }
 
     /**
@@ -345,11 +342,6 @@
         );
     }
 
-    /** Use within the declared demand changes nothing; leaving it out keeps the log short. */
-    #listBeatLeases(beat: Beat): HeldLease[] {
-        return beat.leases.map((l) => ({ lease: l.lease, epoch: l.epoch, usage: l.usage }));
-    }
-
     #renew(instance: InstanceId): Promise<unknown> {
         this.#renewing.add(instance);
         this.#renewal ??= new Promise((resolve, reject) => {
@@ -363,42 +355,6 @@
         return this.#renewal;
     }
 
-    /** A stop that was lost on its way is sent again when the worker still lists the lease. */
-    #sendStopsAgain(beats: readonly Beat[]): void {
-        const stopping = new Map(
-            this.cell
-                .listLiveLeases()
-                .filter((l) => l.stopSent)
-                .map((l) => [l.id, l]),
-        );
-        if (stopping.size === 0) {
-            return;
-        }
-        const addresses = new Map(
-            this.cell.listWorkers().map((w) => [w.instance.id, w.address ?? ""]),
-        );
-        this.#workers.sendStops(
-            beats.flatMap((beat) =>
-                beat.leases.flatMap(({ lease: id }) => {
-                    const lease = stopping.get(id);
-                    return lease === undefined
-                        ? []
-                        : [
-                              {
-                                  type: "stop" as const,
-                                  address: addresses.get(beat.instance) ?? "",
-                                  instance: beat.instance,
-                                  incarnation: lease.incarnation,
-                                  lease: lease.id,
-                                  epoch: lease.epoch,
-                                  mode: "stop" as const,
-                              },
-                          ];
-                }),
-            ),
-        );
-    }
-
     async #propose(createInput: (at: number) => CellInput): Promise<unknown> {
         const result = await this.member.replica.propose(createInput(this.#clock.getNow()));
         if ("conflict" in result) {
--- a/log/_fixtures.ts
+++ b/log/_fixtures.ts
@@ -182,10 +182,6 @@
         return index;
     }
 
-    get queueLength(): number {
-        return this.#queue.length;
-    }
-
     #sendAll(from: MemberId, outgoing: readonly { to: MemberId; message: GroupMessage }[]): void {
         for (const { to, message } of outgoing) {
             this.#queue.push({ from, to, message: structuredClone(message) });
--- a/log/consensus.ts
+++ b/log/consensus.ts
@@ -438,17 +438,16 @@
      * that spares a member slightly behind the whole snapshot.
      *
      * @param index The snapshot's index (committed and applied).
-     * @returns The snapshot's term and voters, and the entries after it.
+     * @returns The entries after the snapshot.
      */
-    compact(index: number): { term: number; voters: readonly MemberId[]; rest: LogEntry[] } {
-        const { term, voters } = this.describeAt(index);
+    compact(index: number): LogEntry[] {
         const rest = this.#entries.filter((e) => e.index > index);
         const base = Math.max(this.#baseIndex, index - KEPT_BEHIND_SNAPSHOT);
         this.#baseTerm = this.#getTermAt(base) ?? this.#baseTerm;
         this.#baseVoters = this.#computeVotersAt(base);
         this.#entries = this.#entries.filter((e) => e.index > base);
         this.#baseIndex = base;
-        return { term, voters, rest };
+        return rest;
     }
 
     /**
@@ -469,15 +468,11 @@
         // The request to lead may be lost or late. The lease cannot come back (the other may still
         // campaign on it), so this member follows, and somebody is elected the ordinary way.
         const isOverdue = now - (this.#transferAt ?? now) > this.#timings.electionMs;
-        if (isOverdue) {
-            this.#resign("lose_quorum", undefined);
-            return;
-        }
-        if (
+        const hasLostQuorum =
             unheardFor > this.#timings.electionMs &&
-            now - this.#ledSince > this.#timings.electionMs
-        ) {
-            this.#resign("lose_quorum", undefined);
+            now - this.#ledSince > this.#timings.electionMs;
+        if (isOverdue || hasLostQuorum) {
+            this.#resign("lose_quorum");
             return;
         }
         for (const [member, progress] of this.#progress) {
@@ -647,7 +642,7 @@
             return;
         }
         if (message.term > this.#term) {
-            this.#resign("follow", undefined);
+            this.#resign("follow");
             this.#setTerm(message.term, undefined);
         }
         const granted =
@@ -668,7 +663,7 @@
     #handleVoteResponse(from: MemberId, message: VoteResponse): void {
         if (!message.granted) {
             if (message.term > this.#term) {
-                this.#resign("follow", undefined);
+                this.#resign("follow");
                 this.#setTerm(message.term, undefined);
             }
             return;
@@ -771,7 +766,7 @@
 
     #handleAppendResponse(from: MemberId, message: AppendResponse): void {
         if (message.term > this.#term) {
-            this.#resign("follow", undefined);
+            this.#resign("follow");
             this.#setTerm(message.term, undefined);
             return;
         }
@@ -812,7 +807,7 @@
         }
         this.#commitIndex = index;
         if (this.#votersIndex <= index && !this.#voters.includes(this.#self)) {
-            this.#resign("dismiss", undefined);
+            this.#resign("dismiss");
         }
     }
 
@@ -827,11 +822,11 @@
         return contacts[computeQuorum(contacts.length) - 1] ?? Number.NEGATIVE_INFINITY;
     }
 
-    #resign(event: "follow" | "lose_quorum" | "dismiss", leader: MemberId | undefined): void {
+    #resign(event: "follow" | "lose_quorum" | "dismiss"): void {
         if (this.#role !== "learner") {
             this.#applyRoleEvent(event);
         }
-        this.#leader = leader;
+        this.#leader = undefined;
         this.#progress.clear();
         this.#setElectionDeadline();
     }
--- a/log/replica.ts
+++ b/log/replica.ts
@@ -488,7 +488,7 @@
         }
         const snapshot = this.#buildSnapshot();
         this.#snapshotIndex = snapshot.index;
-        const { rest } = this.#consensus.compact(snapshot.index);
+        const rest = this.#consensus.compact(snapshot.index);
         try {
             await this.#options.storage.compact(snapshot, rest, this.#consensus.hard);
         } catch (error) {
