--- /dev/null
+++ b/control/calls.ts
@@ -0,0 +1,118 @@
+/**
+ * Calls between the control plane's processes and what they call outside: typed, with the words
+ * of the product.
+ *
+ * @example
+ * ```ts
+ * import type { CallerCall } from "./calls.ts";
+ * const call: CallerCall = { type: "state", host: "previews.example", path: "/p/5c0e7a21d94b36f8" };
+ * ```
+ *
+ * @module
+ */
+
+import type {
+    Admission,
+    LookAnswer,
+    LookOrder,
+    OrderAnswer,
+    StartOrder,
+    StopOrder,
+} from "../dispatch/mod.ts";
+import type { JobSpec, JobState, WorkerId, WorkerRecord } from "../job/mod.ts";
+
+/** Methods that control instances and fronts serve to each other. */
+export const METHODS = {
+    callers: "control.callers",
+    heartbeat: "control.heartbeat",
+    leave: "control.leave",
+    configure: "control.configure",
+    readConfiguration: "control.readConfiguration",
+    hello: "control.hello",
+    advise: "front.advise",
+} as const;
+
+/** A caller's call, addressed by host and path; the leader finds the queue. */
+export type CallerCall =
+    | {
+          readonly type: "submit";
+          readonly host: string;
+          readonly path: string;
+          /** `undefined` when the body could not be read; then `problem` says why. */
+          readonly spec: JobSpec | undefined;
+          readonly problem: string;
+      }
+    | { readonly type: "state"; readonly host: string; readonly path: string }
+    | { readonly type: "cancel"; readonly host: string; readonly path: string };
+
+/** The leader's answer to a caller. */
+export type CallerAnswer =
+    | { readonly type: "accepted" }
+    | { readonly type: "state"; readonly state: JobState }
+    | { readonly type: "pending"; readonly count: number }
+    | { readonly type: "cancelled" }
+    | { readonly type: "unknownJob" }
+    | { readonly type: "unknownQueue" }
+    | { readonly type: "invalid"; readonly problem: string }
+    /** Not accepted; it never runs because of this call. */
+    | { readonly type: "refused"; readonly reason: string; readonly retryAfterMs: number };
+
+/** A worker's heartbeat. */
+export interface HeartbeatCall {
+    readonly record: WorkerRecord;
+    /** Rises with each heartbeat of the worker. */
+    readonly sequence: number;
+    readonly clockMs: number | undefined;
+}
+
+/** What an instance tells the leader about itself. */
+export interface HelloCall {
+    /** Where its RPC server listens. */
+    readonly address: string;
+    readonly zone: string;
+    readonly kind: "control" | "front";
+    /** Where workers and operators reach it; empty for a front. */
+    readonly publicAddress: string;
+}
+
+/** What the leader tells in return. */
+export interface HelloAnswer {
+    readonly leader: string;
+    /** RPC addresses of the control instances that are up or vote. */
+    readonly members: readonly string[];
+    /** Where workers and operators reach the leader. */
+    readonly publicAddress: string;
+    readonly limits: HelloLimits | undefined;
+}
+
+/** The limits in force for callers. */
+export interface HelloLimits {
+    readonly maxBodyBytes: number;
+    readonly idleTimeoutMs: number;
+}
+
+/** An advice call that the leader asks a front to make. */
+export interface AdviseCall {
+    readonly step: string;
+    readonly workers: readonly WorkerId[];
+    /** How long the call may take, in ms. */
+    readonly timeoutMs: number;
+}
+
+/** The outcome of an advice call. */
+export interface AdviseAnswer {
+    /** `undefined` when the service gave no answer. */
+    readonly admissions: readonly Admission[] | undefined;
+}
+
+/** Orders to workers. No method throws: what went wrong is part of the answer. */
+export interface WorkerCalls {
+    readonly start: (order: StartOrder) => Promise<OrderAnswer>;
+    readonly stop: (order: StopOrder) => Promise<OrderAnswer>;
+    readonly look: (order: LookOrder) => Promise<LookAnswer>;
+}
+
+/** Calls to the advice service. */
+export interface AdviceCalls {
+    readonly advise: (call: AdviseCall) => Promise<readonly Admission[] | undefined>;
+}
--- /dev/null
+++ b/control/daemon.ts
@@ -0,0 +1,426 @@
+/**
+ * A control instance: a member of the control group that keeps the durable state, leads when it
+ * is elected, and passes calls on to the leader otherwise.
+ *
+ * @example
+ * ```ts
+ * import { ControlDaemon } from "./daemon.ts";
+ * const daemon = new ControlDaemon({ address, zone, seeds, bootstrap, dataDir, workerCalls, log });
+ * await daemon.start();
+ * ```
+ *
+ * @module
+ */
+
+import { interval, type Subscription } from "rxjs";
+import type { Logger } from "winston";
+import type { Configuration } from "../configuration/mod.ts";
+import type { DispatchLimits, LaneId } from "../dispatch/mod.ts";
+import { CellClock } from "../entry/cell_clock.ts";
+import { GroupMember } from "../entry/group_member.ts";
+import { PeerNetwork, type PeerEnvelope } from "../entry/peer_network.ts";
+import { Ledger, type FactBatch, type WorkerId } from "../job/mod.ts";
+import type { ConsensusTimings, GroupId, MemberId } from "../log/mod.ts";
+import {
+    LeaderRouter,
+    loadIncarnation,
+    NOT_LEADER_CODE,
+    parseEntryId,
+    planVoters,
+    type EntryId,
+    type GroupLayout,
+} from "../membership/mod.ts";
+import {
+    MethodError,
+    parseAddress,
+    RpcClientPool,
+    startRpcServer,
+    type RpcServer,
+} from "../rpc/mod.ts";
+import {
+    METHODS,
+    type AdviseAnswer,
+    type AdviseCall,
+    type CallerAnswer,
+    type CallerCall,
+    type HeartbeatCall,
+    type HelloAnswer,
+    type HelloCall,
+    type WorkerCalls,
+} from "./calls.ts";
+import { ClockGuard } from "./clock_guard.ts";
+import { Leadership, type ConfigureAnswer } from "./leadership.ts";
+
+/** Options of {@link ControlDaemon}. */
+export interface ControlDaemonOptions {
+    /** Where this instance's RPC server listens, `host:port`; its name among the members. */
+    readonly address: string;
+    /** Where workers and operators reach it. */
+    readonly publicAddress: string;
+    readonly zone: string;
+    /** RPC addresses of some control instances. */
+    readonly listSeeds: () => readonly string[];
+    /** The whole system starts for the first time, with empty disks. */
+    readonly bootstrap: boolean;
+    readonly dataDir: string;
+    /** How many instances may be lost at once; twice as many and one more vote. */
+    readonly tolerated: number;
+    readonly workerCalls: WorkerCalls;
+    readonly timings?: ConsensusTimings;
+    readonly limits?: Partial<DispatchLimits>;
+    readonly snapshotEvery?: number;
+    readonly log: Logger;
+}
+
+const GROUP = "control" as GroupId;
+/**
+ * A lost leader is replaced in 0.5 to 1.2 s: leases of 6 s and callers that wait 3 s bear that.
+ * A sync on a slow disk (0.3 s) does not end a lead.
+ */
+const DEFAULT_TIMINGS: ConsensusTimings = { heartbeatMs: 100, electionMs: 500 };
+/** Time between two greetings to the leader, in ms. */
+const HELLO_MS = 500;
+/** An instance not heard from for this long counts as gone, in ms: six greetings. */
+const MEMBER_SILENCE_MS = 3_000;
+/** A front not heard from for this long makes no advice calls, in ms. */
+const FRONT_SILENCE_MS = 1_500;
+/** Facts batches between two snapshots: some 20 s of a busy day, below 20 MB of log. */
+const DEFAULT_SNAPSHOT_EVERY = 4_000;
+/** How long a worker's or an operator's call may take on its way to the leader, in ms. */
+const FORWARD_BUDGET_MS = 900;
+/** A message between members is given up after this, in ms: about one election timeout. */
+const PEER_TIMEOUT_MS = 500;
+
+interface KnownInstance extends HelloCall {
+    readonly heardAt: number;
+}
+
+/** One control instance. */
+export class ControlDaemon {
+    readonly #options: ControlDaemonOptions;
+    readonly #self: EntryId;
+    readonly #durable = new Ledger();
+    readonly #clock = new CellClock();
+    readonly #guard: ClockGuard;
+    readonly #network: PeerNetwork;
+    readonly #clients = new RpcClientPool({ timeoutMs: FORWARD_BUDGET_MS });
+    readonly #router: LeaderRouter;
+    readonly #known = new Map<string, KnownInstance>();
+    #member: GroupMember<FactBatch, void> | undefined;
+    #leadership: Leadership | undefined;
+    #server: RpcServer | undefined;
+    #greetings: Subscription | undefined;
+    #wantedVoters: readonly EntryId[];
+    #leaderPublicAddress: string | undefined;
+    #leadingSince = 0;
+
+    /**
+     * @param options Addresses, seeds, data folder; see {@link ControlDaemonOptions}.
+     */
+    constructor(options: ControlDaemonOptions) {
+        this.#options = options;
+        this.#self = options.address as EntryId;
+        this.#network = new PeerNetwork({ findAddress: (id) => id, timeoutMs: PEER_TIMEOUT_MS });
+        this.#router = new LeaderRouter({ listSeeds: options.listSeeds });
+        this.#wantedVoters = [...options.listSeeds()].sort() as EntryId[];
+        this.#guard = new ClockGuard(() => this.#member?.replica.distrustClock());
+    }
+
+    /** Where workers and operators reach the leader, as far as known. */
+    get leaderPublicAddress(): string | undefined {
+        return this.isServing ? this.#options.publicAddress : this.#leaderPublicAddress;
+    }
+
+    /** Whether this instance leads and nobody else can. */
+    get isServing(): boolean {
+        this.#guard.check();
+        return this.#leadership !== undefined && (this.#member?.isServing ?? false);
+    }
+
+    /** Opens the data folder, joins the group and serves. */
+    async start(): Promise<void> {
+        const { address, dataDir, bootstrap } = this.#options;
+        const [host, port] = parseAddress(address);
+        this.#server = await startRpcServer({
+            host,
+            port,
+            methods: {
+                "peer.group": (params) => this.#handlePeer(params as PeerEnvelope),
+                "peer.subscribe": (params) =>
+                    this.#member?.addLearner((params as { member: MemberId }).member) ?? {},
+                [METHODS.callers]: (params) => this.#lead().handleCaller(params as CallerCall),
+                [METHODS.heartbeat]: (params) =>
+                    this.#lead().handleHeartbeat(params as HeartbeatCall),
+                [METHODS.leave]: (params) =>
+                    this.#lead().handleLeave((params as { worker: WorkerId }).worker),
+                [METHODS.configure]: (params) =>
+                    this.#lead().handleConfigure(params as Configuration),
+                [METHODS.readConfiguration]: () => this.#readLocal(),
+                [METHODS.hello]: (params) => this.#handleHello(params as HelloCall),
+            },
+        });
+        this.#member = new GroupMember<FactBatch, void>({
+            group: this.#createGroup(),
+            self: this.#self,
+            incarnation: loadIncarnation({ dataDir, bootstrap }),
+            machine: {
+                apply: (batch) => this.#durable.apply(batch),
+                encode: () => this.#durable.encode(),
+                restore: (state) => this.#durable.restore(state),
+            },
+            network: this.#network,
+            dataDir,
+            timings: this.#options.timings ?? DEFAULT_TIMINGS,
+            snapshotEvery: this.#options.snapshotEvery ?? DEFAULT_SNAPSHOT_EVERY,
+            onLead: () => this.#startLeading(),
+            onResign: () => this.#stopLeading(),
+            log: this.#options.log,
+        });
+        this.#member.start();
+        this.#greetings = interval(HELLO_MS).subscribe(() => void this.#sendHello());
+    }
+
+    /** Hands the lead over and stops. */
+    async stop(): Promise<void> {
+        this.#greetings?.unsubscribe();
+        await this.#member?.stop();
+        this.#stopLeading();
+        this.#network.close();
+        await this.#server?.close();
+    }
+
+    /**
+     * Takes a worker's heartbeat, here or at the leader.
+     *
+     * @param call The heartbeat.
+     * @returns Once it is recorded.
+     * @throws {NoLeaderError} When no leader took it in time.
+     */
+    async handleHeartbeat(call: HeartbeatCall): Promise<void> {
+        await this.#runOrForward(METHODS.heartbeat, call, (leadership) =>
+            leadership.handleHeartbeat(call),
+        );
+    }
+
+    /**
+     * Takes a worker's word that it has left.
+     *
+     * @param worker The worker.
+     * @returns Once it is recorded.
+     * @throws {NoLeaderError} When no leader took it in time.
+     */
+    async handleLeave(worker: WorkerId): Promise<void> {
+        await this.#runOrForward(METHODS.leave, { worker }, (leadership) =>
+            leadership.handleLeave(worker),
+        );
+    }
+
+    /**
+     * Takes an operator's configuration.
+     *
+     * @param configuration The configuration.
+     * @returns Whether it was taken.
+     * @throws {NoLeaderError} When no leader took it in time.
+     */
+    handleConfigure(configuration: Configuration): Promise<ConfigureAnswer> {
+        return this.#runOrForward(METHODS.configure, configuration, (leadership) =>
+            leadership.handleConfigure(configuration),
+        );
+    }
+
+    /**
+     * Reads the newest configuration.
+     *
+     * @returns What the operator sent; `undefined` when there is none.
+     * @throws {NoLeaderError} When no leader could confirm it in time.
+     */
+    async readConfiguration(): Promise<unknown> {
+        const answer = await this.#runOrForward<{ document?: unknown }>(
+            METHODS.readConfiguration,
+            {},
+            async (leadership) => ({ document: await leadership.readConfiguration() }),
+        );
+        return answer.document;
+    }
+
+    /**
+     * Serves a caller on this instance, if it leads.
+     *
+     * @param call The call.
+     * @returns The answer.
+     */
+    handleCaller(call: CallerCall): Promise<CallerAnswer> {
+        return this.#lead().handleCaller(call);
+    }
+
+    #createGroup(): GroupLayout {
+        const listVoters = () => this.#wantedVoters;
+        return {
+            id: GROUP,
+            zones: [],
+            get voters() {
+                return listVoters();
+            },
+            learners: [],
+            quotaShare: 1,
+        };
+    }
+
+    async #runOrForward<T>(
+        method: string,
+        params: object,
+        run: (leadership: Leadership) => Promise<T>,
+    ): Promise<T> {
+        if (this.isServing && this.#leadership !== undefined) {
+            return run(this.#leadership);
+        }
+        return this.#router.call<T>(method, params, FORWARD_BUDGET_MS);
+    }
+
+    async #readLocal(): Promise<{ document: unknown }> {
+        return { document: await this.#lead().readConfiguration() };
+    }
+
+    /** Gives the leadership of this instance, or tells the caller who leads. */
+    #lead(): Leadership {
+        if (!this.isServing || this.#leadership === undefined) {
+            const leader = this.#member?.leader;
+            throw new MethodError("not the leader", NOT_LEADER_CODE, {
+                leader: leader === this.#self ? undefined : leader,
+            });
+        }
+        return this.#leadership;
+    }
+
+    async #handlePeer(envelope: PeerEnvelope): Promise<unknown> {
+        const { from, to, message } = envelope;
+        return (await this.#member?.receive(from, to, message)) ?? null;
+    }
+
+    #startLeading(): void {
+        const replica = this.#member?.replica;
+        if (replica === undefined) {
+            return;
+        }
+        this.#clock.start(this.#durable.at);
+        this.#leadingSince = performance.now();
+        this.#options.log.info("lead gained", {
+            term: replica.term,
+            jobs: this.#durable.jobs.size,
+        });
+        this.#leadership = new Leadership({
+            durable: this.#durable,
+            propose: (batch) => replica.propose(batch),
+            isServing: () => this.isServing,
+            term: replica.term,
+            clock: {
+                getNow: () => performance.now(),
+                getWall: () => this.#clock.getNow(),
+            },
+            workerCalls: this.#options.workerCalls,
+            advise: (lane, call) => this.#sendAdvise(lane, call),
+            limits: this.#options.limits,
+            log: this.#options.log,
+        });
+        this.#leadership.start();
+        this.#updateLanes();
+    }
+
+    #stopLeading(): void {
+        if (this.#leadership !== undefined) {
+            this.#options.log.info("lead lost", { term: this.#member?.replica.term });
+        }
+        this.#leadership?.stop();
+        this.#leadership = undefined;
+    }
+
+    #sendAdvise(lane: LaneId, call: AdviseCall): Promise<AdviseAnswer> {
+        return this.#clients
+            .getClient(lane)
+            .call<AdviseAnswer>(METHODS.advise, call, call.timeoutMs + PEER_TIMEOUT_MS);
+    }
+
+    #handleHello(call: HelloCall): HelloAnswer {
+        const leadership = this.#lead();
+        const isNew = !this.#known.has(call.address);
+        this.#known.set(call.address, { ...call, heardAt: performance.now() });
+        if (isNew && leadership !== undefined && call.kind === "front") {
+            this.#updateLanes();
+        }
+        const limits = this.#durable.configuration?.limits;
+        return {
+            leader: this.#self,
+            members: this.#listMembers(),
+            publicAddress: this.#options.publicAddress,
+            limits:
+                limits === undefined
+                    ? undefined
+                    : { maxBodyBytes: limits.maxBodyBytes, idleTimeoutMs: limits.idleTimeoutMs },
+        };
+    }
+
+    #listMembers(): string[] {
+        const voters = this.#member?.replica.voters.map((voter) => parseEntryId(voter)) ?? [];
+        const others = [...this.#known.values()]
+            .filter((known) => known.kind === "control")
+            .map((known) => known.address);
+        return [...new Set<string>([this.#self, ...voters, ...others])];
+    }
+
+    async #sendHello(): Promise<void> {
+        if (this.#member?.replica.role === "leader") {
+            this.#updateMembers();
+            return;
+        }
+        const call: HelloCall = {
+            address: this.#self,
+            zone: this.#options.zone,
+            kind: "control",
+            publicAddress: this.#options.publicAddress,
+        };
+        const answer = await this.#router
+            .call<HelloAnswer>(METHODS.hello, call, HELLO_MS)
+            .catch((error: Error) => {
+                this.#options.log.debug("no leader greeted", { error: error.message });
+                return undefined;
+            });
+        if (answer !== undefined) {
+            this.#leaderPublicAddress = answer.publicAddress;
+            this.#router.setMembers(answer.members);
+            this.#wantedVoters = answer.members as EntryId[];
+        }
+    }
+
+    /** The leader's view of who is there: fronts for advice calls, control instances to vote. */
+    #updateMembers(): void {
+        const now = performance.now();
+        for (const [address, known] of this.#known) {
+            const limit = known.kind === "front" ? FRONT_SILENCE_MS : MEMBER_SILENCE_MS;
+            if (now - known.heardAt > limit) {
+                this.#known.delete(address);
+            }
+        }
+        this.#updateLanes();
+        // A new leader has not heard from everybody yet: it must not take the others for dead.
+        if (now - this.#leadingSince < MEMBER_SILENCE_MS) {
+            return;
+        }
+        const live = new Map<EntryId, string>([[this.#self, this.#options.zone]]);
+        for (const known of this.#known.values()) {
+            if (known.kind === "control") {
+                live.set(known.address as EntryId, known.zone);
+            }
+        }
+        const voters = this.#member?.replica.voters.map((voter) => parseEntryId(voter)) ?? [];
+        this.#wantedVoters = planVoters({
+            current: [...new Set(voters)],
+            live,
+            target: 2 * this.#options.tolerated + 1,
+        });
+    }
+
+    #updateLanes(): void {
+        const fronts = [...this.#known.values()].filter((known) => known.kind === "front");
+        this.#leadership?.setLanes(fronts.map((known) => known.address as unknown as LaneId));
+    }
+}
--- /dev/null
+++ b/control/leadership.ts
@@ -0,0 +1,356 @@
+/**
+ * What a control instance does while it leads: it takes calls, decides, has the facts agreed on,
+ * and then carries out the effects.
+ *
+ * @example
+ * ```ts
+ * import { Leadership } from "./leadership.ts";
+ * const leadership = new Leadership({ durable, propose, isServing, term, workerCalls, advise, log });
+ * leadership.start();
+ * const answer = await leadership.handleCaller(call);
+ * ```
+ *
+ * @module
+ */
+
+import { interval, type Subscription } from "rxjs";
+import type { Logger } from "winston";
+import { checkConfiguration, findQueue, type Configuration } from "../configuration/mod.ts";
+import {
+    computeCallMs,
+    Dispatcher,
+    type DispatchClock,
+    type DispatchLimits,
+    type Effect,
+    type LaneId,
+    type MemberRun,
+    type StartOrder,
+    type StopOrder,
+    type OrderAnswer,
+} from "../dispatch/mod.ts";
+import { Ledger, type Fact, type FactBatch, type JobId, type WorkerId } from "../job/mod.ts";
+import type {
+    AdviseAnswer,
+    AdviseCall,
+    CallerAnswer,
+    CallerCall,
+    HeartbeatCall,
+    WorkerCalls,
+} from "./calls.ts";
+import { WorkerWatch } from "./worker_watch.ts";
+
+/** Options of {@link Leadership}. */
+export interface LeadershipOptions {
+    /** The state that a quorum holds. */
+    readonly durable: Ledger;
+    /** Has a batch agreed on; rejects when this process leads no more. */
+    readonly propose: (batch: FactBatch) => Promise<void>;
+    /** Whether no other process can lead now. */
+    readonly isServing: () => boolean;
+    /** The term of this leadership: above every earlier one. */
+    readonly term: number;
+    readonly clock: DispatchClock;
+    readonly workerCalls: WorkerCalls;
+    /** Has a front call the advice service. */
+    readonly advise: (lane: LaneId, call: AdviseCall) => Promise<AdviseAnswer>;
+    readonly limits?: Partial<DispatchLimits>;
+    readonly log: Logger;
+}
+
+/** The outcome of an operator's change. */
+export type ConfigureAnswer =
+    { readonly type: "acknowledged" } | { readonly type: "invalid"; readonly findings: string[] };
+
+/** Fences of one term: far more than orders get in the longest lead. */
+const FENCES_PER_TERM = 1_000_000;
+/** Time between two looks at the clock, in ms: lapsed leases, repeated stops, due occurrences. */
+const TICK_MS = 100;
+/** An advice call may take this many times its own length, and a little more, in ms. */
+const ADVICE_TIMEOUT_FACTOR = 2.5;
+const ADVICE_TIMEOUT_EXTRA_MS = 400;
+const JOB_ID = /^[0-9a-f]{16}$/;
+
+/** One term of leading. */
+export class Leadership {
+    readonly #options: LeadershipOptions;
+    readonly #dispatcher: Dispatcher;
+    readonly #watch: WorkerWatch;
+    #ticks: Subscription | undefined;
+    #isScheduled = false;
+    #isStopped = false;
+
+    /**
+     * @param options State, agreement, calls; see {@link LeadershipOptions}.
+     */
+    constructor(options: LeadershipOptions) {
+        this.#options = options;
+        const working = new Ledger();
+        working.restore(options.durable.encode());
+        this.#dispatcher = new Dispatcher({
+            ledger: working,
+            clock: options.clock,
+            firstFence: options.term * FENCES_PER_TERM,
+            limits: options.limits,
+            record: (event, fields) => options.log.info(event, fields),
+        });
+        this.#watch = new WorkerWatch({
+            dispatcher: this.#dispatcher,
+            calls: options.workerCalls,
+            flush: () => this.#flush(),
+            isServing: options.isServing,
+        });
+    }
+
+    /** Starts deciding. */
+    start(): void {
+        this.#ticks = interval(TICK_MS).subscribe(() => {
+            this.#dispatcher.tick();
+            void this.#flush();
+        });
+        void this.#flush();
+    }
+
+    /** Decides nothing from now on. */
+    stop(): void {
+        this.#isStopped = true;
+        this.#ticks?.unsubscribe();
+        this.#watch.stop();
+    }
+
+    /**
+     * Sets the fronts that can call the advice service.
+     *
+     * @param lanes The fronts.
+     */
+    setLanes(lanes: readonly LaneId[]): void {
+        this.#dispatcher.setLanes(lanes);
+        this.#schedulePlacing();
+    }
+
+    /**
+     * Serves a caller.
+     *
+     * @param call The call.
+     * @returns The answer, once what it promises is durable.
+     */
+    async handleCaller(call: CallerCall): Promise<CallerAnswer> {
+        const { configuration } = this.#options.durable;
+        if (configuration === undefined) {
+            return { type: "refused", reason: "no configuration yet", retryAfterMs: 1_000 };
+        }
+        const match = findQueue(configuration, call.host, call.path);
+        if (match === undefined) {
+            return { type: "unknownQueue" };
+        }
+        if (call.type === "state" && match.rest === "") {
+            return { type: "pending", count: this.#dispatcher.countPending(match.queue.name) };
+        }
+        if (!JOB_ID.test(match.rest)) {
+            return { type: "unknownQueue" };
+        }
+        const job = match.rest as JobId;
+        if (call.type === "state") {
+            const known = this.#options.durable.jobs.get(job);
+            return known === undefined
+                ? { type: "unknownJob" }
+                : { type: "state", state: known.state };
+        }
+        if (call.type === "cancel") {
+            return this.#cancel(job);
+        }
+        if (call.spec === undefined) {
+            return { type: "invalid", problem: call.problem };
+        }
+        const { name, pool } = match.queue;
+        this.#dispatcher.submit({ job, queue: name, pool, spec: call.spec });
+        await this.#ensureDurable(() => this.#options.durable.jobs.has(job));
+        return { type: "accepted" };
+    }
+
+    /**
+     * Takes a worker's heartbeat.
+     *
+     * @param call The heartbeat.
+     * @returns Once what it changed is durable.
+     */
+    async handleHeartbeat(call: HeartbeatCall): Promise<void> {
+        this.#dispatcher.handleHeartbeat(call.record, call.sequence, call.clockMs);
+        await this.#flush();
+        this.#schedulePlacing();
+    }
+
+    /**
+     * Takes a worker's word that it has left.
+     *
+     * @param worker The worker.
+     * @returns Once it is durable.
+     */
+    async handleLeave(worker: WorkerId): Promise<void> {
+        this.#dispatcher.handleLeave(worker);
+        await this.#flush();
+        this.#schedulePlacing();
+    }
+
+    /**
+     * Takes an operator's configuration.
+     *
+     * @param configuration The configuration.
+     * @returns Whether it is valid; a valid one is in force or overtaken once this resolves.
+     */
+    async handleConfigure(configuration: Configuration): Promise<ConfigureAnswer> {
+        const findings = checkConfiguration(configuration);
+        if (findings.length > 0) {
+            this.#options.log.info("configuration refused", {
+                version: configuration.version,
+                findings,
+            });
+            return { type: "invalid", findings };
+        }
+        this.#dispatcher.setConfiguration(configuration);
+        const isInForce = () =>
+            (this.#options.durable.configuration?.version ?? -1) >= configuration.version;
+        await this.#ensureDurable(isInForce);
+        this.#schedulePlacing();
+        return { type: "acknowledged" };
+    }
+
+    /**
+     * Reads the newest configuration. It asks a quorum first: a leader that was replaced without
+     * noticing would otherwise show an older one.
+     *
+     * @returns What the operator sent, or `undefined` when there is none yet.
+     */
+    async readConfiguration(): Promise<unknown> {
+        await this.#propose([]);
+        return this.#options.durable.configuration?.document;
+    }
+
+    async #cancel(job: JobId): Promise<CallerAnswer> {
+        if (!this.#dispatcher.cancel(job)) {
+            return { type: "unknownJob" };
+        }
+        await this.#ensureDurable(() => this.#options.durable.jobs.get(job)?.endedAt !== undefined);
+        return { type: "cancelled" };
+    }
+
+    /** Agrees on what was just decided; if an earlier call decided it, on that call's batch. */
+    async #ensureDurable(isDurable: () => boolean): Promise<void> {
+        await this.#flush();
+        this.#schedulePlacing();
+        if (!isDurable()) {
+            await this.#propose([]);
+        }
+    }
+
+    #schedulePlacing(): void {
+        if (this.#isScheduled || this.#isStopped) {
+            return;
+        }
+        this.#isScheduled = true;
+        setImmediate(() => {
+            this.#isScheduled = false;
+            this.#dispatcher.placeWaiting();
+            void this.#flush();
+        });
+    }
+
+    /** Has what was decided agreed on, then carries it out. */
+    async #flush(): Promise<void> {
+        const { facts, effects } = this.#dispatcher.takeOutcome();
+        if (facts.length > 0) {
+            await this.#propose(facts);
+        }
+        if (effects.length > 0 && !this.#isStopped) {
+            effects.forEach((effect) => this.#runEffect(effect));
+        }
+        if (facts.length + effects.length > 0) {
+            this.#schedulePlacing();
+        }
+    }
+
+    async #propose(facts: readonly Fact[]): Promise<void> {
+        await this.#options.propose({ at: this.#options.clock.getWall(), facts });
+    }
+
+    #runEffect(effect: Effect): void {
+        switch (effect.type) {
+            case "start":
+                void this.#runStart(effect.member);
+                return;
+            case "stop":
+                void this.#runStop(effect.member);
+                return;
+            case "watch":
+                this.#watch.start(effect.worker);
+                return;
+            case "look":
+                void this.#watch.look(effect.worker);
+                return;
+            case "advise":
+                void this.#runAdvise(effect);
+                return;
+            case "acknowledge":
+                this.#dispatcher.confirmEnds(effect.worker, effect.cursor);
+                return;
+        }
+    }
+
+    async #runStart(member: MemberRun): Promise<void> {
+        const order = this.#dispatcher.prepareStart(member);
+        if (order !== undefined) {
+            const answer = await this.#sendOrder(() => this.#startOn(order));
+            this.#dispatcher.handleStartAnswer(member, answer);
+        }
+        await this.#flush();
+    }
+
+    async #runStop(member: MemberRun): Promise<void> {
+        const order = this.#dispatcher.prepareStop(member);
+        if (order !== undefined) {
+            const answer = await this.#sendOrder(() => this.#stopOn(order));
+            this.#dispatcher.handleStopAnswer(member, answer);
+        }
+        await this.#flush();
+    }
+
+    #startOn(order: StartOrder): Promise<OrderAnswer> {
+        return this.#options.workerCalls.start(order);
+    }
+
+    #stopOn(order: StopOrder): Promise<OrderAnswer> {
+        return this.#options.workerCalls.stop(order);
+    }
+
+    /** Sends an order only while nobody else can lead; otherwise it counts as unanswered. */
+    #sendOrder(send: () => Promise<OrderAnswer>): Promise<OrderAnswer> {
+        return this.#options.isServing()
+            ? send()
+            : Promise.resolve({ type: "unanswered", cause: "not serving" });
+    }
+
+    async #runAdvise(effect: Extract<Effect, { type: "advise" }>): Promise<void> {
+        const { call, lane } = effect;
+        const timeoutMs = Math.ceil(
+            computeCallMs(call) * ADVICE_TIMEOUT_FACTOR + ADVICE_TIMEOUT_EXTRA_MS,
+        );
+        const startedAt = this.#options.clock.getNow();
+        const answer = await this.#options
+            .advise(lane, { step: call.step, workers: call.workers, timeoutMs })
+            .catch((error: Error) => {
+                this.#options.log.warn("advice call failed", {
+                    step: call.step,
+                    lane,
+                    error: error.message,
+                });
+                return { admissions: undefined };
+            });
+        const tookMs = this.#options.clock.getNow() - startedAt;
+        const ageMs = Math.max(0, tookMs - computeCallMs(call));
+        this.#dispatcher.handleAdvice(call, answer.admissions, Math.min(ageMs, ADVICE_AGE_CAP_MS));
+        this.#schedulePlacing();
+        await this.#flush();
+    }
+}
+
+/** The way back from the service through the front, at most, in ms; the wait before is not age. */
+const ADVICE_AGE_CAP_MS = 50;
--- /dev/null
+++ b/control/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * Control instances: the replicated state, the leader's work, calls between the processes.
+ *
+ * @example
+ * ```ts
+ * import { ControlDaemon, type WorkerCalls } from "./mod.ts";
+ * ```
+ *
+ * @module
+ */
+
+export * from "./calls.ts";
+export * from "./clock_guard.ts";
+export * from "./daemon.ts";
+export * from "./leadership.ts";
+export * from "./worker_watch.ts";
--- /dev/null
+++ b/dispatch/_fixtures.ts
@@ -0,0 +1,510 @@
+/**
+ * A floor of stand-in workers under one dispatcher, in virtual time: commits that take a while,
+ * orders that are lost or carried out late, workers that die, leaders that are replaced. Every
+ * run is checked against the promises while it goes on.
+ *
+ * @example
+ * ```ts
+ * import { FloorFixture } from "./_fixtures.ts";
+ * const floor = new FloorFixture({ workers: 4, seed: 1 });
+ * floor.submit("00000000000000a1", buildSpec({ count: 2 }));
+ * floor.runFor(3_000);
+ * ```
+ *
+ * @module
+ */
+
+import type { PoolName, QueueConfig, QueueName } from "../configuration/mod.ts";
+import {
+    Ledger,
+    type EndKind,
+    type Fact,
+    type JobId,
+    type JobSpec,
+    type Resources,
+    type StepSpec,
+    type WorkerId,
+    type WorkerRecord,
+} from "../job/mod.ts";
+import { TaskWorker, type TaskRun } from "../standin/task_worker.ts";
+import { Dispatcher } from "./dispatcher.ts";
+import type { AdviceCall, Effect, LaneId, LookAnswer, OrderAnswer } from "./types.ts";
+
+export const POOL = "studio" as PoolName;
+export const QUEUE = "previews" as QueueName;
+
+const COMMIT_MS = 12;
+const WAY_MS = 1;
+const LOOK_EVERY_MS = 50;
+const TICK_MS = 100;
+const ORDER_TIMEOUT_MS = 400;
+const FENCES_PER_TERM = 1_000_000;
+
+/** Options of {@link FloorFixture}. */
+export interface FloorOptions {
+    readonly workers: number;
+    readonly seed?: number;
+    readonly capacity?: Resources;
+    readonly taskMs?: number;
+    readonly clockDrift?: number;
+    readonly queues?: readonly QueueConfig[];
+    /** Decides whether an order is lost on its way, carried out late, or both ways fine. */
+    readonly getFault?: (kind: "start" | "stop" | "look", worker: WorkerId) => OrderFault;
+    readonly getEnd?: (task: string, worker: WorkerId) => EndKind;
+    /** Which workers the advice service admits to a step. */
+    readonly isAdmitted?: (step: string, worker: WorkerId) => boolean;
+}
+
+/** What happens to an order on its way. */
+export type OrderFault =
+    | { readonly type: "none" }
+    /** Nothing arrives and nothing comes back. */
+    | { readonly type: "lost" }
+    /** No answer; carried out after `afterMs`. */
+    | { readonly type: "late"; readonly afterMs: number };
+
+const NO_FAULT: OrderFault = { type: "none" };
+
+interface Event {
+    readonly at: number;
+    readonly order: number;
+    readonly run: () => void;
+}
+
+/** The floor. */
+export class FloorFixture {
+    readonly #options: FloorOptions;
+    readonly durable = new Ledger();
+    readonly workers = new Map<WorkerId, TaskWorker>();
+    /** Broken promises, in words. */
+    readonly violations: string[] = [];
+    /** Every run that began: task, attempt, worker. */
+    readonly runs: { task: string; attempt: number; worker: WorkerId; at: number }[] = [];
+    readonly #acknowledgedDone = new Set<string>();
+    readonly #records = new Map<WorkerId, WorkerRecord>();
+    readonly #looking = new Set<WorkerId>();
+    #events: Event[] = [];
+    #eventCount = 0;
+    #heartbeat = 0;
+    #term = 1;
+    #epoch = 0;
+    now = 0;
+    dispatcher: Dispatcher;
+
+    /**
+     * @param options Size, faults, behaviour of tasks; see {@link FloorOptions}.
+     */
+    constructor(options: FloorOptions) {
+        this.#options = options;
+        this.durable.apply({ at: 0, facts: [this.#buildConfiguration()] });
+        this.dispatcher = this.#createDispatcher();
+        for (let i = 0; i < options.workers; i++) {
+            this.addWorker(`w${i + 1}` as WorkerId, `10.0.0.${i + 1}:80`);
+        }
+        this.#addEvent(0, () => this.#tick());
+        this.#addEvent(0, () => this.#sendHeartbeats());
+        this.dispatcher.setLanes(["front-1", "front-2", "front-3"] as unknown as LaneId[]);
+    }
+
+    /** Adds a worker at an address; an earlier one there is dead. */
+    addWorker(id: WorkerId, address: string): void {
+        for (const [other, record] of this.#records) {
+            if (record.address === address) {
+                this.killWorker(other);
+            }
+        }
+        const { capacity = { cpu: 16_000, memoryMb: 32_000, gpu: 0 } } = this.#options;
+        this.#records.set(id, {
+            id,
+            address,
+            pool: POOL,
+            zone: "hall-a",
+            capacity,
+            labels: ["a", "r1"],
+            instance: "",
+            isDraining: false,
+        });
+        this.workers.set(id, this.#createWorker(id, capacity));
+    }
+
+    /** Ends a worker: its runs end with it, and it answers no more. */
+    killWorker(id: WorkerId): void {
+        const worker = this.workers.get(id);
+        if (worker !== undefined) {
+            worker.isDead = true;
+            this.workers.delete(id);
+            this.#records.delete(id);
+        }
+    }
+
+    /** Has a worker announce that it leaves. */
+    drainWorker(id: WorkerId): void {
+        const record = this.#records.get(id);
+        if (record !== undefined) {
+            this.#records.set(id, { ...record, isDraining: true });
+        }
+    }
+
+    /** Hands a job in. */
+    submit(id: string, spec: JobSpec, queue: QueueName = QUEUE): void {
+        this.dispatcher.submit({ job: id as JobId, queue, pool: POOL, spec });
+        this.#flush();
+    }
+
+    /** Cancels a job. */
+    cancel(id: string): void {
+        this.dispatcher.cancel(id as JobId);
+        this.#flush();
+    }
+
+    /** Replaces the leader: what it had not had agreed on is gone; orders on their way are not. */
+    replaceLeader(): void {
+        this.#term += 1;
+        this.#epoch += 1;
+        this.#looking.clear();
+        this.dispatcher = this.#createDispatcher();
+        this.dispatcher.setLanes(["front-1", "front-2", "front-3"] as unknown as LaneId[]);
+        this.#sendHeartbeats(false);
+        this.#flush();
+    }
+
+    /** Lets time pass. */
+    runFor(ms: number): void {
+        const end = this.now + ms;
+        for (;;) {
+            this.#events.sort((a, b) => a.at - b.at || a.order - b.order);
+            const next = this.#events[0];
+            if (next === undefined || next.at > end) {
+                break;
+            }
+            this.#events.shift();
+            this.now = Math.max(this.now, next.at);
+            next.run();
+            this.#checkWorkers();
+        }
+        this.now = end;
+    }
+
+    /** The state of a job as a caller sees it. */
+    getState(id: string): string {
+        return this.durable.jobs.get(id as JobId)?.state ?? "unknown";
+    }
+
+    #createDispatcher(): Dispatcher {
+        const working = new Ledger();
+        working.restore(this.durable.encode());
+        return new Dispatcher({
+            ledger: working,
+            clock: { getNow: () => this.now, getWall: () => this.now },
+            firstFence: this.#term * FENCES_PER_TERM,
+        });
+    }
+
+    #buildConfiguration(): Fact {
+        return {
+            type: "configurationSet",
+            configuration: {
+                version: 1,
+                queues: this.#options.queues ?? [buildQueue()],
+                pools: [{ name: POOL, hasAdmissionCheck: false, isStandby: false }],
+                limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+                document: {},
+            },
+        };
+    }
+
+    #createWorker(id: WorkerId, capacity: Resources): TaskWorker {
+        return new TaskWorker({
+            id,
+            capacity,
+            getNow: () => this.now,
+            clockDrift: this.#options.clockDrift,
+            computeTaskMs: () => this.#options.taskMs ?? 300,
+            getRoom: (task) => this.#findRoom(task),
+            getEnd: (task) => this.#options.getEnd?.(task, id) ?? "done",
+            onRun: (run) => this.#checkRun(id, run),
+            onAcknowledge: (end) => {
+                if (end.how === "done") {
+                    this.#acknowledgedDone.add(end.task);
+                }
+            },
+        });
+    }
+
+    #findRoom(task: string): Resources {
+        const [job = "", , step = "0"] = task.split(".");
+        const spec = this.durable.jobs.get(job as JobId)?.spec?.steps[Number(step)];
+        return spec?.needs ?? { cpu: 1_000, memoryMb: 1_000, gpu: 0 };
+    }
+
+    #checkRun(worker: WorkerId, run: TaskRun): void {
+        for (const [other, state] of this.workers) {
+            if (other !== worker && state.runs.some((r) => r.task === run.task)) {
+                this.violations.push(`${run.task} runs on ${other} and ${worker} at ${this.now}`);
+            }
+        }
+        if (this.#acknowledgedDone.has(run.task)) {
+            this.violations.push(`${run.task} runs again at ${this.now} after it was done`);
+        }
+        this.runs.push({ task: run.task, attempt: run.attempt, worker, at: this.now });
+    }
+
+    #checkWorkers(): void {
+        for (const [id, worker] of this.workers) {
+            worker.advance();
+            const { capacity } = this.#records.get(id) ?? {};
+            const { used } = worker;
+            const isOver =
+                capacity !== undefined &&
+                (used.cpu > capacity.cpu || used.memoryMb > capacity.memoryMb);
+            if (isOver) {
+                this.violations.push(`${id} is over its capacity at ${this.now}`);
+            }
+        }
+    }
+
+    #addEvent(delay: number, run: () => void): void {
+        this.#events.push({ at: this.now + delay, order: this.#eventCount++, run });
+    }
+
+    #tick(): void {
+        this.dispatcher.tick();
+        this.#flush();
+        this.#addEvent(TICK_MS, () => this.#tick());
+    }
+
+    #sendHeartbeats(isRepeated = true): void {
+        this.#heartbeat += 1;
+        for (const [id, record] of this.#records) {
+            const clock = this.workers.get(id)?.clockMs;
+            this.dispatcher.handleHeartbeat(record, this.#heartbeat, clock);
+        }
+        this.#flush();
+        if (isRepeated) {
+            this.#addEvent(1_500, () => this.#sendHeartbeats());
+        }
+    }
+
+    /** Agrees on what was decided, after the time of a commit, and carries it out. */
+    #flush(): void {
+        const { facts, effects } = this.dispatcher.takeOutcome();
+        if (facts.length === 0 && effects.length === 0) {
+            return;
+        }
+        const epoch = this.#epoch;
+        const at = this.now;
+        this.#addEvent(facts.length === 0 ? 0 : COMMIT_MS, () => {
+            if (epoch !== this.#epoch) {
+                return;
+            }
+            this.durable.apply({ at, facts });
+            effects.forEach((effect) => this.#runEffect(effect));
+            this.dispatcher.placeWaiting();
+            this.#flush();
+        });
+    }
+
+    #runEffect(effect: Effect): void {
+        switch (effect.type) {
+            case "start": {
+                const order = this.dispatcher.prepareStart(effect.member);
+                if (order !== undefined) {
+                    this.#send(
+                        "start",
+                        order.worker,
+                        (worker) => worker.start(order),
+                        (answer) => this.dispatcher.handleStartAnswer(effect.member, answer),
+                    );
+                }
+                this.#flush();
+                return;
+            }
+            case "stop": {
+                const order = this.dispatcher.prepareStop(effect.member);
+                if (order !== undefined) {
+                    this.#send(
+                        "stop",
+                        order.worker,
+                        (worker) => worker.stop(order),
+                        (answer) => this.dispatcher.handleStopAnswer(effect.member, answer),
+                    );
+                }
+                return;
+            }
+            case "watch":
+                this.#startWatch(effect.worker);
+                return;
+            case "look":
+                this.#sendLook(effect.worker, false, () => this.#startWatch(effect.worker));
+                return;
+            case "advise":
+                this.#answerAdvice(effect.call);
+                return;
+            case "acknowledge":
+                this.dispatcher.confirmEnds(effect.worker, effect.cursor);
+                return;
+        }
+    }
+
+    #startWatch(id: WorkerId): void {
+        if (!this.#looking.has(id)) {
+            this.#looking.add(id);
+            this.#watch(id, this.#epoch);
+        }
+    }
+
+    #watch(id: WorkerId, epoch: number): void {
+        const isOver = epoch !== this.#epoch;
+        const hasLook =
+            !isOver &&
+            this.#sendLook(id, true, () =>
+                this.#addEvent(LOOK_EVERY_MS, () => this.#watch(id, epoch)),
+            );
+        if (!hasLook && !isOver) {
+            this.#looking.delete(id);
+        }
+    }
+
+    #sendLook(id: WorkerId, mayWait: boolean, then: () => void): boolean {
+        const order = this.dispatcher.prepareLook(id, mayWait);
+        if (order === undefined) {
+            return false;
+        }
+        const sentAt = this.now;
+        this.#send<LookAnswer>(
+            "look",
+            id,
+            (worker) => worker.look(order),
+            (answer) => {
+                this.dispatcher.handleLook(order, sentAt, answer);
+                then();
+            },
+        );
+        return true;
+    }
+
+    #send<A extends OrderAnswer | LookAnswer>(
+        kind: "start" | "stop" | "look",
+        id: WorkerId,
+        carryOut: (worker: TaskWorker) => A,
+        handle: (answer: A) => void,
+    ): void {
+        const fault = this.#options.getFault?.(kind, id) ?? NO_FAULT;
+        const epoch = this.#epoch;
+        const reply = (delay: number, answer: A): void =>
+            this.#addEvent(delay, () => {
+                if (epoch === this.#epoch) {
+                    handle(answer);
+                    this.#flush();
+                }
+            });
+        const worker = this.workers.get(id);
+        const silence = { type: "unanswered", cause: "timeout" } as A;
+        if (fault.type === "lost" || worker === undefined) {
+            reply(ORDER_TIMEOUT_MS, silence);
+            return;
+        }
+        if (fault.type === "late") {
+            reply(ORDER_TIMEOUT_MS, silence);
+            this.#addEvent(fault.afterMs, () => {
+                if (!worker.isDead) {
+                    carryOut(worker);
+                }
+            });
+            return;
+        }
+        this.#addEvent(WAY_MS, () => {
+            if (worker.isDead) {
+                reply(ORDER_TIMEOUT_MS, silence);
+            } else {
+                reply(WAY_MS, carryOut(worker));
+            }
+        });
+    }
+
+    #answerAdvice(call: AdviceCall): void {
+        const tookMs = call.policy.decideMs + call.policy.perWorkerMs * call.workers.length;
+        const epoch = this.#epoch;
+        this.#addEvent(tookMs, () => {
+            if (epoch !== this.#epoch) {
+                return;
+            }
+            const admitted = call.workers.filter(
+                (worker) => this.#options.isAdmitted?.(call.step, worker) ?? true,
+            );
+            this.dispatcher.handleAdvice(
+                call,
+                admitted.map((worker) => ({ worker, ticket: `${call.step}@${worker}` })),
+                0,
+            );
+            this.dispatcher.placeWaiting();
+            this.#flush();
+        });
+    }
+}
+
+/**
+ * Builds a queue.
+ *
+ * @param overrides What differs from an urgent queue without advice.
+ * @returns The queue.
+ */
+export function buildQueue(overrides: Partial<QueueConfig> = {}): QueueConfig {
+    return {
+        name: QUEUE,
+        host: "studio.example",
+        pathPrefix: "/previews/",
+        pool: POOL,
+        priority: 0,
+        maxAttempts: 3,
+        stretch: 2,
+        targetLatencyMs: 250,
+        timeoutMs: 3_000,
+        advice: undefined,
+        ...overrides,
+    };
+}
+
+/**
+ * Builds a step.
+ *
+ * @param overrides What differs from one small task.
+ * @returns The step.
+ */
+export function buildStep(overrides: Partial<StepSpec> = {}): StepSpec {
+    return {
+        count: 1,
+        needs: { cpu: 1_000, memoryMb: 1_000, gpu: 0 },
+        estimateMs: 300,
+        after: [],
+        isGang: false,
+        isRackLocal: false,
+        requiredLabel: undefined,
+        preferredRack: undefined,
+        maxPerWorker: 0,
+        savesProgress: false,
+        isSpeculative: false,
+        isPerpetual: false,
+        image: "",
+        targetMs: 0,
+        isFiller: false,
+        maxAbsent: 0,
+        ...overrides,
+    };
+}
+
+/**
+ * Builds a job of the given steps.
+ *
+ * @param steps What differs, per step.
+ * @returns The job.
+ */
+export function buildSpec(...steps: readonly Partial<StepSpec>[]): JobSpec {
+    return {
+        payload: "payload",
+        steps: steps.map((step) => buildStep(step)),
+        repeats: 0,
+        firstAtMs: 0,
+        periodMs: 0,
+    };
+}
--- /dev/null
+++ b/dispatch/advice_desk.ts
@@ -0,0 +1,222 @@
+/**
+ * The queue of calls to the advice service: which call goes next, over which front instance.
+ *
+ * @example
+ * ```ts
+ * import { AdviceDesk } from "./advice_desk.ts";
+ * const desk = new AdviceDesk();
+ * desk.setLanes(["front-1" as LaneId]);
+ * desk.addCall(call, now);
+ * const started = desk.takeCalls(now);
+ * ```
+ *
+ * @module
+ */
+
+import type { QueueName } from "../configuration/mod.ts";
+import { planLanes, type LaneDemand } from "./lane_plan.ts";
+import type { AdviceCall, LaneId, StepKey } from "./types.ts";
+
+/** A call this short may follow another on a lane before that one is answered, in ms. */
+const SHORT_CALL_MS = 60;
+/** Calls under way on one lane when they are short: hides the way between the instances. */
+const SHORT_CALLS_PER_LANE = 2;
+/** Time constant of the measured load, in ms: several bursts, so that lanes seldom change hands. */
+const LOAD_WINDOW_MS = 10_000;
+/** Time between two plans, in ms. */
+const PLAN_EVERY_MS = 2_000;
+/**
+ * Load of the most urgent queues counts this many times: at a third of its lanes' time a call
+ * waits for less than half of another one.
+ */
+const URGENT_WEIGHT = 2.5;
+/** A lane whose call got no answer is left alone this long, in ms. */
+const FAILED_LANE_PAUSE_MS = 1_500;
+
+interface Lane {
+    readonly id: LaneId;
+    readonly calls: Set<number>;
+    pausedUntil: number;
+}
+
+interface QueueLoad {
+    /** Decayed sum of calls' lengths, in ms. */
+    sumMs: number;
+    at: number;
+    callMs: number;
+    priority: number;
+}
+
+interface StartedCall {
+    readonly call: AdviceCall;
+    readonly lane: Lane;
+}
+
+/** Calls that wait and calls under way. */
+export class AdviceDesk {
+    readonly #lanes = new Map<LaneId, Lane>();
+    readonly #waiting = new Map<StepKey, AdviceCall>();
+    readonly #started = new Map<number, StartedCall>();
+    readonly #loads = new Map<QueueName, QueueLoad>();
+    #plan = new Map<QueueName, LaneId[]>();
+    #plannedAt = Number.NEGATIVE_INFINITY;
+
+    /** Calls that wait for a lane. */
+    get waitingCount(): number {
+        return this.#waiting.size;
+    }
+
+    /**
+     * Sets the front instances that can call.
+     *
+     * @param ids The instances that are there now.
+     */
+    setLanes(ids: readonly LaneId[]): void {
+        for (const id of this.#lanes.keys()) {
+            if (!ids.includes(id)) {
+                this.#lanes.delete(id);
+                this.#plannedAt = Number.NEGATIVE_INFINITY;
+            }
+        }
+        for (const id of ids) {
+            if (!this.#lanes.has(id)) {
+                this.#lanes.set(id, { id, calls: new Set(), pausedUntil: 0 });
+                this.#plannedAt = Number.NEGATIVE_INFINITY;
+            }
+        }
+    }
+
+    /**
+     * Adds a call; one that still waits for the same step is replaced.
+     *
+     * @param call The call.
+     * @param priority Its queue's priority.
+     * @param now Our clock, in ms.
+     */
+    addCall(call: AdviceCall, priority: number, now: number): void {
+        this.#waiting.set(call.step, call);
+        const load = this.#loads.get(call.queue) ?? { sumMs: 0, at: now, callMs: 0, priority };
+        load.callMs = computeCallMs(call);
+        load.sumMs = decayLoad(load, now) + load.callMs;
+        load.at = now;
+        load.priority = priority;
+        if (!this.#loads.has(call.queue)) {
+            this.#loads.set(call.queue, load);
+            this.#plannedAt = Number.NEGATIVE_INFINITY;
+        }
+    }
+
+    /**
+     * Withdraws a step's call that still waits.
+     *
+     * @param step The step.
+     */
+    removeCall(step: StepKey): void {
+        this.#waiting.delete(step);
+    }
+
+    /**
+     * Starts as many calls as the lanes take now, by rank within each queue.
+     *
+     * @param now Our clock, in ms.
+     * @returns The calls to make, with their lanes.
+     */
+    takeCalls(now: number): { readonly lane: LaneId; readonly call: AdviceCall }[] {
+        if (this.#waiting.size === 0 || this.#lanes.size === 0) {
+            return [];
+        }
+        this.#updatePlan(now);
+        const calls = [...this.#waiting.values()].sort((a, b) => a.rank - b.rank);
+        const started: { lane: LaneId; call: AdviceCall }[] = [];
+        for (const call of calls) {
+            const lane = this.#findLane(call, now);
+            if (lane !== undefined) {
+                this.#waiting.delete(call.step);
+                lane.calls.add(call.id);
+                this.#started.set(call.id, { call, lane });
+                started.push({ lane: lane.id, call });
+            }
+        }
+        return started;
+    }
+
+    /**
+     * Ends a call; its lane is free for the next.
+     *
+     * @param id The call.
+     * @param hasAnswer Whether the service answered; otherwise the lane is left alone for a while.
+     * @param now Our clock, in ms.
+     */
+    endCall(id: number, hasAnswer: boolean, now: number): void {
+        const started = this.#started.get(id);
+        this.#started.delete(id);
+        started?.lane.calls.delete(id);
+        if (started !== undefined && !hasAnswer) {
+            started.lane.pausedUntil = now + FAILED_LANE_PAUSE_MS;
+        }
+    }
+
+    #findLane(call: AdviceCall, now: number): Lane | undefined {
+        const own = this.#plan.get(call.queue) ?? [];
+        const callMs = computeCallMs(call);
+        const limit = callMs <= SHORT_CALL_MS ? SHORT_CALLS_PER_LANE : 1;
+        const lane = this.#findIdlest(own, limit, now);
+        if (lane !== undefined) {
+            return lane;
+        }
+        // A short call may use an idle lane of a slower queue, never the other way round: the
+        // slow call would hold up the short ones that the lane is kept for.
+        for (const [queue, lanes] of this.#plan) {
+            const ownerMs = this.#loads.get(queue)?.callMs ?? 0;
+            const borrowed = ownerMs >= callMs ? this.#findIdlest(lanes, 1, now) : undefined;
+            if (borrowed !== undefined) {
+                return borrowed;
+            }
+        }
+        return undefined;
+    }
+
+    #findIdlest(ids: readonly LaneId[], limit: number, now: number): Lane | undefined {
+        let best: Lane | undefined;
+        for (const id of ids) {
+            const lane = this.#lanes.get(id);
+            const isFree = lane !== undefined && lane.pausedUntil <= now && lane.calls.size < limit;
+            if (isFree && lane.calls.size < (best?.calls.size ?? limit)) {
+                best = lane;
+            }
+        }
+        return best;
+    }
+
+    #updatePlan(now: number): void {
+        if (now - this.#plannedAt < PLAN_EVERY_MS) {
+            return;
+        }
+        this.#plannedAt = now;
+        const urgent = Math.min(...[...this.#loads.values()].map((load) => load.priority));
+        const demands: LaneDemand[] = [...this.#loads]
+            .sort(([a], [b]) => (a < b ? -1 : 1))
+            .map(([queue, load]) => ({
+                queue,
+                // Before anything was measured the length of a call stands in for its load.
+                load:
+                    (decayLoad(load, now) / LOAD_WINDOW_MS + load.callMs / LOAD_WINDOW_MS) *
+                    (load.priority === urgent ? URGENT_WEIGHT : 1),
+            }));
+        this.#plan = planLanes([...this.#lanes.keys()].sort(), demands);
+    }
+}
+
+/**
+ * Gives how long the service takes for a call.
+ *
+ * @param call The call.
+ * @returns Ms.
+ */
+export function computeCallMs(call: Pick<AdviceCall, "policy" | "workers">): number {
+    return call.policy.decideMs + call.policy.perWorkerMs * call.workers.length;
+}
+
+function decayLoad(load: QueueLoad, now: number): number {
+    return load.sumMs * Math.exp(-(now - load.at) / LOAD_WINDOW_MS);
+}
--- /dev/null
+++ b/dispatch/lane_plan.ts
@@ -0,0 +1,68 @@
+/**
+ * How the calls to the advice service are spread over the front instances that can make them.
+ * The service takes one call at a time from each calling instance, so an urgent queue's short
+ * calls must not stand behind a slow queue's: each queue gets lanes of its own.
+ *
+ * @example
+ * ```ts
+ * import { planLanes } from "./lane_plan.ts";
+ * const lanes = planLanes(["front-1", "front-2"] as LaneId[], [{ queue, load: 0.4 }]);
+ * ```
+ *
+ * @module
+ */
+
+import type { QueueName } from "../configuration/mod.ts";
+import type { LaneId } from "./types.ts";
+
+/** How much one queue asks. */
+export interface LaneDemand {
+    readonly queue: QueueName;
+    /** Seconds of calls per second; for urgent queues weighted so that they seldom wait. */
+    readonly load: number;
+}
+
+/**
+ * Gives each queue lanes in proportion to its load, at least one while there are enough; with
+ * fewer lanes than queues, queues share.
+ *
+ * @param lanes The front instances, in a stable order.
+ * @param demands The queues, in a stable order.
+ * @returns The lanes of each queue.
+ */
+export function planLanes(
+    lanes: readonly LaneId[],
+    demands: readonly LaneDemand[],
+): Map<QueueName, LaneId[]> {
+    const counts = demands.map(() => 1);
+    for (let given = demands.length; given < lanes.length; given++) {
+        const next = findMostLoaded(demands, counts);
+        counts[next] = (counts[next] ?? 0) + 1;
+    }
+    const plan = new Map<QueueName, LaneId[]>();
+    let at = 0;
+    demands.forEach((demand, i) => {
+        const own: LaneId[] = [];
+        for (let k = 0; k < (counts[i] ?? 0); k++) {
+            const lane = lanes[at++ % Math.max(1, lanes.length)];
+            if (lane !== undefined && !own.includes(lane)) {
+                own.push(lane);
+            }
+        }
+        plan.set(demand.queue, own);
+    });
+    return plan;
+}
+
+function findMostLoaded(demands: readonly LaneDemand[], counts: readonly number[]): number {
+    let best = 0;
+    let bestLoad = -1;
+    demands.forEach((demand, i) => {
+        const load = demand.load / (counts[i] ?? 1);
+        if (load > bestLoad) {
+            best = i;
+            bestLoad = load;
+        }
+    });
+    return best;
+}
--- /dev/null
+++ b/dispatch/mod.ts
@@ -0,0 +1,20 @@
+/**
+ * Decisions about jobs of steps: placement, orders to workers, advice calls, attempts that got no
+ * answer. Pure: inputs in, facts and effects out.
+ *
+ * @example
+ * ```ts
+ * import { Dispatcher, type Effect } from "./mod.ts";
+ * ```
+ *
+ * @module
+ */
+
+export * from "./advice_desk.ts";
+export * from "./dispatcher.ts";
+export * from "./lane_plan.ts";
+export * from "./placement.ts";
+export * from "./step_board.ts";
+export * from "./types.ts";
+export * from "./worker_book.ts";
+export * from "./worker_clock.ts";
--- /dev/null
+++ b/dispatch/placement.ts
@@ -0,0 +1,129 @@
+/**
+ * Where the tasks of a step go: pure choices among workers with room.
+ *
+ * @example
+ * ```ts
+ * import { placeUnit } from "./placement.ts";
+ * const workers = placeUnit({ needs, count: 6, candidates, maxPerWorker: 0, isRackLocal: false });
+ * ```
+ *
+ * @module
+ */
+
+import type { Resources, WorkerId } from "../job/mod.ts";
+
+/** A worker that may run the step. */
+export interface Candidate {
+    readonly id: WorkerId;
+    readonly free: Resources;
+    readonly rack: string;
+    /** Tasks of the step that it runs already. */
+    readonly sameStep: number;
+    /** It holds the step's data. */
+    readonly isNear: boolean;
+    /** How much slower it works than the others, 1 for as fast. */
+    readonly slowness: number;
+}
+
+/** What is to be placed at once. */
+export interface PlacementRequest {
+    readonly needs: Resources;
+    /** Tasks: 1, or a whole gang. */
+    readonly count: number;
+    readonly candidates: readonly Candidate[];
+    /** At most this many tasks of the step on one worker; 0 for no limit. */
+    readonly maxPerWorker: number;
+    /** The tasks should share a rack. */
+    readonly isRackLocal: boolean;
+}
+
+interface Slot {
+    readonly candidate: Candidate;
+    readonly fits: number;
+}
+
+/**
+ * Chooses a worker for each task, or none at all when they do not fit together. Tasks go where
+ * least is left over afterwards, so that the largest holes stay whole for wide tasks.
+ *
+ * @param request What is to be placed.
+ * @returns One worker per task, or `undefined`.
+ */
+export function placeUnit(request: PlacementRequest): WorkerId[] | undefined {
+    if (!request.isRackLocal) {
+        return fillWorkers(request, request.candidates);
+    }
+    const racks = new Set(request.candidates.map((c) => c.rack));
+    for (const rack of racks) {
+        const within = request.candidates.filter((c) => c.rack === rack);
+        const chosen = fillWorkers(request, within);
+        if (chosen !== undefined) {
+            return chosen;
+        }
+    }
+    // Slower across racks, but it runs: waiting for a whole rack may take for ever.
+    return fillWorkers(request, request.candidates);
+}
+
+function fillWorkers(
+    request: PlacementRequest,
+    candidates: readonly Candidate[],
+): WorkerId[] | undefined {
+    const slots: Slot[] = [];
+    let total = 0;
+    for (const candidate of candidates) {
+        const fits = countFitting(request, candidate);
+        if (fits > 0) {
+            slots.push({ candidate, fits });
+            total += fits;
+        }
+    }
+    if (total < request.count) {
+        return undefined;
+    }
+    slots.sort((a, b) => compareSlots(a, b, request.needs));
+    const chosen: WorkerId[] = [];
+    for (const { candidate, fits } of slots) {
+        for (let i = 0; i < fits && chosen.length < request.count; i++) {
+            chosen.push(candidate.id);
+        }
+    }
+    return chosen;
+}
+
+function countFitting(request: PlacementRequest, candidate: Candidate): number {
+    const { needs } = request;
+    const { free } = candidate;
+    let fits = Number.MAX_SAFE_INTEGER;
+    if (needs.cpu > 0) {
+        fits = Math.min(fits, Math.floor(free.cpu / needs.cpu));
+    }
+    if (needs.memoryMb > 0) {
+        fits = Math.min(fits, Math.floor(free.memoryMb / needs.memoryMb));
+    }
+    if (needs.gpu > 0) {
+        fits = Math.min(fits, Math.floor(free.gpu / needs.gpu));
+    }
+    if (request.maxPerWorker > 0) {
+        fits = Math.min(fits, request.maxPerWorker - candidate.sameStep);
+    }
+    return Math.max(0, Math.min(fits, request.count));
+}
+
+/** Fast and near first, then best fit, then the id so that equal workers keep their order. */
+function compareSlots(a: Slot, b: Slot, needs: Resources): number {
+    const near = Number(b.candidate.isNear) - Number(a.candidate.isNear);
+    if (near !== 0) {
+        return near;
+    }
+    const slow = a.candidate.slowness - b.candidate.slowness;
+    if (slow !== 0) {
+        return slow;
+    }
+    const left = computeLeftOver(a, needs) - computeLeftOver(b, needs);
+    return left !== 0 ? left : a.candidate.id < b.candidate.id ? -1 : 1;
+}
+
+function computeLeftOver(slot: Slot, needs: Resources): number {
+    return slot.candidate.free.cpu - slot.fits * needs.cpu;
+}
--- /dev/null
+++ b/dispatch/step_board.ts
@@ -0,0 +1,251 @@
+/**
+ * The steps whose turn has come, and which of their units wait for a worker.
+ *
+ * @example
+ * ```ts
+ * import { StepBoard } from "./step_board.ts";
+ * const board = new StepBoard({ ledger, clock });
+ * board.openJob(job);
+ * const steps = board.listWaiting();
+ * ```
+ *
+ * @module
+ */
+
+import type { QueueConfig, QueueName } from "../configuration/mod.ts";
+import {
+    countOccurrences,
+    isStepDone,
+    type Job,
+    type JobId,
+    type Ledger,
+    type StepSpec,
+    type UnitRef,
+    type WorkerId,
+} from "../job/mod.ts";
+import type { DispatchClock, StepKey } from "./types.ts";
+
+/** What the advice service said about a step. */
+export interface StepAdvice {
+    /** Workers named in some call; the answer about a worker never changes. */
+    readonly asked: Set<WorkerId>;
+    /** Workers that may run the step, with their newest ticket. */
+    readonly good: Map<WorkerId, { readonly ticket: string; readonly validUntil: number }>;
+    /** The call under way or waiting. */
+    callId: number | undefined;
+    /** No further call before this time. */
+    retryAt: number;
+}
+
+/** A step whose turn has come. */
+export interface StepWork {
+    readonly key: StepKey;
+    readonly job: Job;
+    readonly occurrence: number;
+    readonly step: number;
+    readonly spec: StepSpec;
+    readonly queue: QueueName;
+    /** Units that wait for a worker. */
+    readonly waiting: Set<number>;
+    /** When the step became ready, in ms since 1970. */
+    readonly readyAt: number;
+    readonly advice: StepAdvice;
+    /** Workers on which one of its units failed: another one is tried first. */
+    readonly failedOn: Set<WorkerId>;
+}
+
+/** Options of {@link StepBoard}. */
+export interface StepBoardOptions {
+    readonly ledger: Ledger;
+    readonly clock: DispatchClock;
+}
+
+interface Schedule {
+    readonly job: Job;
+    next: number;
+}
+
+/** Ready steps by key, and occurrences that are not due yet. */
+export class StepBoard {
+    readonly #ledger: Ledger;
+    readonly #clock: DispatchClock;
+    readonly #steps = new Map<StepKey, StepWork>();
+    readonly #byJob = new Map<JobId, Set<StepKey>>();
+    readonly #schedules = new Map<JobId, Schedule>();
+
+    /**
+     * @param options The state, the clocks.
+     */
+    constructor(options: StepBoardOptions) {
+        this.#ledger = options.ledger;
+        this.#clock = options.clock;
+    }
+
+    /** Every ready step. */
+    get steps(): IterableIterator<StepWork> {
+        return this.#steps.values();
+    }
+
+    /**
+     * Opens what of a job is ready now, and schedules the rest.
+     *
+     * @param job A job that has not ended.
+     */
+    openJob(job: Job): void {
+        if (job.spec === undefined) {
+            return;
+        }
+        if (job.spec.repeats === 0) {
+            this.#openOccurrence(job, 0);
+            return;
+        }
+        for (const number of job.occurrences.keys()) {
+            this.#openOccurrence(job, number);
+        }
+        this.#schedules.set(job.id, { job, next: 0 });
+        this.openDue();
+    }
+
+    /**
+     * Opens the occurrences that have become due.
+     *
+     * @returns Whether there were any.
+     */
+    openDue(): boolean {
+        const wall = this.#clock.getWall();
+        let hasOpened = false;
+        for (const [id, schedule] of this.#schedules) {
+            const { job } = schedule;
+            const spec = job.spec;
+            while (spec !== undefined && schedule.next < countOccurrences(job)) {
+                if (spec.firstAtMs + schedule.next * spec.periodMs > wall) {
+                    break;
+                }
+                this.#openOccurrence(job, schedule.next);
+                schedule.next += 1;
+                hasOpened = true;
+            }
+            if (spec === undefined || schedule.next >= countOccurrences(job)) {
+                this.#schedules.delete(id);
+            }
+        }
+        return hasOpened;
+    }
+
+    /**
+     * Finds a ready step.
+     *
+     * @param key The step.
+     * @returns The step, or `undefined` when it is not ready or has ended.
+     */
+    findStep(key: StepKey): StepWork | undefined {
+        return this.#steps.get(key);
+    }
+
+    /**
+     * Lets a unit wait again after an attempt.
+     *
+     * @param ref The unit.
+     */
+    addWaiting(ref: UnitRef): void {
+        this.#steps.get(createStepKey(ref))?.waiting.add(ref.unit);
+    }
+
+    /**
+     * Closes a step when all its units are done, and opens those that waited for it.
+     *
+     * @param ref A unit that is done.
+     * @returns The keys of steps that ended.
+     */
+    updateAfterDone(ref: UnitRef): StepKey[] {
+        const job = this.#ledger.jobs.get(ref.job);
+        const occurrence = job?.occurrences.get(ref.occurrence);
+        if (job === undefined || occurrence === undefined || !isStepDone(occurrence, ref.step)) {
+            return [];
+        }
+        const key = createStepKey(ref);
+        this.#steps.delete(key);
+        this.#byJob.get(job.id)?.delete(key);
+        this.#openOccurrence(job, ref.occurrence);
+        return [key];
+    }
+
+    /**
+     * Closes a job that has ended.
+     *
+     * @param id The job.
+     * @returns The keys of its steps that were ready.
+     */
+    closeJob(id: JobId): StepKey[] {
+        const keys = [...(this.#byJob.get(id) ?? [])];
+        keys.forEach((key) => this.#steps.delete(key));
+        this.#byJob.delete(id);
+        this.#schedules.delete(id);
+        return keys;
+    }
+
+    /** Lists steps with units that wait for a worker. */
+    listWaiting(): StepWork[] {
+        return [...this.#steps.values()].filter((step) => step.waiting.size > 0);
+    }
+
+    #openOccurrence(job: Job, number: number): void {
+        const { spec } = job;
+        if (spec === undefined) {
+            return;
+        }
+        const occurrence = this.#ledger.ensureOccurrence(job, number);
+        spec.steps.forEach((stepSpec, step) => {
+            const key = createStepKey({ job: job.id, occurrence: number, step });
+            const isReady = stepSpec.after.every((before) => isStepDone(occurrence, before));
+            if (isReady && !this.#steps.has(key) && !isStepDone(occurrence, step)) {
+                this.#openStep({ key, job, occurrence: number, step, spec: stepSpec });
+            }
+        });
+    }
+
+    #openStep(step: Pick<StepWork, "key" | "job" | "occurrence" | "step" | "spec">): void {
+        const units = step.job.occurrences.get(step.occurrence)?.steps[step.step] ?? [];
+        const waiting = new Set<number>();
+        units.forEach((unit, i) => {
+            if (!unit.isDone && unit.members.size === 0) {
+                waiting.add(i);
+            }
+        });
+        this.#steps.set(step.key, {
+            ...step,
+            queue: step.job.queue,
+            waiting,
+            readyAt: this.#clock.getWall(),
+            advice: { asked: new Set(), good: new Map(), callId: undefined, retryAt: 0 },
+            failedOn: new Set(),
+        });
+        const keys = this.#byJob.get(step.job.id) ?? new Set();
+        keys.add(step.key);
+        this.#byJob.set(step.job.id, keys);
+    }
+}
+
+/**
+ * Gives a step's key.
+ *
+ * @param ref The job, the occurrence, the step.
+ * @returns `JOB.OCCURRENCE.STEP`.
+ */
+export function createStepKey(ref: Pick<UnitRef, "job" | "occurrence" | "step">): StepKey {
+    return `${ref.job}.${ref.occurrence}.${ref.step}` as StepKey;
+}
+
+/** A million years in ms: a priority outweighs every time. */
+const RANK_PER_PRIORITY = 3e16;
+
+/**
+ * Ranks a step among those that wait: by its queue's priority, then by the time its job came.
+ *
+ * @param step The step.
+ * @param queue Its queue.
+ * @returns The rank; the smallest goes first.
+ */
+export function rankStep(step: StepWork, queue: QueueConfig): number {
+    return queue.priority * RANK_PER_PRIORITY + step.job.acceptedAt;
+}
--- /dev/null
+++ b/dispatch/types.ts
@@ -0,0 +1,179 @@
+/**
+ * What the dispatcher knows of work under way, and what it asks its process to do.
+ *
+ * @example
+ * ```ts
+ * import type { Effect } from "./types.ts";
+ * const effect: Effect = { type: "watch", worker };
+ * ```
+ *
+ * @module
+ */
+
+import type { AdvicePolicy, QueueName } from "../configuration/mod.ts";
+import type { Brand } from "../inventory/mod.ts";
+import type { EndKind, Resources, TaskName, UnitRef, WorkerId } from "../job/mod.ts";
+
+/** One occurrence's step, `JOB.OCCURRENCE.STEP`. */
+export type StepKey = Brand<string, "StepKey">;
+/** A front instance that can call the advice service. */
+export type LaneId = Brand<string, "LaneId">;
+
+/** Clocks, given by the process so that tests set them. */
+export interface DispatchClock {
+    /** A clock that never goes back, in ms. */
+    readonly getNow: () => number;
+    /** Ms since 1970; never goes back between leaders. */
+    readonly getWall: () => number;
+}
+
+/**
+ * Where a member stands. `planned`: its fact is not committed yet, no order was sent. `ordered`:
+ * an order was sent and not answered. `running`: the worker confirmed it. `stopping`: it was told
+ * to stop.
+ */
+export type MemberState = "planned" | "ordered" | "running" | "stopping";
+
+/** One task of an attempt under way. */
+export interface MemberRun {
+    readonly unit: UnitRef;
+    readonly index: number;
+    readonly name: TaskName;
+    readonly attempt: number;
+    readonly worker: WorkerId;
+    /** What it holds of the worker until its end is known. */
+    readonly room: Resources;
+    readonly priority: number;
+    state: MemberState;
+    /** Times that the start was sent. */
+    tries: number;
+    /** The fence of the newest start order; 0 for one that an earlier leader may have sent. */
+    fence: number;
+    /**
+     * From this time on every answer to a look at the worker lists the member if it runs there
+     * or ran there; `undefined` while an order may still be on its way.
+     */
+    settledAt: number | undefined;
+    startedAt: number;
+    /** Share of its work done, in percent, as the worker reports it. */
+    percent: number;
+    /** When {@link MemberRun.percent} last rose. */
+    progressedAt: number;
+    stopSentAt: number;
+    readonly ticket: string | undefined;
+}
+
+/** A start order, ready to send. */
+export interface StartOrder {
+    readonly worker: WorkerId;
+    readonly address: string;
+    readonly task: TaskName;
+    readonly attempt: number;
+    readonly payload: string;
+    /** The lease's end on the worker's clock, in ms. */
+    readonly untilMs: number;
+    readonly fence: number;
+    readonly checkpoint: string;
+    readonly ticket: string | undefined;
+}
+
+/** A stop order, ready to send. */
+export interface StopOrder {
+    readonly worker: WorkerId;
+    readonly address: string;
+    readonly task: TaskName;
+    readonly attempt: number;
+    readonly fence: number;
+}
+
+/** A lease renewal that also asks what runs and what ended. */
+export interface LookOrder {
+    readonly worker: WorkerId;
+    readonly address: string;
+    readonly fence: number;
+    /** Ends up to this number are recorded durably; the worker may forget them. */
+    readonly cursor: number;
+    /** The lease's end on the worker's clock; `undefined` while that clock is unknown. */
+    readonly untilMs: number | undefined;
+    /** How long the worker may hold the answer back until something ends, in ms. */
+    readonly waitMs: number;
+}
+
+/** How a worker answered a start or a stop. */
+export type OrderAnswer =
+    | { readonly type: "accepted"; readonly clockMs: number | undefined }
+    /** The worker did nothing and says why. */
+    | {
+          readonly type: "refused";
+          readonly reason: RefusalReason;
+          readonly clockMs: number | undefined;
+      }
+    /** Another incarnation answered: this one is gone. */
+    | { readonly type: "gone" }
+    /** No answer: it may have been carried out, or may be later. */
+    | { readonly type: "unanswered"; readonly cause: string };
+
+/** Why a worker refused an order. */
+export type RefusalReason =
+    "fence" | "superseded" | "lease_over" | "no_room" | "ticket" | "unhealthy" | "invalid";
+
+/** One task that a worker reports as running. */
+export interface RunningReport {
+    readonly task: string;
+    readonly attempt: number;
+    readonly checkpoint: string;
+    readonly percent: number;
+    /** Processor use in thousandths of a core, or a serving task's tail in ms. */
+    readonly load: number;
+}
+
+/** One end that a worker reports. */
+export interface EndReport {
+    /** Rises by one with each end of the worker. */
+    readonly number: number;
+    readonly task: string;
+    readonly attempt: number;
+    readonly how: EndKind;
+    readonly checkpoint: string;
+}
+
+/** How a worker answered a look. */
+export type LookAnswer =
+    | {
+          readonly type: "state";
+          readonly clockMs: number;
+          readonly running: readonly RunningReport[];
+          readonly ended: readonly EndReport[];
+      }
+    | { readonly type: "refused"; readonly reason: RefusalReason }
+    | { readonly type: "gone" }
+    | { readonly type: "unanswered"; readonly cause: string };
+
+/** A call to the advice service. */
+export interface AdviceCall {
+    readonly id: number;
+    readonly step: StepKey;
+    readonly queue: QueueName;
+    readonly policy: AdvicePolicy;
+    readonly workers: readonly WorkerId[];
+    /** Smaller goes first within its queue. */
+    readonly rank: number;
+}
+
+/** A worker admitted to a step. */
+export interface Admission {
+    readonly worker: WorkerId;
+    readonly ticket: string;
+}
+
+/** What the process does once the facts that came with it are committed. */
+export type Effect =
+    | { readonly type: "start"; readonly member: MemberRun }
+    | { readonly type: "stop"; readonly member: MemberRun }
+    /** Keep looking at the worker while it has work. */
+    | { readonly type: "watch"; readonly worker: WorkerId }
+    /** Look at the worker at once, beside a look under way. */
+    | { readonly type: "look"; readonly worker: WorkerId }
+    | { readonly type: "advise"; readonly lane: LaneId; readonly call: AdviceCall }
+    /** The ends up to this number are durable here; the worker may forget them. */
+    | { readonly type: "acknowledge"; readonly worker: WorkerId; readonly cursor: number };
--- /dev/null
+++ b/dispatch/worker_book.ts
@@ -0,0 +1,309 @@
+/**
+ * The leader's view of each worker: its clock, the fence of its orders, the lease it was given,
+ * the room that attempts hold, and whether it answers and does its work.
+ *
+ * @example
+ * ```ts
+ * import { WorkerBook } from "./worker_book.ts";
+ * const book = new WorkerBook({ firstFence: 7_000_000, leaseMs: 6_000 });
+ * const worker = book.ensureWorker(record, now);
+ * ```
+ *
+ * @module
+ */
+
+import type { Resources, TaskName, WorkerId, WorkerRecord } from "../job/mod.ts";
+import type { MemberRun } from "./types.ts";
+import { WorkerClock } from "./worker_clock.ts";
+
+/**
+ * A worker that was neither heard from nor answered for this long gets no new work, in ms: its
+ * heartbeats come every 1.5 s, so two of them in a row are missing.
+ */
+const SILENCE_MS = 4_000;
+/** First pause for a worker that fails what it starts, in ms; it doubles with each failure more. */
+const FIRST_QUARANTINE_MS = 1_000;
+/** Longest such pause, in ms: faults of this kind last seconds, so it is tried again soon. */
+const MAX_QUARANTINE_MS = 8_000;
+/** Failures in a row, of different jobs, that put a worker in quarantine. */
+const FAILURES_TO_QUARANTINE = 2;
+/** Pause after a worker called itself unhealthy, in ms: about the time between two heartbeats. */
+const UNHEALTHY_PAUSE_MS = 1_500;
+
+/** One worker as its leader sees it. */
+export interface WorkerState {
+    record: WorkerRecord;
+    readonly clock: WorkerClock;
+    /** The fence of the next order. */
+    fence: number;
+    /** The highest fence that the worker is known to have taken. */
+    confirmedFence: number;
+    /** The latest lease end that any order carried, on the worker's clock. */
+    leaseUntil: number;
+    /** When every lease of an earlier leader is over for certain, in ms of our clock. */
+    inheritedLeaseEndsAt: number;
+    readonly used: { cpu: number; memoryMb: number; gpu: number };
+    readonly members: Map<TaskName, MemberRun>;
+    /** The number of the newest end that was read. */
+    readCursor: number;
+    /** The number up to which ends are durable here. */
+    durableCursor: number;
+    /** The number up to which the worker was told to forget ends. */
+    toldCursor: number;
+    heardAt: number;
+    /** It left an order or a look unanswered and has not answered since. */
+    isSuspect: boolean;
+    /** No new work before this time. */
+    pausedUntil: number;
+    failuresInRow: number;
+    lastFailedJob: string;
+    /** The newest heartbeat's number: late ones are told by it. */
+    heartbeat: number;
+}
+
+/** Options of {@link WorkerBook}. */
+export interface WorkerBookOptions {
+    /** Above every fence of earlier leaders. */
+    readonly firstFence: number;
+    /** How long one lease lasts, in ms. */
+    readonly leaseMs: number;
+}
+
+/** All workers. */
+export class WorkerBook {
+    readonly #options: WorkerBookOptions;
+    readonly #workers = new Map<WorkerId, WorkerState>();
+    #nextFence: number;
+
+    /**
+     * @param options The first fence, the lease's length.
+     */
+    constructor(options: WorkerBookOptions) {
+        this.#options = options;
+        this.#nextFence = options.firstFence;
+    }
+
+    /** Every worker known. */
+    get workers(): IterableIterator<WorkerState> {
+        return this.#workers.values();
+    }
+
+    /**
+     * Finds a worker.
+     *
+     * @param id The worker.
+     * @returns Its state, or `undefined` when it is unknown or gone.
+     */
+    findWorker(id: WorkerId): WorkerState | undefined {
+        return this.#workers.get(id);
+    }
+
+    /**
+     * Adds a worker, or takes over a newer record of it.
+     *
+     * @param record What the worker told of itself.
+     * @param now Our clock, in ms.
+     * @returns Its state.
+     */
+    ensureWorker(record: WorkerRecord, now: number): WorkerState {
+        const known = this.#workers.get(record.id);
+        if (known !== undefined) {
+            known.record = record;
+            return known;
+        }
+        const state: WorkerState = {
+            record,
+            clock: new WorkerClock(),
+            fence: this.#nextFence,
+            confirmedFence: 0,
+            leaseUntil: Number.NEGATIVE_INFINITY,
+            inheritedLeaseEndsAt: now,
+            used: { cpu: 0, memoryMb: 0, gpu: 0 },
+            members: new Map(),
+            readCursor: 0,
+            durableCursor: 0,
+            toldCursor: 0,
+            heardAt: Number.NEGATIVE_INFINITY,
+            isSuspect: false,
+            pausedUntil: Number.NEGATIVE_INFINITY,
+            failuresInRow: 0,
+            lastFailedJob: "",
+            heartbeat: -1,
+        };
+        this.#workers.set(record.id, state);
+        return state;
+    }
+
+    /**
+     * Forgets a worker that is gone.
+     *
+     * @param id The worker.
+     */
+    removeWorker(id: WorkerId): void {
+        this.#workers.delete(id);
+    }
+
+    /**
+     * Gives a worker a higher fence. Once it took the fence, an order sent before that got no
+     * answer can no longer be carried out, however late it arrives.
+     *
+     * @param worker The worker.
+     */
+    advanceFence(worker: WorkerState): void {
+        this.#nextFence += 1;
+        worker.fence = this.#nextFence;
+    }
+
+    /**
+     * Adds a member to its worker; its room is taken from now on.
+     *
+     * @param member The member.
+     */
+    addMember(member: MemberRun): void {
+        const worker = this.#workers.get(member.worker);
+        if (worker === undefined || worker.members.has(member.name)) {
+            return;
+        }
+        worker.members.set(member.name, member);
+        worker.used.cpu += member.room.cpu;
+        worker.used.memoryMb += member.room.memoryMb;
+        worker.used.gpu += member.room.gpu;
+    }
+
+    /**
+     * Removes a member whose end is known; its room is free again.
+     *
+     * @param member The member.
+     */
+    removeMember(member: MemberRun): void {
+        const worker = this.#workers.get(member.worker);
+        if (worker?.members.get(member.name) !== member) {
+            return;
+        }
+        worker.members.delete(member.name);
+        worker.used.cpu -= member.room.cpu;
+        worker.used.memoryMb -= member.room.memoryMb;
+        worker.used.gpu -= member.room.gpu;
+    }
+
+    /**
+     * Gives a new lease for an order that leaves now.
+     *
+     * @param worker The worker.
+     * @param now Our clock, in ms.
+     * @returns The lease's end on the worker's clock, whole ms, or `undefined` when that clock
+     * is unknown.
+     */
+    grantLease(worker: WorkerState, now: number): number | undefined {
+        const clock = worker.clock.computeEarliest(now);
+        if (clock === undefined) {
+            return undefined;
+        }
+        const until = Math.floor(clock + this.#options.leaseMs);
+        worker.leaseUntil = Math.max(worker.leaseUntil, until);
+        return until;
+    }
+
+    /**
+     * Tells whether every lease that the worker may hold has run out, by its own clock at its
+     * slowest.
+     *
+     * @param worker The worker.
+     * @param now Our clock, in ms.
+     * @returns True when nothing can run there on our orders.
+     */
+    isLeaseOver(worker: WorkerState, now: number): boolean {
+        if (now < worker.inheritedLeaseEndsAt) {
+            return false;
+        }
+        if (worker.leaseUntil === Number.NEGATIVE_INFINITY) {
+            return true;
+        }
+        return (worker.clock.computeEarliest(now) ?? Number.NEGATIVE_INFINITY) > worker.leaseUntil;
+    }
+
+    /**
+     * Records that a worker answered.
+     *
+     * @param worker The worker.
+     * @param clockMs Its clock in the answer, if it told it.
+     * @param now Our clock, in ms.
+     */
+    recordAnswer(worker: WorkerState, clockMs: number | undefined, now: number): void {
+        worker.heardAt = now;
+        worker.isSuspect = false;
+        if (clockMs !== undefined) {
+            worker.clock.record(clockMs, now);
+        }
+    }
+
+    /**
+     * Records how a task ended on a worker. A worker that fails everything looks idle and would
+     * draw all new work: it is paused after two failures in a row of different jobs (one job may
+     * fail anywhere by its own fault), and tried again with growing pauses.
+     *
+     * @param worker The worker.
+     * @param job The task's job.
+     * @param isFailure Whether the end was a failure.
+     * @param now Our clock, in ms.
+     */
+    recordEnd(worker: WorkerState, job: string, isFailure: boolean, now: number): void {
+        if (!isFailure) {
+            worker.failuresInRow = 0;
+            worker.lastFailedJob = "";
+            return;
+        }
+        if (worker.lastFailedJob === job) {
+            return;
+        }
+        worker.lastFailedJob = job;
+        worker.failuresInRow += 1;
+        const excess = worker.failuresInRow - FAILURES_TO_QUARANTINE;
+        if (excess >= 0) {
+            const pause = Math.min(MAX_QUARANTINE_MS, FIRST_QUARANTINE_MS * 2 ** excess);
+            worker.pausedUntil = Math.max(worker.pausedUntil, now + pause);
+        }
+    }
+
+    /**
+     * Pauses a worker that refused an order because it is unhealthy.
+     *
+     * @param worker The worker.
+     * @param now Our clock, in ms.
+     */
+    recordUnhealthy(worker: WorkerState, now: number): void {
+        worker.pausedUntil = Math.max(worker.pausedUntil, now + UNHEALTHY_PAUSE_MS);
+    }
+
+    /**
+     * Tells whether a worker may get new work.
+     *
+     * @param worker The worker.
+     * @param now Our clock, in ms.
+     * @returns False while it drains, is silent, is paused, or its clock is unknown.
+     */
+    isUsable(worker: WorkerState, now: number): boolean {
+        return (
+            !worker.record.isDraining &&
+            !worker.isSuspect &&
+            now >= worker.pausedUntil &&
+            now - worker.heardAt < SILENCE_MS &&
+            worker.clock.computeEarliest(now) !== undefined
+        );
+    }
+}
+
+/**
+ * Gives what a worker has left.
+ *
+ * @param worker The worker.
+ * @returns Its capacity less the room that members hold.
+ */
+export function getFreeRoom(worker: WorkerState): Resources {
+    const { capacity } = worker.record;
+    return {
+        cpu: capacity.cpu - worker.used.cpu,
+        memoryMb: capacity.memoryMb - worker.used.memoryMb,
+        gpu: capacity.gpu - worker.used.gpu,
+    };
+}
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -125,7 +125,9 @@
         this.metrics = createEntryMetrics();
         const deployment = options.deployment ?? createLoneDeployment(options, this.#self);
         this.#layout = createLayout(deployment, options.inventory);
-        this.#network = new PeerNetwork({ members: deployment.members });
+        this.#network = new PeerNetwork({
+            findAddress: (id) => deployment.members.find((m) => m.id === id)?.address,
+        });
         this.#gossip = new Gossip({
             self: this.#self,
             members: deployment.members.map((m) => m.id),
--- a/entry/peer_network.ts
+++ b/entry/peer_network.ts
@@ -6,7 +6,7 @@
  * @example
  * ```ts
  * import { PeerNetwork } from "./peer_network.ts";
- * const network = new PeerNetwork({ members });
+ * const network = new PeerNetwork({ findAddress });
  * const transport = network.createTransport(group, self, () => replica);
  * ```
  *
@@ -14,7 +14,7 @@
  */
 
 import type { GroupId, GroupMessage, MemberId, Transport } from "../log/mod.ts";
-import { parseEntryId, type EntryId, type EntryMember } from "../membership/mod.ts";
+import { parseEntryId, type EntryId } from "../membership/mod.ts";
 import { RpcClientPool, type ByteCounts, type RpcClient } from "../rpc/mod.ts";
 
 /** A group's message on the wire. */
@@ -34,7 +34,8 @@
 
 /** Options of {@link PeerNetwork}. */
 export interface PeerNetworkOptions {
-    readonly members: readonly EntryMember[];
+    /** Gives an instance's `host:port`, or `undefined` when it is not known. */
+    readonly findAddress: (id: EntryId) => string | undefined;
     /** How long a message may take, in ms. */
     readonly timeoutMs?: number;
     /** How long a snapshot may take, in ms. */
@@ -68,10 +69,10 @@
      * Gives the client of an entry instance.
      *
      * @param id The entry instance.
-     * @returns Its client, or `undefined` when the settings do not name it.
+     * @returns Its client, or `undefined` when its address is not known.
      */
     getClient(id: EntryId): RpcClient | undefined {
-        const address = this.#options.members.find((m) => m.id === id)?.address;
+        const address = this.#options.findAddress(id);
         return address === undefined ? undefined : this.#clients.getClient(address);
     }
 
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,7 +10,7 @@
 const verbPattern = `^(${verbs.join("|")})([A-Z0-9].*)?$`;
 
 export default tseslint.config(
-    { ignores: ["node_modules/**", "bench/results/**"] },
+    { ignores: ["node_modules/**", "bench/results/**", "target/**", "journal/**"] },
     js.configs.recommended,
     ...tseslint.configs.recommended,
     {
--- /dev/null
+++ b/front/daemon.ts
@@ -0,0 +1,175 @@
+/**
+ * A front instance: it takes callers' calls, carries them to the leader, and calls the advice
+ * service when the leader asks it to. It keeps no state of its own.
+ *
+ * @example
+ * ```ts
+ * import { FrontDaemon } from "./daemon.ts";
+ * const front = new FrontDaemon({ address, zone, listSeeds, adviceCalls, log });
+ * await front.start();
+ * const outcome = await front.handleCaller(call, 2_500);
+ * ```
+ *
+ * @module
+ */
+
+import { interval, type Subscription } from "rxjs";
+import type { Logger } from "winston";
+import {
+    METHODS,
+    type AdviceCalls,
+    type AdviseAnswer,
+    type AdviseCall,
+    type CallerAnswer,
+    type CallerCall,
+    type HelloAnswer,
+    type HelloCall,
+    type HelloLimits,
+} from "../control/calls.ts";
+import { LeaderRouter, NoLeaderError } from "../membership/mod.ts";
+import { parseAddress, startRpcServer, type RpcServer } from "../rpc/mod.ts";
+
+/** Options of {@link FrontDaemon}. */
+export interface FrontDaemonOptions {
+    /** Where this instance's RPC server listens, `host:port`. */
+    readonly address: string;
+    readonly zone: string;
+    /** RPC addresses of some control instances. */
+    readonly listSeeds: () => readonly string[];
+    readonly adviceCalls: AdviceCalls;
+    readonly log: Logger;
+}
+
+/** What became of a call. */
+export type FrontOutcome =
+    | CallerAnswer
+    /** No leader answered in time; whether the call was carried out is not known. */
+    | { readonly type: "unknown" }
+    /** No leader answered in time, and the call reached none. */
+    | { readonly type: "unreached"; readonly retryAfterMs: number };
+
+/** Time between two greetings to the leader, in ms. */
+const HELLO_MS = 400;
+/** A greeting is given up after this, in ms, so that a lost leader is noticed soon. */
+const HELLO_BUDGET_MS = 900;
+/**
+ * Without a leader's answer for this long the front is not ready, in ms: longer than an election,
+ * so that callers of a zone that is cut off go to other zones and nobody moves for an election.
+ */
+const READY_SILENCE_MS = 2_500;
+/** When to come back while no leader can be reached, in ms: about one election. */
+const RETRY_AFTER_MS = 1_000;
+
+/** One front instance. */
+export class FrontDaemon {
+    readonly #options: FrontDaemonOptions;
+    readonly #router: LeaderRouter;
+    #server: RpcServer | undefined;
+    #greetings: Subscription | undefined;
+    #greetedAt = Number.NEGATIVE_INFINITY;
+    #isGreeting = false;
+    #isStopping = false;
+    #limits: HelloLimits | undefined;
+
+    /**
+     * @param options Addresses, seeds, the advice service; see {@link FrontDaemonOptions}.
+     */
+    constructor(options: FrontDaemonOptions) {
+        this.#options = options;
+        this.#router = new LeaderRouter({ listSeeds: options.listSeeds });
+    }
+
+    /** Whether new callers should come here. */
+    get isReady(): boolean {
+        return !this.#isStopping && performance.now() - this.#greetedAt < READY_SILENCE_MS;
+    }
+
+    /** Limits in force for callers; `undefined` before the first greeting. */
+    get limits(): HelloLimits | undefined {
+        return this.#limits;
+    }
+
+    /** Starts greeting the leader and serving it. */
+    async start(): Promise<void> {
+        const [host, port] = parseAddress(this.#options.address);
+        this.#server = await startRpcServer({
+            host,
+            port,
+            methods: { [METHODS.advise]: (params) => this.#handleAdvise(params as AdviseCall) },
+        });
+        this.#greetings = interval(HELLO_MS).subscribe(() => void this.#sendHello());
+        void this.#sendHello();
+    }
+
+    /** Is not ready from now on; calls are still served. */
+    drain(): void {
+        this.#isStopping = true;
+    }
+
+    /** Stops. */
+    async stop(): Promise<void> {
+        this.#greetings?.unsubscribe();
+        await this.#server?.close();
+    }
+
+    /**
+     * Carries a call to the leader. It is tried again until a leader answers or the budget is
+     * used up: every call is harmless when it is carried out twice.
+     *
+     * @param call The call.
+     * @param budgetMs How long the caller waits, in ms.
+     * @returns What became of it.
+     */
+    async handleCaller(call: CallerCall, budgetMs: number): Promise<FrontOutcome> {
+        try {
+            return await this.#router.call<CallerAnswer>(METHODS.callers, call, budgetMs);
+        } catch (error) {
+            if (error instanceof NoLeaderError) {
+                this.#options.log.warn("no leader for a call", {
+                    path: call.path,
+                    call: call.type,
+                    mayHaveHappened: error.mayHaveHappened,
+                });
+                return error.mayHaveHappened
+                    ? { type: "unknown" }
+                    : { type: "unreached", retryAfterMs: RETRY_AFTER_MS };
+            }
+            this.#options.log.error("call failed", {
+                path: call.path,
+                call: call.type,
+                error: (error as Error).message,
+            });
+            return { type: "unknown" };
+        }
+    }
+
+    async #handleAdvise(call: AdviseCall): Promise<AdviseAnswer> {
+        return { admissions: await this.#options.adviceCalls.advise(call) };
+    }
+
+    async #sendHello(): Promise<void> {
+        if (this.#isGreeting) {
+            return;
+        }
+        this.#isGreeting = true;
+        const call: HelloCall = {
+            address: this.#options.address,
+            zone: this.#options.zone,
+            kind: "front",
+            publicAddress: "",
+        };
+        try {
+            const answer = await this.#router.call<HelloAnswer>(
+                METHODS.hello,
+                call,
+                HELLO_BUDGET_MS,
+            );
+            this.#greetedAt = performance.now();
+            this.#router.setMembers(answer.members);
+            this.#limits = answer.limits ?? this.#limits;
+        } catch (error) {
+            this.#options.log.warn("no leader greeted", { error: (error as Error).message });
+        }
+        this.#isGreeting = false;
+    }
+}
--- /dev/null
+++ b/job/facts.ts
@@ -0,0 +1,57 @@
+/**
+ * The facts that the control plane's log holds about jobs, workers and the configuration. Each
+ * says what was decided or learned; replicas that apply the same facts hold the same state.
+ *
+ * @example
+ * ```ts
+ * import type { Fact } from "./facts.ts";
+ * const fact: Fact = { type: "jobCancelled", job };
+ * ```
+ *
+ * @module
+ */
+
+import type { Configuration, PoolName, QueueName } from "../configuration/mod.ts";
+import type { EndKind, JobId, JobSpec, UnitRef, WorkerId, WorkerRecord } from "./types.ts";
+
+/** One fact. */
+export type Fact =
+    | {
+          readonly type: "jobAccepted";
+          readonly job: JobId;
+          readonly queue: QueueName;
+          readonly pool: PoolName;
+          readonly spec: JobSpec;
+      }
+    | { readonly type: "jobCancelled"; readonly job: JobId }
+    /** A unit failed as often as its queue allows. */
+    | { readonly type: "jobFailed"; readonly job: JobId }
+    /** Recorded before any order goes out: a later leader knows each attempt that may run. */
+    | {
+          readonly type: "attemptStarted";
+          readonly unit: UnitRef;
+          readonly attempt: number;
+          /** Task index and worker of each member. */
+          readonly members: readonly (readonly [number, WorkerId])[];
+      }
+    /** Recorded before the worker is told that it may forget the end. */
+    | {
+          readonly type: "memberEnded";
+          readonly unit: UnitRef;
+          readonly attempt: number;
+          readonly index: number;
+          readonly how: EndKind;
+          readonly checkpoint: string;
+      }
+    | { readonly type: "workerSeen"; readonly worker: WorkerRecord }
+    | { readonly type: "workerGone"; readonly worker: WorkerId }
+    | { readonly type: "configurationSet"; readonly configuration: Configuration }
+    /** Jobs that ended before `before` may be forgotten. */
+    | { readonly type: "jobsForgotten"; readonly before: number };
+
+/** Facts that are applied together, with the time that the leader gave them. */
+export interface FactBatch {
+    /** Ms since 1970 by the leaders' common clock, which never goes back. */
+    readonly at: number;
+    readonly facts: readonly Fact[];
+}
--- /dev/null
+++ b/job/ledger.ts
@@ -0,0 +1,381 @@
+/**
+ * The durable state of the control plane: configuration, jobs with their attempts, workers. It
+ * changes only by facts and asks no clock, so every replica that applied the same log agrees.
+ *
+ * @example
+ * ```ts
+ * import { Ledger } from "./ledger.ts";
+ * const ledger = new Ledger();
+ * ledger.apply({ at, facts: [{ type: "jobCancelled", job }] });
+ * ```
+ *
+ * @module
+ */
+
+import { applyChartEvent, hasChartEdge, loadChart } from "../chart/mod.ts";
+import type { Configuration, QueueConfig, QueueName } from "../configuration/mod.ts";
+import type { Fact, FactBatch } from "./facts.ts";
+import type {
+    Job,
+    JobId,
+    JobState,
+    Occurrence,
+    StepSpec,
+    Unit,
+    UnitRef,
+    WorkerId,
+    WorkerRecord,
+} from "./types.ts";
+
+const jobChart = loadChart(new URL("./job_chart.yaml", import.meta.url));
+const NO_GUARDS: ReadonlySet<string> = new Set();
+
+type MemberEnded = Extract<Fact, { type: "memberEnded" }>;
+type AttemptStarted = Extract<Fact, { type: "attemptStarted" }>;
+
+/** A unit in the encoded form of a ledger. */
+type EncodedUnit = readonly [
+    number,
+    number,
+    string,
+    boolean,
+    boolean,
+    readonly (readonly [number, WorkerId])[],
+];
+
+interface EncodedLedger {
+    readonly at: number;
+    readonly configuration: Configuration | undefined;
+    readonly queues: readonly QueueConfig[];
+    readonly workers: readonly WorkerRecord[];
+    readonly gone: readonly WorkerId[];
+    readonly jobs: readonly {
+        readonly job: Omit<Job, "occurrences">;
+        readonly occurrences: readonly (readonly [number, readonly (readonly EncodedUnit[])[]])[];
+    }[];
+}
+
+/**
+ * Ids of workers that are gone, kept so that a heartbeat that was delayed on its way does not
+ * bring one back. A day of 1,100 workers replaced three times a day stays below this.
+ */
+const MAX_GONE_WORKERS = 4_096;
+
+/** The durable state. */
+export class Ledger {
+    /** The newest time on a batch. */
+    at = 0;
+    /** The configuration in force. */
+    configuration: Configuration | undefined;
+    /** Every queue that jobs were accepted for, with its newest settings, also after its removal. */
+    readonly queues = new Map<QueueName, QueueConfig>();
+    readonly jobs = new Map<JobId, Job>();
+    readonly workers = new Map<WorkerId, WorkerRecord>();
+    readonly #gone = new Set<WorkerId>();
+
+    /**
+     * Applies facts that are agreed on.
+     *
+     * @param batch The facts.
+     */
+    apply(batch: FactBatch): void {
+        this.at = Math.max(this.at, batch.at);
+        for (const fact of batch.facts) {
+            this.#applyFact(fact);
+        }
+    }
+
+    /**
+     * Finds a unit.
+     *
+     * @param ref The unit's name.
+     * @returns The unit, or `undefined` when its job is forgotten or it never ran.
+     */
+    findUnit(ref: UnitRef): Unit | undefined {
+        return this.jobs.get(ref.job)?.occurrences.get(ref.occurrence)?.steps[ref.step]?.[ref.unit];
+    }
+
+    /**
+     * Tells whether a worker is known to be gone for good.
+     *
+     * @param id The worker.
+     * @returns True after its end was recorded.
+     */
+    isGone(id: WorkerId): boolean {
+        return this.#gone.has(id);
+    }
+
+    /**
+     * Gives an occurrence of a job, created empty on first use.
+     *
+     * @param job A job that has not ended.
+     * @param number The occurrence.
+     * @returns The occurrence.
+     */
+    ensureOccurrence(job: Job, number: number): Occurrence {
+        let occurrence = job.occurrences.get(number);
+        if (occurrence === undefined) {
+            occurrence = { steps: (job.spec?.steps ?? []).map((step) => createUnits(step)) };
+            job.occurrences.set(number, occurrence);
+        }
+        return occurrence;
+    }
+
+    /**
+     * Encodes the whole state.
+     *
+     * @returns JSON text that {@link Ledger.restore} takes.
+     */
+    encode(): string {
+        const state: EncodedLedger = {
+            at: this.at,
+            configuration: this.configuration,
+            queues: [...this.queues.values()],
+            workers: [...this.workers.values()],
+            gone: [...this.#gone],
+            jobs: [...this.jobs.values()].map(({ occurrences, ...job }) => ({
+                job,
+                occurrences: [...occurrences].map(
+                    ([k, occurrence]) =>
+                        [k, occurrence.steps.map((units) => units.map(encodeUnit))] as const,
+                ),
+            })),
+        };
+        return JSON.stringify(state);
+    }
+
+    /**
+     * Replaces the whole state.
+     *
+     * @param text What {@link Ledger.encode} gave.
+     */
+    restore(text: string): void {
+        const state = JSON.parse(text) as EncodedLedger;
+        this.at = state.at;
+        this.configuration = state.configuration;
+        this.queues.clear();
+        state.queues.forEach((queue) => this.queues.set(queue.name, queue));
+        this.workers.clear();
+        state.workers.forEach((worker) => this.workers.set(worker.id, worker));
+        this.#gone.clear();
+        state.gone.forEach((id) => this.#gone.add(id));
+        this.jobs.clear();
+        for (const { job, occurrences } of state.jobs) {
+            const decoded = occurrences.map(
+                ([k, steps]) =>
+                    [k, { steps: steps.map((units) => units.map(decodeUnit)) }] as const,
+            );
+            this.jobs.set(job.id, { ...job, occurrences: new Map(decoded) });
+        }
+    }
+
+    #applyFact(fact: Fact): void {
+        switch (fact.type) {
+            case "jobAccepted":
+                this.#acceptJob(fact);
+                return;
+            case "jobCancelled":
+                this.#endJob(this.jobs.get(fact.job), "cancel");
+                return;
+            case "jobFailed":
+                this.#endJob(this.jobs.get(fact.job), "fail");
+                return;
+            case "attemptStarted":
+                this.#startAttempt(fact);
+                return;
+            case "memberEnded":
+                this.#endMember(fact);
+                return;
+            case "workerSeen":
+                this.workers.set(fact.worker.id, fact.worker);
+                return;
+            case "workerGone":
+                this.#removeWorker(fact.worker);
+                return;
+            case "configurationSet":
+                this.#setConfiguration(fact.configuration);
+                return;
+            case "jobsForgotten":
+                this.#removeEnded(fact.before);
+                return;
+        }
+    }
+
+    #acceptJob(fact: Extract<Fact, { type: "jobAccepted" }>): void {
+        if (this.jobs.has(fact.job)) {
+            return;
+        }
+        this.jobs.set(fact.job, {
+            id: fact.job,
+            queue: fact.queue,
+            pool: fact.pool,
+            spec: fact.spec,
+            acceptedAt: this.at,
+            state: "queued",
+            endedAt: undefined,
+            occurrences: new Map(),
+        });
+    }
+
+    #startAttempt(fact: AttemptStarted): void {
+        const job = this.jobs.get(fact.unit.job);
+        if (job === undefined) {
+            return;
+        }
+        this.ensureOccurrence(job, fact.unit.occurrence);
+        const unit = this.findUnit(fact.unit);
+        if (unit === undefined) {
+            return;
+        }
+        unit.attempt = fact.attempt;
+        unit.hasFailedMember = false;
+        fact.members.forEach(([index, worker]) => unit.members.set(index, worker));
+        this.#applyJobEvent(job, "start");
+    }
+
+    #endMember(fact: MemberEnded): void {
+        const unit = this.findUnit(fact.unit);
+        const job = this.jobs.get(fact.unit.job);
+        if (job === undefined || unit?.attempt !== fact.attempt) {
+            return;
+        }
+        if (!unit.members.delete(fact.index)) {
+            return;
+        }
+        if (fact.checkpoint !== "") {
+            unit.checkpoint = fact.checkpoint;
+        }
+        const isPerpetual = job.spec?.steps[fact.unit.step]?.isPerpetual ?? false;
+        unit.isDone ||= fact.how === "done" && !isPerpetual;
+        unit.hasFailedMember ||= fact.how === "failed";
+        // A gang's attempt counts once, however many of its members failed.
+        if (unit.members.size === 0 && unit.hasFailedMember && !unit.isDone) {
+            unit.failures += 1;
+            unit.hasFailedMember = false;
+        }
+        if (unit.isDone && isJobDone(job)) {
+            this.#endJob(job, "complete");
+        } else {
+            this.#dropEndedWork(job);
+        }
+    }
+
+    #endJob(job: Job | undefined, event: "cancel" | "fail" | "complete"): void {
+        if (job === undefined || !hasChartEdge(jobChart, job.state, event)) {
+            return;
+        }
+        this.#applyJobEvent(job, event);
+        job.endedAt = this.at;
+        this.#dropEndedWork(job);
+    }
+
+    /** An ended job needs only its state, once nothing of it can run any more. */
+    #dropEndedWork(job: Job): void {
+        if (job.endedAt !== undefined && !hasActiveMembers(job)) {
+            job.spec = undefined;
+            job.occurrences.clear();
+        }
+    }
+
+    #applyJobEvent(job: Job, event: string): void {
+        if (hasChartEdge(jobChart, job.state, event)) {
+            job.state = applyChartEvent(jobChart, job.state, event, NO_GUARDS) as JobState;
+        }
+    }
+
+    #removeWorker(id: WorkerId): void {
+        this.workers.delete(id);
+        this.#gone.add(id);
+        for (const oldest of this.#gone) {
+            if (this.#gone.size <= MAX_GONE_WORKERS) {
+                break;
+            }
+            this.#gone.delete(oldest);
+        }
+    }
+
+    #setConfiguration(configuration: Configuration): void {
+        if (configuration.version <= (this.configuration?.version ?? -1)) {
+            return;
+        }
+        this.configuration = configuration;
+        const inUse = new Set([...this.jobs.values()].map((job) => job.queue));
+        for (const name of this.queues.keys()) {
+            if (!inUse.has(name)) {
+                this.queues.delete(name);
+            }
+        }
+        configuration.queues.forEach((queue) => this.queues.set(queue.name, queue));
+    }
+
+    #removeEnded(before: number): void {
+        for (const job of this.jobs.values()) {
+            if (job.endedAt !== undefined && job.endedAt < before && job.occurrences.size === 0) {
+                this.jobs.delete(job.id);
+            }
+        }
+    }
+}
+
+/**
+ * Gives how many occurrences a job has.
+ *
+ * @param job A job whose steps are still known.
+ * @returns The count, at least 1.
+ */
+export function countOccurrences(job: Job): number {
+    return Math.max(1, job.spec?.repeats ?? 0);
+}
+
+/**
+ * Tells whether a step of an occurrence has all its units done.
+ *
+ * @param occurrence The occurrence.
+ * @param step The step's number.
+ * @returns True when nothing of it is left to run.
+ */
+export function isStepDone(occurrence: Occurrence, step: number): boolean {
+    return occurrence.steps[step]?.every((unit) => unit.isDone) ?? false;
+}
+
+function isJobDone(job: Job): boolean {
+    if (job.occurrences.size < countOccurrences(job)) {
+        return false;
+    }
+    return [...job.occurrences.values()].every((o) =>
+        o.steps.every((units) => units.every((unit) => unit.isDone)),
+    );
+}
+
+function hasActiveMembers(job: Job): boolean {
+    return [...job.occurrences.values()].some((o) =>
+        o.steps.some((units) => units.some((unit) => unit.members.size > 0)),
+    );
+}
+
+function createUnits(step: StepSpec): Unit[] {
+    return Array.from({ length: step.isGang ? 1 : step.count }, () => ({
+        attempt: 0,
+        failures: 0,
+        checkpoint: "",
+        isDone: false,
+        hasFailedMember: false,
+        members: new Map(),
+    }));
+}
+
+function encodeUnit(unit: Unit): EncodedUnit {
+    return [
+        unit.attempt,
+        unit.failures,
+        unit.checkpoint,
+        unit.isDone,
+        unit.hasFailedMember,
+        [...unit.members],
+    ];
+}
+
+function decodeUnit(encoded: EncodedUnit): Unit {
+    const [attempt, failures, checkpoint, isDone, hasFailedMember, members] = encoded;
+    return { attempt, failures, checkpoint, isDone, hasFailedMember, members: new Map(members) };
+}
--- /dev/null
+++ b/job/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * Jobs of steps: types, the facts of the log, and the durable state that they make.
+ *
+ * @example
+ * ```ts
+ * import { Ledger, type Fact, type JobSpec } from "./mod.ts";
+ * ```
+ *
+ * @module
+ */
+
+export * from "./facts.ts";
+export * from "./ledger.ts";
+export * from "./types.ts";
--- a/log/consensus.ts
+++ b/log/consensus.ts
@@ -131,6 +131,8 @@
     #termStartIndex = 0;
     /** When it asked another member to lead: its lease is over, whatever the clock says. */
     #transferAt: number | undefined;
+    /** Answers to what was sent before this time do not count for the lease. */
+    #trustedFrom = Number.NEGATIVE_INFINITY;
     /** The snapshot to send to members that are far behind; kept by the caller. */
     snapshotForPeers: (() => Snapshot | undefined) | undefined;
 
@@ -232,6 +234,21 @@
         );
     }
 
+    /**
+     * Ends the lease until a quorum answers what is sent from now on. A machine that was suspended
+     * has a steady clock that stood still meanwhile: measured by it, answers from before the
+     * suspension look recent, although another leader may have been elected since.
+     *
+     * @param now The time in ms.
+     */
+    distrustClock(now: number): void {
+        this.#trustedFrom = now;
+        for (const progress of this.#progress.values()) {
+            progress.ackedSentAt = Number.NEGATIVE_INFINITY;
+        }
+        this.#ledSince = now;
+    }
+
     /**
      * Advances the clock: campaigns after a silence, sends heartbeats, steps down without quorum.
      *
@@ -774,7 +791,9 @@
         if (this.#role !== "leader" || message.term !== this.#term || progress === undefined) {
             return;
         }
-        progress.ackedSentAt = Math.max(progress.ackedSentAt, message.sentAt);
+        if (message.sentAt >= this.#trustedFrom) {
+            progress.ackedSentAt = Math.max(progress.ackedSentAt, message.sentAt);
+        }
         progress.inFlightUntil = 0;
         progress.snapshotSentAt = 0;
         if (message.ok) {
--- a/log/replica.ts
+++ b/log/replica.ts
@@ -167,6 +167,11 @@
         this.#consensus.snapshotForPeers = () => this.#buildSnapshot();
     }
 
+    /** Ends the leader's lease until a quorum confirms it anew; see {@link Consensus.distrustClock}. */
+    distrustClock(): void {
+        this.#consensus.distrustClock(this.#getNow());
+    }
+
     /** Starts the clock of this replica. */
     start(): void {
         this.#ticks = interval(TICK_MS).subscribe(() => {
--- /dev/null
+++ b/membership/leader_router.ts
@@ -0,0 +1,165 @@
+/**
+ * Finds the control group's leader from a few seed addresses and carries calls to it, through
+ * elections, lost connections and replaced instances.
+ *
+ * @example
+ * ```ts
+ * import { LeaderRouter } from "./leader_router.ts";
+ * const router = new LeaderRouter({ listSeeds: () => ["10.1.0.16:7720"] });
+ * const answer = await router.call("control.callers", params, 2_000);
+ * ```
+ *
+ * @module
+ */
+
+import { RpcClientPool, RpcError } from "../rpc/mod.ts";
+
+/** The JSON-RPC error code of an instance that does not lead. */
+export const NOT_LEADER_CODE = -32010;
+
+/** What comes with {@link NOT_LEADER_CODE}. */
+export interface NotLeaderData {
+    /** The leader's address, as far as known. */
+    readonly leader: string | undefined;
+}
+
+/** Thrown when no leader answered in time. */
+export class NoLeaderError extends Error {
+    /** Whether a leader may have taken the call and its answer was lost. */
+    readonly mayHaveHappened: boolean;
+
+    /**
+     * @param mayHaveHappened Whether the call may have been carried out.
+     */
+    constructor(mayHaveHappened: boolean) {
+        super(`no leader answered${mayHaveHappened ? "; the call may have been carried out" : ""}`);
+        this.name = "NoLeaderError";
+        this.mayHaveHappened = mayHaveHappened;
+    }
+}
+
+/** Options of {@link LeaderRouter}. */
+export interface LeaderRouterOptions {
+    /** Addresses from the settings; they may be old, few or down. */
+    readonly listSeeds: () => readonly string[];
+    /** The longest that one try may take, in ms. */
+    readonly tryTimeoutMs?: number;
+    readonly getNow?: () => number;
+}
+
+/**
+ * One try: longer than a commit on a slow disk, short enough to try three instances within the
+ * time that a caller waits (3 s).
+ */
+const DEFAULT_TRY_TIMEOUT_MS = 800;
+/** Pause between rounds while nobody leads, in ms: a tenth of an election. */
+const ROUND_PAUSE_MS = 60;
+
+/** Calls to whoever leads. */
+export class LeaderRouter {
+    readonly #options: LeaderRouterOptions;
+    readonly #pool: RpcClientPool;
+    readonly #getNow: () => number;
+    #members: readonly string[] = [];
+    #leader: string | undefined;
+    #next = 0;
+
+    /**
+     * @param options Seeds and timeouts.
+     */
+    constructor(options: LeaderRouterOptions) {
+        this.#options = options;
+        this.#getNow = options.getNow ?? (() => performance.now());
+        this.#pool = new RpcClientPool({
+            timeoutMs: options.tryTimeoutMs ?? DEFAULT_TRY_TIMEOUT_MS,
+        });
+    }
+
+    /** The leader's address, as far as known. */
+    get leader(): string | undefined {
+        return this.#leader;
+    }
+
+    /** Addresses of control instances: those that the leader told of, then the seeds. */
+    listMembers(): string[] {
+        return [...new Set([...this.#members, ...this.#options.listSeeds()])];
+    }
+
+    /**
+     * Takes the members that a leader told of.
+     *
+     * @param members Their addresses.
+     */
+    setMembers(members: readonly string[]): void {
+        this.#members = members;
+    }
+
+    /**
+     * Calls the leader, trying one instance after another until one that leads answers.
+     *
+     * @param method The method; carrying it out twice must be harmless.
+     * @param params Its params.
+     * @param budgetMs How long all tries together may take, in ms.
+     * @returns The leader's answer.
+     * @throws {NoLeaderError} When nobody that leads answered in time.
+     * @throws {RpcError} When the leader refused the call.
+     */
+    async call<T>(method: string, params: object, budgetMs: number): Promise<T> {
+        const deadline = this.#getNow() + budgetMs;
+        const tryMs = this.#options.tryTimeoutMs ?? DEFAULT_TRY_TIMEOUT_MS;
+        let mayHaveHappened = false;
+        for (;;) {
+            const remaining = deadline - this.#getNow();
+            if (remaining <= 0) {
+                throw new NoLeaderError(mayHaveHappened);
+            }
+            const target = this.#leader ?? this.#selectNext();
+            if (target === undefined) {
+                throw new NoLeaderError(mayHaveHappened);
+            }
+            try {
+                const timeoutMs = Math.max(1, Math.min(tryMs, remaining));
+                const answer = await this.#pool
+                    .getClient(target)
+                    .call<T>(method, params, Math.ceil(timeoutMs));
+                this.#leader = target;
+                return answer;
+            } catch (error) {
+                mayHaveHappened = this.#handleFailure(target, error as Error) || mayHaveHappened;
+                await this.#waitBetweenTries(error as Error, deadline);
+            }
+        }
+    }
+
+    /** @returns Whether the call may have been carried out nevertheless. */
+    #handleFailure(target: string, error: Error): boolean {
+        const { code, data } = error as RpcError;
+        if (error instanceof RpcError && code === NOT_LEADER_CODE) {
+            const hint = (data as NotLeaderData | undefined)?.leader;
+            this.#leader = hint === target ? undefined : hint;
+            return false;
+        }
+        if (error instanceof RpcError && code !== 0) {
+            throw error;
+        }
+        if (this.#leader === target) {
+            this.#leader = undefined;
+        }
+        return !error.message.includes("ECONNREFUSED");
+    }
+
+    async #waitBetweenTries(error: Error, deadline: number): Promise<void> {
+        const hasHint = (error as RpcError).code === NOT_LEADER_CODE && this.#leader !== undefined;
+        const isTimeout = error.message.includes("timeout");
+        if (hasHint || isTimeout) {
+            return;
+        }
+        const pause = Math.min(ROUND_PAUSE_MS, deadline - this.#getNow());
+        await new Promise((resolve) => setTimeout(resolve, Math.max(1, pause)));
+    }
+
+    #selectNext(): string | undefined {
+        const members = this.listMembers();
+        return members[this.#next++ % Math.max(1, members.length)];
+    }
+}
--- a/membership/mod.ts
+++ b/membership/mod.ts
@@ -12,3 +12,5 @@
 export * from "./gossip.ts";
 export * from "./identity.ts";
 export * from "./layout.ts";
+export * from "./leader_router.ts";
+export * from "./voter_plan.ts";
--- /dev/null
+++ b/membership/voter_plan.ts
@@ -0,0 +1,58 @@
+/**
+ * Which control instances should vote, when nothing but what they tell is known of them.
+ *
+ * @example
+ * ```ts
+ * import { planVoters } from "./voter_plan.ts";
+ * const wanted = planVoters({ current, live, target: 3 });
+ * ```
+ *
+ * @module
+ */
+
+import type { EntryId } from "./layout.ts";
+
+/** What is known of the control instances. */
+export interface VoterPlanInput {
+    /** Instances that vote now. */
+    readonly current: readonly EntryId[];
+    /** Instances heard from lately, with their availability zones. */
+    readonly live: ReadonlyMap<EntryId, string>;
+    /** How many should vote. */
+    readonly target: number;
+}
+
+/**
+ * Chooses the instances that should vote: those that vote and are alive stay; a silent one goes
+ * only when a live one can take its place, because a smaller group bears less; places go to
+ * the availability zones with the fewest voters, so that the loss of one zone leaves a quorum.
+ *
+ * @param input What is known.
+ * @returns The instances that should vote.
+ */
+export function planVoters(input: VoterPlanInput): EntryId[] {
+    const wanted = [...input.current];
+    const candidates = [...input.live.keys()].filter((id) => !wanted.includes(id)).sort();
+    while (wanted.length < input.target && candidates.length > 0) {
+        wanted.push(takeRarest(candidates, wanted, input.live));
+    }
+    for (const [i, id] of wanted.entries()) {
+        if (!input.live.has(id) && candidates.length > 0) {
+            const rest = wanted.filter((other) => other !== id);
+            wanted[i] = takeRarest(candidates, rest, input.live);
+        }
+    }
+    return wanted;
+}
+
+/** Takes the candidate whose zone has the fewest voters. */
+function takeRarest(
+    candidates: EntryId[],
+    voters: readonly EntryId[],
+    zones: ReadonlyMap<EntryId, string>,
+): EntryId {
+    const countZone = (id: EntryId) =>
+        voters.filter((voter) => zones.get(voter) === zones.get(id)).length;
+    candidates.sort((a, b) => countZone(a) - countZone(b) || (a < b ? -1 : 1));
+    return candidates.shift() as EntryId;
+}
--- a/rpc/http_rpc.ts
+++ b/rpc/http_rpc.ts
@@ -253,11 +253,12 @@
                         });
                     },
                 );
-                req.on("timeout", () =>
+                req.on("timeout", () => {
                     req.destroy(
                         new RpcError(`timeout after ${callTimeoutMs} ms calling ${address}`, 0),
-                    ),
-                );
+                    );
+                    closeIdleSockets(sharedAgent, host, port);
+                });
                 req.on("error", (error) =>
                     reject(
                         error instanceof RpcError
@@ -286,7 +287,26 @@
     };
 }
 
-function parseAddress(address: string): [string, number] {
+/**
+ * Closes the idle connections of an agent to one server. Connections can go silent without a
+ * reset; after one did, the others are not trusted with a call that would have to time out too.
+ *
+ * @param agent The agent.
+ * @param host The server's host.
+ * @param port The server's port.
+ */
+export function closeIdleSockets(agent: Agent, host: string, port: number): void {
+    const idle = agent.freeSockets[agent.getName({ host, port })] ?? [];
+    [...idle].forEach((socket) => socket.destroy());
+}
+
+/**
+ * Splits an address.
+ *
+ * @param address `host:port`.
+ * @returns The host and the port.
+ */
+export function parseAddress(address: string): [string, number] {
     const at = address.lastIndexOf(":");
     return [address.slice(0, at), Number(address.slice(at + 1))];
 }
--- a/telemetry/logger.ts
+++ b/telemetry/logger.ts
@@ -21,6 +21,8 @@
     readonly zone: string;
     /** A file to append to; standard error when absent. */
     readonly file?: string;
+    /** Writes to standard output instead of standard error. */
+    readonly toStdout?: boolean;
     /** Defaults to `info`. */
     readonly level?: string;
     /** Writes nothing (benchmarks). */
@@ -46,7 +48,9 @@
         format: format.combine(stamp(), format.json()),
         transports: [
             options.file === undefined
-                ? new transports.Stream({ stream: process.stderr })
+                ? new transports.Stream({
+                      stream: options.toStdout === true ? process.stdout : process.stderr,
+                  })
                 : new transports.File({ filename: options.file }),
         ],
     });
