--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -20,11 +20,17 @@
 import { GroupMember } from "../entry/group_member.ts";
 import { PeerNetwork, type PeerEnvelope } from "../entry/peer_network.ts";
 import { Ledger, type FactBatch, type WorkerId } from "../job/mod.ts";
-import type { ConsensusTimings, GroupId, MemberId } from "../log/mod.ts";
+import {
+    OutcomeUnknownError,
+    type ConsensusTimings,
+    type GroupId,
+    type MemberId,
+} from "../log/mod.ts";
 import {
     LeaderRouter,
     loadIncarnation,
     NOT_LEADER_CODE,
+    OUTCOME_UNKNOWN_CODE,
     parseEntryId,
     planVoters,
     type EntryId,
@@ -292,6 +298,14 @@
         return this.#leadership;
     }
 
+    /** Tells a caller whether to ask another instance, and whether its call may have happened. */
+    #refuseCall(error: Error): never {
+        if (error instanceof OutcomeUnknownError) {
+            throw new MethodError(error.message, OUTCOME_UNKNOWN_CODE);
+        }
+        throw new MethodError(error.message, NOT_LEADER_CODE, { leader: undefined });
+    }
+
     async #handlePeer(envelope: PeerEnvelope): Promise<unknown> {
         const { from, to, message } = envelope;
         return (await this.#member?.receive(from, to, message)) ?? null;
@@ -310,7 +324,7 @@
         });
         this.#leadership = new Leadership({
             durable: this.#durable,
-            propose: (batch) => replica.propose(batch),
+            propose: (batch) => replica.propose(batch).catch((error) => this.#refuseCall(error)),
             isServing: () => this.isServing,
             term: replica.term,
             clock: {
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -105,9 +105,9 @@
     start(): void {
         this.#ticks = interval(TICK_MS).subscribe(() => {
             this.#dispatcher.tick();
-            void this.#flush();
+            this.#flushSoon();
         });
-        void this.#flush();
+        this.#flushSoon();
     }
 
     /** Decides nothing from now on. */
@@ -250,7 +250,17 @@
         setImmediate(() => {
             this.#isScheduled = false;
             this.#dispatcher.placeWaiting();
-            void this.#flush();
+            this.#flushSoon();
+        });
+    }
+
+    /**
+     * Has what was decided agreed on and carried out, with nobody waiting for it. When the lead
+     * ends meanwhile, the next leader decides anew from what was agreed on.
+     */
+    #flushSoon(): void {
+        this.#flush().catch((error: Error) => {
+            this.#options.log.warn("decisions dropped", { error: error.message });
         });
     }
 
@@ -301,7 +311,7 @@
             const answer = await this.#sendOrder(() => this.#startOn(order));
             this.#dispatcher.handleStartAnswer(member, answer);
         }
-        await this.#flush();
+        this.#flushSoon();
     }
 
     async #runStop(member: MemberRun): Promise<void> {
@@ -310,7 +320,7 @@
             const answer = await this.#sendOrder(() => this.#stopOn(order));
             this.#dispatcher.handleStopAnswer(member, answer);
         }
-        await this.#flush();
+        this.#flushSoon();
     }
 
     #startOn(order: StartOrder): Promise<OrderAnswer> {
@@ -348,7 +358,7 @@
         const ageMs = Math.max(0, tookMs - computeCallMs(call));
         this.#dispatcher.handleAdvice(call, answer.admissions, Math.min(ageMs, ADVICE_AGE_CAP_MS));
         this.#schedulePlacing();
-        await this.#flush();
+        this.#flushSoon();
     }
 }
 
--- a/control/worker_watch.ts
+++ b/control/worker_watch.ts
@@ -110,7 +110,8 @@
         const answer = await calls.look(order);
         if (!this.#isStopped) {
             dispatcher.handleLook(order, sentAt, answer);
-            await flush();
+            // Without a lead any more the loop ends; the ends stay listed for the next leader.
+            await flush().catch(() => this.stop());
         }
         return answer;
     }
--- a/membership/leader_router.ts
+++ b/membership/leader_router.ts
@@ -17,6 +17,9 @@
 /** The JSON-RPC error code of an instance that does not lead. */
 export const NOT_LEADER_CODE = -32010;
 
+/** The JSON-RPC error code of a leader that was replaced before a call was agreed on. */
+export const OUTCOME_UNKNOWN_CODE = -32011;
+
 /** What comes with {@link NOT_LEADER_CODE}. */
 export interface NotLeaderData {
     /** The leader's address, as far as known. */
@@ -139,6 +142,10 @@
             this.#leader = hint === target ? undefined : hint;
             return false;
         }
+        if (error instanceof RpcError && code === OUTCOME_UNKNOWN_CODE) {
+            this.#leader = undefined;
+            return true;
+        }
         if (error instanceof RpcError && code !== 0) {
             throw error;
         }
