--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -43,6 +43,7 @@
     startRpcServer,
     type RpcServer,
 } from "../rpc/mod.ts";
+import type { ControlMetrics } from "../telemetry/control_metrics.ts";
 import {
     METHODS,
     type AdviseAnswer,
@@ -75,6 +76,7 @@
     readonly timings?: ConsensusTimings;
     readonly limits?: Partial<DispatchLimits>;
     readonly snapshotEvery?: number;
+    readonly metrics?: ControlMetrics;
     readonly log: Logger;
 }
 
@@ -335,8 +337,10 @@
             workerCalls: this.#options.workerCalls,
             advise: (lane, call) => this.#sendAdvise(lane, call),
             limits: this.#options.limits,
+            metrics: this.#options.metrics,
             log: this.#options.log,
         });
+        this.#options.metrics?.leading.set(1);
         this.#leadership.start();
         this.#updateLanes();
     }
@@ -345,6 +349,7 @@
         if (this.#leadership !== undefined) {
             this.#options.log.info("lead lost", { term: this.#member?.replica.term });
         }
+        this.#options.metrics?.leading.set(0);
         this.#leadership?.stop();
         this.#leadership = undefined;
     }
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -29,6 +29,7 @@
     type OrderAnswer,
 } from "../dispatch/mod.ts";
 import { Ledger, type Fact, type FactBatch, type JobId, type WorkerId } from "../job/mod.ts";
+import type { ControlMetrics } from "../telemetry/control_metrics.ts";
 import type {
     AdviseAnswer,
     AdviseCall,
@@ -54,6 +55,7 @@
     /** Has a front call the advice service. */
     readonly advise: (lane: LaneId, call: AdviseCall) => Promise<AdviseAnswer>;
     readonly limits?: Partial<DispatchLimits>;
+    readonly metrics?: ControlMetrics;
     readonly log: Logger;
 }
 
@@ -91,7 +93,7 @@
             clock: options.clock,
             firstFence: options.term * FENCES_PER_TERM,
             limits: options.limits,
-            record: (event, fields) => options.log.info(event, fields),
+            record: (kind, event, fields) => this.#recordDecision(kind, event, fields),
         });
         this.#watch = new WorkerWatch({
             dispatcher: this.#dispatcher,
@@ -279,7 +281,32 @@
     }
 
     async #propose(facts: readonly Fact[]): Promise<void> {
+        const startedAt = performance.now();
         await this.#options.propose({ at: this.#options.clock.getWall(), facts });
+        this.#options.metrics?.commitSeconds.observe((performance.now() - startedAt) / 1_000);
+    }
+
+    #recordDecision(
+        kind: "decision" | "failure",
+        event: string,
+        fields: Readonly<Record<string, unknown>>,
+    ): void {
+        const { log, metrics } = this.#options;
+        log.log(kind === "failure" ? "warn" : "info", event, fields);
+        if (metrics === undefined) {
+            return;
+        }
+        metrics.decisions.inc({ event });
+        const { how, reason, waitedMs, tookMs } = fields;
+        if (how !== undefined || reason !== undefined) {
+            metrics.outcomes.inc({ event, kind: String(how ?? reason) });
+        }
+        if (typeof waitedMs === "number") {
+            metrics.stepWaitSeconds.observe(waitedMs / 1_000);
+        }
+        if (typeof tookMs === "number") {
+            metrics.taskSeconds.observe(tookMs / 1_000);
+        }
     }
 
     #runEffect(effect: Effect): void {
@@ -355,6 +382,7 @@
                 return { admissions: undefined };
             });
         const tookMs = this.#options.clock.getNow() - startedAt;
+        this.#options.metrics?.adviceSeconds.observe(tookMs / 1_000);
         const ageMs = Math.max(0, tookMs - computeCallMs(call));
         this.#dispatcher.handleAdvice(call, answer.admissions, Math.min(ageMs, ADVICE_AGE_CAP_MS));
         this.#schedulePlacing();
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -62,8 +62,12 @@
     readonly record?: RecordDecision;
 }
 
-/** Takes one decision with what decided it. */
-export type RecordDecision = (event: string, fields: Readonly<Record<string, unknown>>) => void;
+/** Takes one decision with what decided it; `failure` when something went wrong. */
+export type RecordDecision = (
+    kind: "decision" | "failure",
+    event: string,
+    fields: Readonly<Record<string, unknown>>,
+) => void;
 
 /** Times and limits of the dispatcher. */
 export interface DispatchLimits {
@@ -119,6 +123,16 @@
 /** Slowest clock against ours, as in {@link WorkerClock}. */
 const INHERITED_LEASE_FACTOR = 1 / 0.98;
 
+/** Ends that somebody may have to explain. */
+const FAILED_ENDS: ReadonlySet<EndKind> = new Set([
+    "failed",
+    "lapsed",
+    "broken",
+    "alone",
+    "lost",
+    "void",
+]);
+
 /** The leader's decisions. */
 export class Dispatcher {
     readonly #ledger: Ledger;
@@ -191,7 +205,7 @@
         if (job !== undefined) {
             this.#board.openJob(job);
         }
-        this.#recordDecision("job accepted", {
+        this.#recordDecision("decision", "job accepted", {
             request: submission.job,
             queue: submission.queue,
             steps: submission.spec.steps.length,
@@ -213,7 +227,7 @@
         }
         if (job.endedAt === undefined) {
             this.#record({ type: "jobCancelled", job: id });
-            this.#recordDecision("job cancelled", { request: id });
+            this.#recordDecision("decision", "job cancelled", { request: id });
             this.#closeJob(job);
         }
         return true;
@@ -231,7 +245,7 @@
             return false;
         }
         this.#record({ type: "configurationSet", configuration });
-        this.#recordDecision("configuration set", {
+        this.#recordDecision("decision", "configuration set", {
             version: configuration.version,
             before: current,
             queues: configuration.queues.length,
@@ -263,11 +277,15 @@
         const next = { ...record, isDraining };
         if (known === undefined || !isSameRecord(known, next)) {
             this.#record({ type: "workerSeen", worker: next });
-            this.#recordDecision(known === undefined ? "worker joined" : "worker changed", {
-                worker: record.id,
-                address: record.address,
-                draining: isDraining,
-            });
+            this.#recordDecision(
+                "decision",
+                known === undefined ? "worker joined" : "worker changed",
+                {
+                    worker: record.id,
+                    address: record.address,
+                    draining: isDraining,
+                },
+            );
             this.#checkAddress(next);
         }
         const worker = this.#book.ensureWorker(next, now);
@@ -465,7 +483,7 @@
         }
         const now = this.#clock.getNow();
         if (worker.isSuspect) {
-            this.#recordDecision("worker answers again", { worker: order.worker });
+            this.#recordDecision("decision", "worker answers again", { worker: order.worker });
             this.#isDirty = true;
         }
         this.#book.recordAnswer(worker, answer.clockMs, now);
@@ -535,7 +553,7 @@
         if (admissions.length === 0) {
             step.advice.retryAt = now + ADVICE_RETRY_MS;
         }
-        this.#recordDecision("advice received", {
+        this.#recordDecision("decision", "advice received", {
             request: step.job.id,
             step: call.step,
             asked: call.workers.length,
@@ -681,7 +699,7 @@
         member: MemberRun,
         reason: Extract<OrderAnswer, { type: "refused" }>["reason"],
     ): void {
-        this.#recordDecision("start refused", {
+        this.#recordDecision("failure", "start refused", {
             request: member.unit.job,
             task: member.name,
             attempt: member.attempt,
@@ -714,7 +732,7 @@
     }
 
     #handleUnanswered(worker: WorkerState, member: MemberRun, cause: string): void {
-        this.#recordDecision("start unanswered", {
+        this.#recordDecision("failure", "start unanswered", {
             request: member.unit.job,
             task: member.name,
             attempt: member.attempt,
@@ -747,7 +765,7 @@
     #setSuspect(worker: WorkerState, cause: string): void {
         if (!worker.isSuspect) {
             worker.isSuspect = true;
-            this.#recordDecision("worker silent", { worker: worker.record.id, cause });
+            this.#recordDecision("failure", "worker silent", { worker: worker.record.id, cause });
         }
     }
 
@@ -824,7 +842,7 @@
             how,
             checkpoint,
         });
-        this.#recordDecision("task ended", {
+        this.#recordDecision(FAILED_ENDS.has(how) ? "failure" : "decision", "task ended", {
             request: ref.job,
             task: member.name,
             attempt: member.attempt,
@@ -851,7 +869,7 @@
         }
         if (job.endedAt !== undefined) {
             if (job.state === "complete") {
-                this.#recordDecision("job complete", { request: job.id });
+                this.#recordDecision("decision", "job complete", { request: job.id });
             }
             this.#closeJob(job);
             return;
@@ -865,7 +883,7 @@
         const limit = this.#findQueue(job.queue)?.maxAttempts ?? Number.POSITIVE_INFINITY;
         if (!isPerpetual && (unit?.failures ?? 0) >= limit) {
             this.#record({ type: "jobFailed", job: job.id });
-            this.#recordDecision("job failed", { request: job.id, unit: ref, limit });
+            this.#recordDecision("failure", "job failed", { request: job.id, unit: ref, limit });
             this.#closeJob(job);
             return;
         }
@@ -910,7 +928,11 @@
         if (worker === undefined) {
             return;
         }
-        this.#recordDecision("worker gone", { worker: id, why, members: worker.members.size });
+        this.#recordDecision("failure", "worker gone", {
+            worker: id,
+            why,
+            members: worker.members.size,
+        });
         this.#record({ type: "workerGone", worker: id });
         this.#endMembers([...worker.members.values()]);
         this.#book.removeWorker(id);
@@ -932,7 +954,7 @@
     #tickWorker(worker: WorkerState, now: number): void {
         const sent = [...worker.members.values()].filter((member) => member.state !== "planned");
         if (sent.length > 0 && this.#book.isLeaseOver(worker, now)) {
-            this.#recordDecision("lease over", {
+            this.#recordDecision("failure", "lease over", {
                 worker: worker.record.id,
                 members: sent.length,
                 silentMs: Math.round(now - worker.heardAt),
@@ -1049,7 +1071,7 @@
             this.#addMember(member);
             this.#effects.push({ type: "start", member }, { type: "watch", worker });
         }
-        this.#recordDecision("attempt placed", {
+        this.#recordDecision("decision", "attempt placed", {
             request: ref.job,
             step: step.key,
             unit: unitNumber,
--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -26,6 +26,7 @@
     type HelloCall,
     type HelloLimits,
 } from "../control/calls.ts";
+import type { ControlMetrics } from "../telemetry/control_metrics.ts";
 import { LeaderRouter, NoLeaderError } from "../membership/mod.ts";
 import { parseAddress, startRpcServer, type RpcServer } from "../rpc/mod.ts";
 
@@ -37,6 +38,7 @@
     /** RPC addresses of some control instances. */
     readonly listSeeds: () => readonly string[];
     readonly adviceCalls: AdviceCalls;
+    readonly metrics?: ControlMetrics;
     readonly log: Logger;
 }
 
@@ -133,6 +135,16 @@
      * @returns What became of it.
      */
     async handleCaller(call: CallerCall, budgetMs: number): Promise<FrontOutcome> {
+        const startedAt = performance.now();
+        const outcome = await this.#carryCall(call, budgetMs);
+        this.#options.metrics?.callSeconds.observe(
+            { call: call.type, outcome: outcome.type },
+            (performance.now() - startedAt) / 1_000,
+        );
+        return outcome;
+    }
+
+    async #carryCall(call: CallerCall, budgetMs: number): Promise<FrontOutcome> {
         const isCutOff = performance.now() - this.#greetedAt >= READY_SILENCE_MS;
         const budget = Math.min(budgetMs, isCutOff ? CUT_OFF_BUDGET_MS : LEADER_WAIT_MS);
         try {
--- /dev/null
+++ b/telemetry/control_metrics.ts
@@ -0,0 +1,114 @@
+/**
+ * Metrics of a control instance and of a front (prom-client): decisions by kind, and how long the
+ * parts of a job's way take.
+ *
+ * @example
+ * ```ts
+ * import { createControlMetrics } from "./control_metrics.ts";
+ * const metrics = createControlMetrics();
+ * metrics.decisions.inc({ event: "job accepted" });
+ * ```
+ *
+ * @module
+ */
+
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** The metrics. */
+export interface ControlMetrics {
+    readonly registry: Registry;
+    readonly decisions: Counter<"event">;
+    /** Ends of tasks and refusals of orders, by their kind. */
+    readonly outcomes: Counter<"event" | "kind">;
+    readonly stepWaitSeconds: Histogram;
+    readonly taskSeconds: Histogram;
+    readonly commitSeconds: Histogram;
+    readonly adviceSeconds: Histogram;
+    readonly callSeconds: Histogram<"call" | "outcome">;
+    readonly leading: Gauge;
+    readonly jobs: Gauge<"state">;
+    readonly loopDelaySeconds: Gauge;
+    readonly cpuSeconds: Gauge;
+    readonly residentBytes: Gauge;
+}
+
+/** From a commit (10 ms) to the longest wait that anybody sits through (60 s). */
+const LATENCY_BUCKETS = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15, 60];
+/** How often the process looks at itself, in ms. */
+const SAMPLE_MS = 1_000;
+
+/**
+ * Creates the metrics in a registry of their own and samples the process once a second.
+ *
+ * @returns The metrics.
+ */
+export function createControlMetrics(): ControlMetrics {
+    const registers = [new Registry()];
+    const [registry] = registers as [Registry];
+    const createHistogram = <L extends string = never>(
+        name: string,
+        help: string,
+        labelNames: readonly L[] = [],
+    ): Histogram<L> =>
+        new Histogram<L>({
+            name,
+            help,
+            labelNames: [...labelNames],
+            buckets: LATENCY_BUCKETS,
+            registers,
+        });
+    const createGauge = <L extends string = never>(
+        name: string,
+        help: string,
+        labelNames: readonly L[] = [],
+    ): Gauge<L> => new Gauge<L>({ name, help, labelNames: [...labelNames], registers });
+    const metrics: ControlMetrics = {
+        registry,
+        decisions: new Counter({
+            name: "poplarhead_decisions_total",
+            help: "Decisions, by kind.",
+            labelNames: ["event"],
+            registers,
+        }),
+        outcomes: new Counter({
+            name: "poplarhead_outcomes_total",
+            help: "Ends of tasks and refusals of orders, by kind.",
+            labelNames: ["event", "kind"],
+            registers,
+        }),
+        stepWaitSeconds: createHistogram(
+            "poplarhead_step_wait_seconds",
+            "Time from a step's turn to the placement of a unit.",
+        ),
+        taskSeconds: createHistogram("poplarhead_task_seconds", "Time from a start to its end."),
+        commitSeconds: createHistogram("poplarhead_commit_seconds", "Time until a quorum agreed."),
+        adviceSeconds: createHistogram("poplarhead_advice_seconds", "Time of an advice call."),
+        callSeconds: createHistogram("poplarhead_call_seconds", "Time of a caller's call.", [
+            "call",
+            "outcome",
+        ]),
+        leading: createGauge("poplarhead_control_leading", "1 while this instance leads."),
+        jobs: createGauge("poplarhead_jobs", "Jobs on record, by state.", ["state"]),
+        loopDelaySeconds: createGauge(
+            "poplarhead_event_loop_delay_seconds",
+            "How late the last one-second timer was.",
+        ),
+        cpuSeconds: createGauge("poplarhead_cpu_seconds", "Processor time used so far."),
+        residentBytes: createGauge("poplarhead_resident_bytes", "Resident memory."),
+    };
+    startSampling(metrics);
+    return metrics;
+}
+
+function startSampling(metrics: ControlMetrics): void {
+    let due = performance.now() + SAMPLE_MS;
+    const timer = setInterval(() => {
+        const now = performance.now();
+        metrics.loopDelaySeconds.set(Math.max(0, now - due) / 1_000);
+        due = now + SAMPLE_MS;
+        const { user, system } = process.cpuUsage();
+        metrics.cpuSeconds.set((user + system) / 1e6);
+        metrics.residentBytes.set(process.memoryUsage.rss());
+    }, SAMPLE_MS);
+    timer.unref();
+}
--- /dev/null
+++ b/telemetry/log_sink_test.ts
@@ -0,0 +1,70 @@
+import test from "ava";
+import { LogSink } from "./log_sink.ts";
+
+interface StalledReader {
+    readonly sink: LogSink;
+    readonly release: () => void;
+    readonly texts: string[];
+    readonly clock: { now: number };
+}
+
+/** A sink whose reader takes nothing until it is released. */
+function buildStalled(): StalledReader {
+    const pending: (() => void)[] = [];
+    const texts: string[] = [];
+    const clock = { now: 0 };
+    const sink = new LogSink({
+        maxWaitingBytes: 1_000,
+        reservedBytes: 200,
+        linesPerSecond: 1_000,
+        getNow: () => clock.now,
+        writeBytes: (_fd, bytes, done) => {
+            texts.push(bytes.toString());
+            pending.push(() => done(null, bytes.length));
+        },
+    });
+    return { sink, texts, clock, release: () => pending.shift()?.() };
+}
+
+const LINE = `${"x".repeat(99)}\n`;
+
+test("a stalled reader neither blocks nor grows the queue without bound", async (t) => {
+    // The process goes on deciding. Its lines wait up to the limit; lines of failures have a
+    // reserve; what is given up is counted and told once the reader is back.
+    const { sink, release, texts } = buildStalled();
+    sink.write(LINE, false);
+    await new Promise((resolve) => setTimeout(resolve, 80));
+    for (let i = 0; i < 100; i++) {
+        sink.write(LINE, false);
+    }
+    t.is(sink.waitingBytes, 1_000);
+    t.is(sink.dropped, 90);
+    sink.write(LINE, true);
+    sink.write(LINE, true);
+    sink.write(LINE, true);
+    t.is(sink.waitingBytes, 1_200);
+    release();
+    await new Promise((resolve) => setTimeout(resolve, 120));
+    t.regex(texts[1] ?? "", /"log lines given up","count":91/);
+});
+
+test("the rate is bounded in the long run, failures are not counted", (t) => {
+    const { sink, clock } = buildStalled();
+    const rated = new LogSink({
+        linesPerSecond: 10,
+        getNow: () => clock.now,
+        writeBytes: (_fd, bytes, done) => done(null, bytes.length),
+    });
+    for (let i = 0; i < 100; i++) {
+        rated.write("a\n", false);
+    }
+    t.is(rated.dropped, 60);
+    clock.now += 1_000;
+    for (let i = 0; i < 100; i++) {
+        rated.write("a\n", false);
+    }
+    t.is(rated.dropped, 150);
+    rated.write("a\n", true);
+    t.is(rated.dropped, 150);
+    t.is(sink.dropped, 0);
+});
--- a/telemetry/logger.ts
+++ b/telemetry/logger.ts
@@ -13,7 +13,9 @@
  * @module
  */
 
+import { Writable } from "node:stream";
 import { createLogger as createWinston, format, transports, type Logger } from "winston";
+import type { LogSink } from "./log_sink.ts";
 
 /** Options of {@link createLogger}. */
 export interface LoggerOptions {
@@ -21,8 +23,8 @@
     readonly zone: string;
     /** A file to append to; standard error when absent. */
     readonly file?: string;
-    /** Writes to standard output instead of standard error. */
-    readonly toStdout?: boolean;
+    /** Takes the lines instead of standard error. */
+    readonly sink?: LogSink;
     /** Defaults to `info`. */
     readonly level?: string;
     /** Writes nothing (benchmarks). */
@@ -49,9 +51,23 @@
         transports: [
             options.file === undefined
                 ? new transports.Stream({
-                      stream: options.toStdout === true ? process.stdout : process.stderr,
+                      stream:
+                          options.sink === undefined
+                              ? process.stderr
+                              : createSinkStream(options.sink),
                   })
                 : new transports.File({ filename: options.file }),
         ],
     });
 }
+
+/** Lines at a level above `info` tell of failures: they are kept when others are given up. */
+function createSinkStream(sink: LogSink): Writable {
+    return new Writable({
+        decodeStrings: false,
+        write: (line: string, _encoding, done) => {
+            sink.write(line, !line.includes('"level":"info"'));
+            done();
+        },
+    });
+}
--- a/telemetry/mod.ts
+++ b/telemetry/mod.ts
@@ -13,3 +13,5 @@
 export * from "./metrics.ts";
 export * from "./timeline.ts";
 export * from "./audit.ts";
+export * from "./control_metrics.ts";
+export * from "./log_sink.ts";
--- a/telemetry/timeline.ts
+++ b/telemetry/timeline.ts
@@ -68,11 +68,13 @@
 }
 
 function parseEvent(line: string): TimelineEvent | undefined {
-    if (!line.startsWith("{")) {
+    // What collects the lines may put a time or a name before each.
+    const start = line.indexOf("{");
+    if (start < 0) {
         return undefined;
     }
     try {
-        const value = JSON.parse(line) as Partial<TimelineEvent>;
+        const value = JSON.parse(line.slice(start)) as Partial<TimelineEvent>;
         return typeof value.t === "number" && typeof value.process === "string"
             ? (value as TimelineEvent)
             : undefined;
