--- a/control/_fixtures.ts
+++ b/control/_fixtures.ts
@@ -163,6 +163,8 @@
             start: (order): Promise<OrderAnswer> =>
                 Promise.resolve(find(order.worker).start(order)),
             stop: (order): Promise<OrderAnswer> => Promise.resolve(find(order.worker).stop(order)),
+            pace: (): Promise<OrderAnswer> =>
+                Promise.resolve({ type: "accepted", clockMs: undefined }),
             look: (order): Promise<LookAnswer> => waitForEnd(find(order.worker), order),
         };
     }
--- a/control/calls.ts
+++ b/control/calls.ts
@@ -16,6 +16,7 @@
     LookAnswer,
     LookOrder,
     OrderAnswer,
+    PaceOrder,
     StartOrder,
     StopOrder,
 } from "../dispatch/mod.ts";
@@ -109,6 +110,7 @@
 export interface WorkerCalls {
     readonly start: (order: StartOrder) => Promise<OrderAnswer>;
     readonly stop: (order: StopOrder) => Promise<OrderAnswer>;
+    readonly pace: (order: PaceOrder) => Promise<OrderAnswer>;
     readonly look: (order: LookOrder) => Promise<LookAnswer>;
 }
 
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -24,8 +24,6 @@
     type Effect,
     type LaneId,
     type MemberRun,
-    type StartOrder,
-    type StopOrder,
     type OrderAnswer,
 } from "../dispatch/mod.ts";
 import { Ledger, type Fact, type FactBatch, type JobId, type WorkerId } from "../job/mod.ts";
@@ -176,9 +174,15 @@
      * @returns Once what it changed is durable.
      */
     async handleHeartbeat(call: HeartbeatCall): Promise<void> {
-        this.#dispatcher.handleHeartbeat(call.record, call.sequence, call.clockMs);
-        await this.#flush();
-        this.#schedulePlacing();
+        const { record } = call;
+        const { durable } = this.#options;
+        this.#dispatcher.handleHeartbeat(record, call.sequence, call.clockMs);
+        // An acknowledged farewell binds the next leader too: it must be on record before.
+        await this.#ensureDurable(() => {
+            const known = durable.workers.get(record.id);
+            const isRecorded = known !== undefined && (known.isDraining || !record.isDraining);
+            return isRecorded || durable.isGone(record.id);
+        });
     }
 
     /**
@@ -317,6 +321,9 @@
             case "stop":
                 void this.#runStop(effect.member);
                 return;
+            case "pace":
+                void this.#runPace(effect.member);
+                return;
             case "watch":
                 this.#watch.start(effect.worker);
                 return;
@@ -335,7 +342,7 @@
     async #runStart(member: MemberRun): Promise<void> {
         const order = this.#dispatcher.prepareStart(member);
         if (order !== undefined) {
-            const answer = await this.#sendOrder(() => this.#startOn(order));
+            const answer = await this.#sendOrder(() => this.#options.workerCalls.start(order));
             this.#dispatcher.handleStartAnswer(member, answer);
         }
         this.#flushSoon();
@@ -344,18 +351,18 @@
     async #runStop(member: MemberRun): Promise<void> {
         const order = this.#dispatcher.prepareStop(member);
         if (order !== undefined) {
-            const answer = await this.#sendOrder(() => this.#stopOn(order));
+            const answer = await this.#sendOrder(() => this.#options.workerCalls.stop(order));
             this.#dispatcher.handleStopAnswer(member, answer);
         }
         this.#flushSoon();
     }
 
-    #startOn(order: StartOrder): Promise<OrderAnswer> {
-        return this.#options.workerCalls.start(order);
-    }
-
-    #stopOn(order: StopOrder): Promise<OrderAnswer> {
-        return this.#options.workerCalls.stop(order);
+    async #runPace(member: MemberRun): Promise<void> {
+        const order = this.#dispatcher.preparePace(member);
+        if (order !== undefined) {
+            const answer = await this.#sendOrder(() => this.#options.workerCalls.pace(order));
+            this.#dispatcher.handlePaceAnswer(member, answer);
+        }
     }
 
     /** Sends an order only while nobody else can lead; otherwise it counts as unanswered. */
--- /dev/null
+++ b/dispatch/_attempts.ts
@@ -0,0 +1,305 @@
+/**
+ * Attempts under way: their members, what the end of one means for the others, for the unit and
+ * for the job.
+ *
+ * @example
+ * ```ts
+ * import { Attempts } from "./_attempts.ts";
+ * const attempts = new Attempts(context);
+ * attempts.endMember(member, "lost", "");
+ * ```
+ *
+ * @module
+ */
+
+import {
+    formatTaskName,
+    type EndKind,
+    type Job,
+    type StepSpec,
+    type Resources,
+    type UnitRef,
+    type WorkerId,
+} from "../job/mod.ts";
+import type { DispatchContext } from "./_context.ts";
+import type { MemberRun } from "./types.ts";
+import type { WorkerState } from "./worker_book.ts";
+
+/** Times that a start is sent before the worker counts as silent. */
+export const MAX_START_TRIES = 2;
+/** Ends that somebody may have to explain. */
+const FAILED_ENDS: ReadonlySet<EndKind> = new Set([
+    "failed",
+    "lapsed",
+    "broken",
+    "alone",
+    "lost",
+    "void",
+]);
+
+/** The attempts of one leader. */
+export class Attempts {
+    readonly #context: DispatchContext;
+    readonly #units = new Map<string, Map<number, MemberRun>>();
+
+    /**
+     * @param context What the parts share.
+     */
+    constructor(context: DispatchContext) {
+        this.#context = context;
+    }
+
+    /**
+     * Takes over from an earlier leader: every attempt on record may be out, and what is not
+     * under way waits for its turn.
+     */
+    adoptJobs(): void {
+        const now = this.#context.clock.getNow();
+        for (const job of this.#context.ledger.jobs.values()) {
+            if (job.endedAt === undefined) {
+                this.#context.board.openJob(job);
+            }
+            for (const [number, occurrence] of job.occurrences) {
+                occurrence.steps.forEach((units, step) =>
+                    units.forEach((unit, i) => {
+                        const ref = { job: job.id, occurrence: number, step, unit: i };
+                        for (const [index, worker] of unit.members) {
+                            const member = this.createMember(job, ref, index, worker, undefined);
+                            member.state = job.endedAt === undefined ? "ordered" : "stopping";
+                            member.tries = MAX_START_TRIES;
+                            member.startedAt = now;
+                            this.addMember(member);
+                        }
+                    }),
+                );
+            }
+        }
+        this.#endOrphans();
+    }
+
+    /** Ends members on workers that were forgotten before their ends were recorded. */
+    #endOrphans(): void {
+        for (const members of [...this.#units.values()]) {
+            for (const member of [...members.values()]) {
+                if (this.#context.book.findWorker(member.worker) === undefined) {
+                    this.endMember(member, "lost", "");
+                }
+            }
+        }
+    }
+
+    /**
+     * Creates a member that is planned but not sent.
+     *
+     * @param job Its job.
+     * @param unit Its unit; the unit's attempt is the member's.
+     * @param index Its task's index.
+     * @param worker Where it goes.
+     * @param ticket The admission to the worker, where the queue asks for one.
+     * @returns The member.
+     */
+    createMember(
+        job: Job,
+        unit: UnitRef,
+        index: number,
+        worker: WorkerId,
+        ticket: string | undefined,
+    ): MemberRun {
+        const spec = job.spec?.steps[unit.step];
+        const now = this.#context.clock.getNow();
+        return {
+            unit,
+            index,
+            name: formatTaskName({ ...unit, index }),
+            attempt: this.#context.ledger.findUnit(unit)?.attempt ?? 0,
+            worker,
+            room: computeRoom(spec),
+            priority: this.#context.findQueue(job.queue)?.priority ?? 0,
+            state: "planned",
+            tries: 0,
+            fence: 0,
+            settledAt: undefined,
+            startedAt: now,
+            percent: 0,
+            reportedAt: now,
+            progressedAt: now,
+            estimateMs: spec?.estimateMs ?? 0,
+            isPerpetual: spec?.isPerpetual ?? false,
+            isFiller: spec?.isFiller ?? false,
+            targetMs: spec?.targetMs ?? 0,
+            load: 0,
+            // An earlier leader may have paced it.
+            pacePercent: undefined,
+            stopSentAt: Number.NEGATIVE_INFINITY,
+            ticket,
+        };
+    }
+
+    /**
+     * Adds a member; its room is taken from now on.
+     *
+     * @param member The member.
+     */
+    addMember(member: MemberRun): void {
+        const key = createUnitKey(member.unit);
+        const members = this.#units.get(key) ?? new Map<number, MemberRun>();
+        members.set(member.index, member);
+        this.#units.set(key, members);
+        this.#context.book.addMember(member);
+    }
+
+    /**
+     * Gives a member's worker.
+     *
+     * @param member The member.
+     * @returns The worker, or `undefined` when the member's end is known already.
+     */
+    findActive(member: MemberRun): WorkerState | undefined {
+        const worker = this.#context.book.findWorker(member.worker);
+        return worker?.members.get(member.name) === member ? worker : undefined;
+    }
+
+    /**
+     * Ends a member; after the last one its unit waits again, is done, or has failed its job.
+     *
+     * @param member The member.
+     * @param how How it ended.
+     * @param checkpoint Its newest checkpoint; empty when there is none.
+     */
+    endMember(member: MemberRun, how: EndKind, checkpoint: string): void {
+        if (this.findActive(member) === undefined && how !== "lost") {
+            return;
+        }
+        const { unit: ref } = member;
+        this.#context.book.removeMember(member);
+        const members = this.#units.get(createUnitKey(ref));
+        members?.delete(member.index);
+        this.#context.record({
+            type: "memberEnded",
+            unit: ref,
+            attempt: member.attempt,
+            index: member.index,
+            how,
+            checkpoint,
+        });
+        this.#context.recordDecision(FAILED_ENDS.has(how) ? "failure" : "decision", "task ended", {
+            request: ref.job,
+            task: member.name,
+            attempt: member.attempt,
+            worker: member.worker,
+            how,
+            tookMs: Math.round(this.#context.clock.getNow() - member.startedAt),
+        });
+        this.#context.isDirty = true;
+        if (members !== undefined && members.size > 0) {
+            if (how !== "done") {
+                // The others of a gang can not go on without this one.
+                members.forEach((other) => this.stopMember(other));
+            }
+            return;
+        }
+        this.#units.delete(createUnitKey(ref));
+        this.#handleAttemptEnd(ref);
+    }
+
+    #handleAttemptEnd(ref: UnitRef): void {
+        const job = this.#context.ledger.jobs.get(ref.job);
+        if (job === undefined) {
+            return;
+        }
+        if (job.endedAt !== undefined) {
+            if (job.state === "complete") {
+                this.#context.recordDecision("decision", "job complete", { request: job.id });
+            }
+            this.closeJob(job);
+            return;
+        }
+        const unit = this.#context.ledger.findUnit(ref);
+        if (unit?.isDone === true) {
+            this.#context.board
+                .updateAfterDone(ref)
+                .forEach((key) => this.#context.desk.removeCall(key));
+            return;
+        }
+        const isPerpetual = job.spec?.steps[ref.step]?.isPerpetual ?? false;
+        const limit = this.#context.findQueue(job.queue)?.maxAttempts ?? Number.POSITIVE_INFINITY;
+        if (!isPerpetual && (unit?.failures ?? 0) >= limit) {
+            this.#context.record({ type: "jobFailed", job: job.id });
+            this.#context.recordDecision("failure", "job failed", {
+                request: job.id,
+                unit: ref,
+                limit,
+            });
+            this.closeJob(job);
+            return;
+        }
+        this.#context.board.addWaiting(ref);
+    }
+
+    /**
+     * Stops what still runs of a job that has ended.
+     *
+     * @param job The job.
+     */
+    closeJob(job: Job): void {
+        this.#context.board.closeJob(job.id).forEach((key) => this.#context.desk.removeCall(key));
+        for (const [number, occurrence] of job.occurrences) {
+            occurrence.steps.forEach((units, step) =>
+                units.forEach((unit, i) => {
+                    if (unit.members.size > 0) {
+                        const ref = { job: job.id, occurrence: number, step, unit: i };
+                        this.#units
+                            .get(createUnitKey(ref))
+                            ?.forEach((member) => this.stopMember(member));
+                    }
+                }),
+            );
+        }
+    }
+
+    /**
+     * Has a member stopped. A planned one needs no order: its start finds that it is not wanted.
+     *
+     * @param member The member.
+     */
+    stopMember(member: MemberRun): void {
+        if (member.state === "stopping") {
+            return;
+        }
+        if (member.state === "planned") {
+            member.tries = 0;
+            member.state = "stopping";
+            member.settledAt = Number.NEGATIVE_INFINITY;
+            this.#context.emit({ type: "look", worker: member.worker });
+            return;
+        }
+        member.state = "stopping";
+        this.#context.emit({ type: "stop", member });
+    }
+
+    /**
+     * Ends members that went away with their worker.
+     *
+     * @param members The members.
+     */
+    endMembers(members: readonly MemberRun[]): void {
+        members.forEach((member) => this.endMember(member, "lost", ""));
+    }
+}
+
+/**
+ * Gives the room that a task of a step takes.
+ *
+ * @param spec The step; `undefined` when it is forgotten.
+ * @returns The room. Tasks that fill take only what the others leave; their memory is theirs.
+ */
+export function computeRoom(spec: Pick<StepSpec, "needs" | "isFiller"> | undefined): Resources {
+    if (spec === undefined) {
+        return { cpu: 0, memoryMb: 0, gpu: 0 };
+    }
+    return spec.isFiller ? { ...spec.needs, cpu: 0 } : spec.needs;
+}
+
+function createUnitKey(ref: UnitRef): string {
+    return `${ref.job}.${ref.occurrence}.${ref.step}/${ref.unit}`;
+}
--- /dev/null
+++ b/dispatch/_context.ts
@@ -0,0 +1,110 @@
+/**
+ * What the parts of the dispatcher share: the state, the clocks, the books, and where facts and
+ * effects are gathered.
+ *
+ * @example
+ * ```ts
+ * import { DispatchContext } from "./_context.ts";
+ * const context = new DispatchContext({ ledger, clock, firstFence: 1_000_000 });
+ * context.emit({ type: "look", worker });
+ * ```
+ *
+ * @module
+ */
+
+import type { QueueConfig, QueueName } from "../configuration/mod.ts";
+import type { Fact, Ledger } from "../job/mod.ts";
+import { AdviceDesk } from "./advice_desk.ts";
+import { StepBoard } from "./step_board.ts";
+import type { DispatchClock, DispatchLimits, Effect, Outcome, RecordDecision } from "./types.ts";
+import { WorkerBook } from "./worker_book.ts";
+
+/** Options of {@link DispatchContext}. */
+export interface DispatchContextOptions {
+    /** The state to decide on; facts are applied to it at once. */
+    readonly ledger: Ledger;
+    readonly clock: DispatchClock;
+    /** Above every fence of earlier leaders. */
+    readonly firstFence: number;
+    readonly limits?: Partial<DispatchLimits>;
+    /** Takes a line about each decision. */
+    readonly record?: RecordDecision;
+}
+
+/** Default times and limits. */
+export const DEFAULT_DISPATCH_LIMITS: DispatchLimits = {
+    // Work goes on through an election (below 2 s) and a cut of some seconds, and a dead worker's
+    // tasks start elsewhere soon after.
+    leaseMs: 6_000,
+    // Twice the time for which a state must stay readable.
+    retentionMs: 240_000,
+    // A look that is lost is noticed after this and a little more; a third of a lease.
+    lookWaitMs: 1_500,
+};
+
+/** Shared state of one leader's decisions. */
+export class DispatchContext {
+    readonly ledger: Ledger;
+    readonly clock: DispatchClock;
+    readonly limits: DispatchLimits;
+    readonly book: WorkerBook;
+    readonly board: StepBoard;
+    readonly desk = new AdviceDesk();
+    readonly recordDecision: RecordDecision;
+    /** Something changed that may let a waiting unit be placed. */
+    isDirty = true;
+    #facts: Fact[] = [];
+    #effects: Effect[] = [];
+
+    /**
+     * @param options State, clocks, first fence; see {@link DispatchContextOptions}.
+     */
+    constructor(options: DispatchContextOptions) {
+        this.ledger = options.ledger;
+        this.clock = options.clock;
+        this.limits = { ...DEFAULT_DISPATCH_LIMITS, ...options.limits };
+        this.recordDecision = options.record ?? (() => {});
+        this.book = new WorkerBook({
+            firstFence: options.firstFence,
+            leaseMs: this.limits.leaseMs,
+        });
+        this.board = new StepBoard({ ledger: this.ledger, clock: this.clock });
+    }
+
+    /**
+     * Decides on a fact: it is applied here at once and agreed on later.
+     *
+     * @param fact The fact.
+     */
+    record(fact: Fact): void {
+        this.#facts.push(fact);
+        this.ledger.apply({ at: this.clock.getWall(), facts: [fact] });
+    }
+
+    /**
+     * Asks for effects once the facts so far are agreed on.
+     *
+     * @param effects The effects.
+     */
+    emit(...effects: readonly Effect[]): void {
+        this.#effects.push(...effects);
+    }
+
+    /** Takes what was decided since the last call. */
+    takeOutcome(): Outcome {
+        const outcome = { facts: this.#facts, effects: this.#effects };
+        this.#facts = [];
+        this.#effects = [];
+        return outcome;
+    }
+
+    /**
+     * Finds a queue, also one that was removed while jobs of it go on.
+     *
+     * @param name The queue.
+     * @returns Its newest settings, or `undefined` when it was never known.
+     */
+    findQueue(name: QueueName): QueueConfig | undefined {
+        return this.ledger.queues.get(name);
+    }
+}
--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -51,6 +51,8 @@
     /** Decides whether an order is lost on its way, carried out late, or both ways fine. */
     readonly getFault?: (kind: "start" | "stop" | "look", worker: WorkerId) => OrderFault;
     readonly getEnd?: (task: string, worker: WorkerId) => EndKind;
+    /** What a task reports: its tail in ms if it serves. */
+    readonly getLoad?: (task: string) => number;
     /** Which workers the advice service admits to a step. */
     readonly isAdmitted?: (step: string, worker: WorkerId) => boolean;
 }
@@ -80,6 +82,8 @@
     readonly violations: string[] = [];
     /** Every run that began: task, attempt, worker. */
     readonly runs: { task: string; attempt: number; worker: WorkerId; at: number }[] = [];
+    /** Every pace order: task, percent. */
+    readonly paces: { task: string; percent: number; at: number }[] = [];
     readonly #acknowledgedDone = new Set<string>();
     readonly #records = new Map<WorkerId, WorkerRecord>();
     readonly #looking = new Set<WorkerId>();
@@ -221,6 +225,7 @@
             clockDrift: this.#options.clockDrift,
             computeTaskMs: () => this.#options.taskMs ?? 300,
             getRoom: (task) => this.#findRoom(task),
+            getLoad: this.#options.getLoad,
             getEnd: (task) => this.#options.getEnd?.(task, id) ?? "done",
             onRun: (run) => this.#checkRun(id, run),
             onAcknowledge: (end) => {
@@ -331,6 +336,13 @@
                 }
                 return;
             }
+            case "pace": {
+                const order = this.dispatcher.preparePace(effect.member);
+                if (order !== undefined) {
+                    this.paces.push({ task: order.task, percent: order.percent, at: this.now });
+                }
+                return;
+            }
             case "watch":
                 this.#startWatch(effect.worker);
                 return;
--- a/dispatch/dispatcher_test.ts
+++ b/dispatch/dispatcher_test.ts
@@ -177,6 +177,53 @@
     t.is(floor.getState(JOB), "complete");
 });
 
+test("fillers pause while a serving task beside them misses its target", (t) => {
+    // The serving task's users wait longer than promised from 2 s to 6 s. The filler beside it is
+    // told to pause within a look, and works again some seconds after the tail is calm.
+    let now = 0;
+    const floor = new FloorFixture({
+        workers: 1,
+        taskMs: 60_000,
+        getLoad: () => (now > 2_000 && now < 6_000 ? 90 : 20),
+    });
+    floor.submit(JOB, buildSpec({ isPerpetual: true, targetMs: 80 }, { isFiller: true }));
+    for (; now < 20_000; now += 100) {
+        floor.runFor(100);
+    }
+    t.is(floor.paces[0]?.percent, 0);
+    t.true((floor.paces[0]?.at ?? 0) < 2_500);
+    t.is(floor.paces.at(-1)?.percent, 100);
+    t.true((floor.paces[1]?.at ?? 0) > 8_500);
+});
+
+test("a perpetual task is started again however it ends", (t) => {
+    const floor = new FloorFixture({ workers: 2, taskMs: 300, getEnd: () => "failed" });
+    floor.submit(JOB, buildSpec({ count: 1, isPerpetual: true }));
+    floor.runFor(12_000);
+    t.is(floor.getState(JOB), "running");
+    t.true(floor.runs.length > 6);
+    floor.cancel(JOB);
+    floor.runFor(1_000);
+    t.is(floor.getState(JOB), "cancelled");
+});
+
+test("occurrences start when they are due, also through a new leader", (t) => {
+    const floor = new FloorFixture({ workers: 2 });
+    const spec = { ...buildSpec({ count: 1 }), repeats: 4, firstAtMs: 1_000, periodMs: 2_000 };
+    floor.submit(JOB, spec);
+    floor.runFor(900);
+    t.is(floor.runs.length, 0);
+    floor.runFor(3_000);
+    floor.replaceLeader();
+    floor.runFor(6_000);
+    t.is(floor.getState(JOB), "complete");
+    t.deepEqual(
+        floor.runs.map((run) => Math.floor(run.at / 1_000)),
+        [1, 3, 5, 7],
+    );
+    t.deepEqual(floor.violations, []);
+});
+
 for (const seed of [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12]) {
     test(`random faults break no promise (seed ${seed})`, (t) => {
         // Callers see every job complete once. Orders are lost or carried out seconds late, a
--- a/dispatch/mod.ts
+++ b/dispatch/mod.ts
@@ -18,3 +18,4 @@
 export * from "./types.ts";
 export * from "./worker_book.ts";
 export * from "./worker_clock.ts";
+export * from "./worker_speed.ts";
--- a/dispatch/types.ts
+++ b/dispatch/types.ts
@@ -12,7 +12,7 @@
 
 import type { AdvicePolicy, QueueName } from "../configuration/mod.ts";
 import type { Brand } from "../inventory/mod.ts";
-import type { EndKind, Resources, TaskName, UnitRef, WorkerId } from "../job/mod.ts";
+import type { EndKind, Fact, Resources, TaskName, UnitRef, WorkerId } from "../job/mod.ts";
 
 /** One occurrence's step, `JOB.OCCURRENCE.STEP`. */
 export type StepKey = Brand<string, "StepKey">;
@@ -57,8 +57,22 @@
     startedAt: number;
     /** Share of its work done, in percent, as the worker reports it. */
     percent: number;
+    /** When {@link MemberRun.percent} was last reported. */
+    reportedAt: number;
     /** When {@link MemberRun.percent} last rose. */
     progressedAt: number;
+    /** The caller's estimate of its duration, in ms. */
+    readonly estimateMs: number;
+    /** It runs until it is stopped: its percent is no progress. */
+    readonly isPerpetual: boolean;
+    /** It takes only processors that the others leave. */
+    readonly isFiller: boolean;
+    /** The response time that its own users are promised, in ms; 0 for none. */
+    readonly targetMs: number;
+    /** What it reported last: its tail in ms if it serves, else processors in use. */
+    load: number;
+    /** The share at which it was told to work; `undefined` when it was never told. */
+    pacePercent: number | undefined;
     stopSentAt: number;
     readonly ticket: string | undefined;
 }
@@ -86,6 +100,11 @@
     readonly fence: number;
 }
 
+/** An order to work at a share of the full speed, ready to send. */
+export interface PaceOrder extends StopOrder {
+    readonly percent: number;
+}
+
 /** A lease renewal that also asks what runs and what ended. */
 export interface LookOrder {
     readonly worker: WorkerId;
@@ -170,6 +189,7 @@
 export type Effect =
     | { readonly type: "start"; readonly member: MemberRun }
     | { readonly type: "stop"; readonly member: MemberRun }
+    | { readonly type: "pace"; readonly member: MemberRun }
     /** Keep looking at the worker while it has work. */
     | { readonly type: "watch"; readonly worker: WorkerId }
     /** Look at the worker at once, beside a look under way. */
@@ -177,3 +197,26 @@
     | { readonly type: "advise"; readonly lane: LaneId; readonly call: AdviceCall }
     /** The ends up to this number are durable here; the worker may forget them. */
     | { readonly type: "acknowledge"; readonly worker: WorkerId; readonly cursor: number };
+
+/** What one input led to. */
+export interface Outcome {
+    readonly facts: readonly Fact[];
+    readonly effects: readonly Effect[];
+}
+
+/** Takes one decision with what decided it; `failure` when something went wrong. */
+export type RecordDecision = (
+    kind: "decision" | "failure",
+    event: string,
+    fields: Readonly<Record<string, unknown>>,
+) => void;
+
+/** Times and limits of the dispatcher. */
+export interface DispatchLimits {
+    /** How long a worker keeps running without a renewal, in ms. */
+    readonly leaseMs: number;
+    /** How long ended jobs are remembered, in ms. */
+    readonly retentionMs: number;
+    /** How long one look at a worker may wait for an end, in ms. */
+    readonly lookWaitMs: number;
+}
--- a/dispatch/worker_book.ts
+++ b/dispatch/worker_book.ts
@@ -15,6 +15,7 @@
 import type { Resources, TaskName, WorkerId, WorkerRecord } from "../job/mod.ts";
 import type { MemberRun } from "./types.ts";
 import { WorkerClock } from "./worker_clock.ts";
+import { WorkerSpeed } from "./worker_speed.ts";
 
 /**
  * A worker that was neither heard from nor answered for this long gets no new work, in ms: its
@@ -34,6 +35,7 @@
 export interface WorkerState {
     record: WorkerRecord;
     readonly clock: WorkerClock;
+    readonly speed: WorkerSpeed;
     /** The fence of the next order. */
     fence: number;
     /** The highest fence that the worker is known to have taken. */
@@ -57,6 +59,8 @@
     pausedUntil: number;
     failuresInRow: number;
     lastFailedJob: string;
+    /** Since when its serving tasks are well below their targets; `undefined` while they are not. */
+    calmSince: number | undefined;
     /** The newest heartbeat's number: late ones are told by it. */
     heartbeat: number;
 }
@@ -114,6 +118,7 @@
         const state: WorkerState = {
             record,
             clock: new WorkerClock(),
+            speed: new WorkerSpeed(),
             fence: this.#nextFence,
             confirmedFence: 0,
             leaseUntil: Number.NEGATIVE_INFINITY,
@@ -128,6 +133,7 @@
             pausedUntil: Number.NEGATIVE_INFINITY,
             failuresInRow: 0,
             lastFailedJob: "",
+            calmSince: undefined,
             heartbeat: -1,
         };
         this.#workers.set(record.id, state);
--- a/standin/task_worker.ts
+++ b/standin/task_worker.ts
@@ -48,6 +48,8 @@
     readonly getRoom: (task: string) => Resources;
     /** How a task ends by itself. */
     readonly getEnd?: (task: string) => EndKind;
+    /** What a task reports as its load. */
+    readonly getLoad?: (task: string) => number;
     /** This worker's clock runs so much slower than ours (0.02 for 2%). */
     readonly clockDrift?: number;
     /** How long a stop takes, in ms. */
@@ -192,7 +194,7 @@
                 attempt: run.attempt,
                 checkpoint: "",
                 percent: this.#computePercent(run),
-                load: 0,
+                load: this.#options.getLoad?.(run.task) ?? 0,
             })),
             ended: this.#ended,
         };
