Shorter elections and tries, longer leases, truthful 503 for calls that reached nobody

Change: a call without a connection counts as not sent, so the front can say 503 with Retry-After; elections 0.25 to 0.5 s, tries 0.35 s, leases 8.5 s, looks at a worker at most every 0.1 s.

--- a/control/clock_guard.ts
+++ b/control/clock_guard.ts
@@ -23,9 +23,9 @@
 
 /**
  * A difference below this is a clock being slewed or read twice, in ms. A suspension this short
- * is below the part of the election timeout that a lease leaves unused (0.2 of 350 ms).
+ * is below the part of the election timeout that a lease leaves unused (0.2 of 250 ms).
  */
-const TOLERANCE_MS = 60;
+const TOLERANCE_MS = 40;
 
 /** Compares the steady clock with the time of day. */
 export class ClockGuard {
--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -82,11 +82,11 @@
 
 const GROUP = "control" as GroupId;
 /**
- * A lost leader is replaced in 0.35 to 0.8 s: leases of 6 s and callers that wait 3 s bear that.
+ * A lost leader is replaced in 0.25 to 0.6 s: leases of 6 s and callers that wait 3 s bear that.
  * Heartbeats do not wait for the disk, so a slow one does not end a lead; a pause of the event loop
  * (snapshot, garbage collection) stays below 0.1 s.
  */
-const DEFAULT_TIMINGS: ConsensusTimings = { heartbeatMs: 70, electionMs: 350 };
+const DEFAULT_TIMINGS: ConsensusTimings = { heartbeatMs: 50, electionMs: 250 };
 /** Time between two greetings to the leader, in ms. */
 const HELLO_MS = 500;
 /** An instance not heard from for this long counts as gone, in ms: six greetings. */
--- a/control/worker_watch.ts
+++ b/control/worker_watch.ts
@@ -28,9 +28,10 @@
 
 /**
  * Pause between two looks at a worker, in ms. Ends that fall into it come with one look instead
- * of several; an end is noticed later by half of it in the mean.
+ * of several: at 4 ends a second about a quarter fewer looks than with 40 ms. An end is noticed later
+ * by half of it in the mean, which the shortest objective (250 ms and half the work) bears.
  */
-const LOOK_PAUSE_MS = 40;
+const LOOK_PAUSE_MS = 100;
 /** Pause after a look without an answer, in ms. */
 const FAILED_LOOK_PAUSE_MS = 150;
 
--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -33,9 +33,10 @@
 
 /** Default times and limits. */
 export const DEFAULT_DISPATCH_LIMITS: DispatchLimits = {
-    // Work goes on through an election (below 2 s) and a cut of some seconds, and a dead worker's
-    // tasks start elsewhere soon after.
-    leaseMs: 6_000,
+    // Work goes on through the cuts and outages that last longest but end (6.5 s, and up to 1.5 s since
+    // the last renewal). A dead worker's tasks wait that long only if nothing new answers at its
+    // address before.
+    leaseMs: 8_500,
     // Twice the time for which a state must stay readable.
     retentionMs: 240_000,
     // A look that is lost is noticed after this and a little more; a third of a lease.
--- a/membership/leader_router.ts
+++ b/membership/leader_router.ts
@@ -54,7 +54,7 @@
  * One try: longer than a commit (15 ms, 0.3 s on a slow disk) and about an election timeout, so that
  * a silent leader costs a caller little more than the election itself.
  */
-const DEFAULT_TRY_TIMEOUT_MS = 450;
+const DEFAULT_TRY_TIMEOUT_MS = 350;
 /** Pause between rounds while nobody leads, in ms: a tenth of an election. */
 const ROUND_PAUSE_MS = 60;
 
@@ -152,7 +152,7 @@
         if (this.#leader === target) {
             this.#leader = undefined;
         }
-        return !error.message.includes("ECONNREFUSED");
+        return !(error instanceof RpcError && error.isUndelivered);
     }
 
     async #waitBetweenTries(error: Error, deadline: number): Promise<void> {
--- a/rpc/http_rpc.ts
+++ b/rpc/http_rpc.ts
@@ -66,6 +66,8 @@
 export class RpcError extends Error {
     /** The JSON-RPC error code, or 0 for a transport failure. */
     readonly code: number;
+    /** No connection could be opened, so the call was not sent. */
+    isUndelivered = false;
     /** What the server added for the program to read, such as when to come back. */
     readonly data: unknown;
 
@@ -254,17 +256,16 @@
                     },
                 );
                 req.on("timeout", () => {
-                    req.destroy(
-                        new RpcError(`timeout after ${callTimeoutMs} ms calling ${address}`, 0),
+                    const error = new RpcError(
+                        `timeout after ${callTimeoutMs} ms calling ${address}`,
+                        0,
                     );
+                    error.isUndelivered = req.socket?.connecting ?? true;
+                    req.destroy(error);
                     closeIdleSockets(sharedAgent, host, port);
                 });
-                req.on("error", (error) =>
-                    reject(
-                        error instanceof RpcError
-                            ? error
-                            : new RpcError(`${address}: ${error.message}`, 0),
-                    ),
+                req.on("error", (error: NodeJS.ErrnoException) =>
+                    reject(toRpcError(error, address)),
                 );
                 req.end(body);
             }),
@@ -287,6 +288,15 @@
     };
 }
 
+function toRpcError(error: NodeJS.ErrnoException, address: string): RpcError {
+    if (error instanceof RpcError) {
+        return error;
+    }
+    const converted = new RpcError(`${address}: ${error.message}`, 0);
+    converted.isUndelivered = error.code === "ECONNREFUSED";
+    return converted;
+}
+
 /**
  * Closes the idle connections of an agent to one server. Connections can go silent without a
  * reset; after one did, the others are not trusted with a call that would have to time out too.
