--- a/rpc/http_rpc.ts
+++ b/rpc/http_rpc.ts
@@ -212,6 +212,8 @@
     readonly bytes: () => { received: number; sent: number };
 }
 
+/** How much later than the socket the caller's own timer gives a call up, in ms. */
+const CALL_TIMEOUT_SLACK_MS = 50;
 const sharedAgent = new Agent({ keepAlive: true, maxSockets: 64 });
 
 /**
@@ -273,8 +275,9 @@
     return {
         call: async <T>(method: string, params: object, callTimeoutMs = timeoutMs): Promise<T> => {
             try {
+                // The socket's own timeout comes first: it knows whether the call was delivered.
                 return (await client
-                    .timeout(callTimeoutMs)
+                    .timeout(callTimeoutMs + CALL_TIMEOUT_SLACK_MS)
                     .request(method, params, callTimeoutMs)) as T;
             } catch (error) {
                 if (error instanceof RpcError) {
