Wait for a busy leader instead of asking it again; know which calls were never delivered

Change: an instance is given up when it answers nobody for 0.35 s, a connection that is not open after 0.3 s; a call that was delivered is pursued for its caller's whole time.

--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -67,8 +67,10 @@
  */
 const CUT_OFF_BUDGET_MS = 250;
 /**
- * The longest that a call waits for a leader, in ms: an election and a lost try. After that it is
- * better answered, so that its caller tries another instance within its own 3 s.
+ * The longest that a call which reached nobody waits for a leader, in ms: an election and a lost
+ * try. After that it is better answered, so that its caller tries another instance within its own
+ * 3 s. A call that reached somebody goes on for the caller's whole time: its outcome is not known, a
+ * caller told so can not repeat it, and the next leader knows whether it was accepted.
  */
 const LEADER_WAIT_MS = 1_600;
 /** When to come back while no leader can be reached, in ms: about one election. */
@@ -146,7 +148,8 @@
 
     async #carryCall(call: CallerCall, budgetMs: number): Promise<FrontOutcome> {
         const isCutOff = performance.now() - this.#greetedAt >= READY_SILENCE_MS;
-        const budget = Math.min(budgetMs, isCutOff ? CUT_OFF_BUDGET_MS : LEADER_WAIT_MS);
+        const undeliveredMs = Math.min(budgetMs, isCutOff ? CUT_OFF_BUDGET_MS : LEADER_WAIT_MS);
+        const budget = { undeliveredMs, unsureMs: budgetMs };
         try {
             const answer = await this.#router.call<CallerAnswer>(METHODS.callers, call, budget);
             this.#greetedAt = performance.now();
--- a/membership/leader_router.ts
+++ b/membership/leader_router.ts
@@ -45,16 +45,26 @@
 export interface LeaderRouterOptions {
     /** Addresses from the settings; they may be old, few or down. */
     readonly listSeeds: () => readonly string[];
-    /** The longest that one try may take, in ms. */
-    readonly tryTimeoutMs?: number;
+    /** An instance that answers nothing for this long is given up, in ms. */
+    readonly silenceMs?: number;
     readonly getNow?: () => number;
 }
 
+/** How long a call may take. */
+export interface CallBudget {
+    /** While no try was delivered to an instance that may lead, in ms. */
+    readonly undeliveredMs: number;
+    /** Once one was: its outcome is not known, and only an answer helps the caller, in ms. */
+    readonly unsureMs: number;
+}
+
 /**
- * One try: longer than a commit (15 ms, 0.3 s on a slow disk) and about an election timeout, so that
- * a silent leader costs a caller little more than the election itself.
+ * About an election timeout: longer than a commit (15 ms, 0.3 s on a slow disk), so that a silent leader
+ * costs a caller little more than the election itself.
  */
-const DEFAULT_TRY_TIMEOUT_MS = 350;
+const DEFAULT_SILENCE_MS = 350;
+/** How often a call that waits looks whether its instance still answers others, in ms. */
+const SILENCE_CHECK_MS = 50;
 /** Pause between rounds while nobody leads, in ms: a tenth of an election. */
 const ROUND_PAUSE_MS = 60;
 
@@ -63,6 +73,9 @@
     readonly #options: LeaderRouterOptions;
     readonly #pool: RpcClientPool;
     readonly #getNow: () => number;
+    readonly #silenceMs: number;
+    /** When each instance answered last, whatever it said. */
+    readonly #heardAt = new Map<string, number>();
     #members: readonly string[] = [];
     #leader: string | undefined;
     #next = 0;
@@ -73,9 +86,8 @@
     constructor(options: LeaderRouterOptions) {
         this.#options = options;
         this.#getNow = options.getNow ?? (() => performance.now());
-        this.#pool = new RpcClientPool({
-            timeoutMs: options.tryTimeoutMs ?? DEFAULT_TRY_TIMEOUT_MS,
-        });
+        this.#silenceMs = options.silenceMs ?? DEFAULT_SILENCE_MS;
+        this.#pool = new RpcClientPool({ timeoutMs: this.#silenceMs });
     }
 
     /** The leader's address, as far as known. */
@@ -102,29 +114,26 @@
      *
      * @param method The method; carrying it out twice must be harmless.
      * @param params Its params.
-     * @param budgetMs How long all tries together may take, in ms.
+     * @param budget How long all tries together may take, in ms.
      * @returns The leader's answer.
      * @throws {NoLeaderError} When nobody that leads answered in time.
      * @throws {RpcError} When the leader refused the call.
      */
-    async call<T>(method: string, params: object, budgetMs: number): Promise<T> {
-        const deadline = this.#getNow() + budgetMs;
-        const tryMs = this.#options.tryTimeoutMs ?? DEFAULT_TRY_TIMEOUT_MS;
+    async call<T>(method: string, params: object, budget: number | CallBudget): Promise<T> {
+        const { undeliveredMs, unsureMs } =
+            typeof budget === "number" ? { undeliveredMs: budget, unsureMs: budget } : budget;
+        const startedAt = this.#getNow();
         let mayHaveHappened = false;
         for (;;) {
-            const remaining = deadline - this.#getNow();
-            if (remaining <= 0) {
-                throw new NoLeaderError(mayHaveHappened);
-            }
+            const deadline = startedAt + (mayHaveHappened ? unsureMs : undeliveredMs);
             const target = this.#leader ?? this.#selectNext();
-            if (target === undefined) {
+            if (this.#getNow() >= deadline || target === undefined) {
                 throw new NoLeaderError(mayHaveHappened);
             }
             try {
-                const timeoutMs = Math.max(1, Math.min(tryMs, remaining));
-                const answer = await this.#pool
-                    .getClient(target)
-                    .call<T>(method, params, Math.ceil(timeoutMs));
+                // Once it is delivered the outcome is what counts, so the try may last as long.
+                const lastMs = startedAt + unsureMs - this.#getNow();
+                const answer = await this.#callOne<T>(target, method, params, lastMs);
                 this.#leader = target;
                 return answer;
             } catch (error) {
@@ -134,6 +143,41 @@
         }
     }
 
+    /**
+     * Calls one instance. It is given up when it answers nobody for a while; a busy one that still
+     * answers others is waited for. Calling it again would only add to its load: with a fixed short
+     * timeout each call came several times, and a leader at its limit never caught up.
+     */
+    async #callOne<T>(target: string, method: string, params: object, limitMs: number): Promise<T> {
+        const startedAt = this.#getNow();
+        const call = this.#pool
+            .getClient(target)
+            .call<T>(method, params, Math.max(1, Math.ceil(limitMs)));
+        let timer: NodeJS.Timeout | undefined;
+        const silence = new Promise<never>((_resolve, reject) => {
+            timer = setInterval(() => {
+                const heardAt = Math.max(startedAt, this.#heardAt.get(target) ?? 0);
+                if (this.#getNow() - heardAt > this.#silenceMs) {
+                    reject(new RpcError(`${target} has answered nothing: timeout`, 0));
+                }
+            }, SILENCE_CHECK_MS);
+        });
+        try {
+            const answer = await Promise.race([call, silence]);
+            this.#heardAt.set(target, this.#getNow());
+            return answer;
+        } catch (error) {
+            if (error instanceof RpcError && error.code !== 0) {
+                this.#heardAt.set(target, this.#getNow());
+            }
+            // The call itself may still fail later; nobody waits for it any more.
+            call.catch(() => {});
+            throw error;
+        } finally {
+            clearInterval(timer);
+        }
+    }
+
     /** @returns Whether the call may have been carried out nevertheless. */
     #handleFailure(target: string, error: Error): boolean {
         const { code, data } = error as RpcError;
--- a/rpc/http_rpc.ts
+++ b/rpc/http_rpc.ts
@@ -20,7 +20,7 @@
     type IncomingMessage,
     type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import {
     JSONRPCClient,
     JSONRPCServer,
@@ -196,6 +196,13 @@
     return answer === null ? "" : JSON.stringify(answer);
 }
 
+/** One call on its way. */
+interface CallState {
+    readonly timeoutMs: number;
+    /** What went wrong on the way. */
+    failure: RpcError | undefined;
+}
+
 /** A client of one server. */
 export interface RpcClient {
     /**
@@ -212,6 +219,11 @@
     readonly bytes: () => { received: number; sent: number };
 }
 
+/**
+ * An instance that has not opened a connection by then is off or cut off, in ms: the way takes some
+ * ms, in another region some tens.
+ */
+const CONNECT_TIMEOUT_MS = 300;
 /** How much later than the socket the caller's own timer gives a call up, in ms. */
 const CALL_TIMEOUT_SLACK_MS = 50;
 const sharedAgent = new Agent({ keepAlive: true, maxSockets: 64 });
@@ -227,8 +239,8 @@
     const [host, port] = parseAddress(address);
     let received = 0;
     let sent = 0;
-    const client = new JSONRPCClient<number>(
-        (payload, callTimeoutMs) =>
+    const client = new JSONRPCClient<CallState>(
+        (payload, state) =>
             new Promise<void>((resolve, reject) => {
                 const body = JSON.stringify(payload);
                 sent += Buffer.byteLength(body);
@@ -241,7 +253,7 @@
                         agent: sharedAgent,
                         // Destroys the socket too: one left open to a frozen process for every
                         // timed-out call would use up the agent's sockets.
-                        timeout: callTimeoutMs,
+                        timeout: state.timeoutMs,
                         headers: { "content-type": "application/json" },
                     },
                     (res) => {
@@ -257,31 +269,35 @@
                         });
                     },
                 );
+                req.on("socket", (socket) => closeUnconnected(socket, address));
                 req.on("timeout", () => {
                     const error = new RpcError(
-                        `timeout after ${callTimeoutMs} ms calling ${address}`,
+                        `timeout after ${state.timeoutMs} ms calling ${address}`,
                         0,
                     );
                     error.isUndelivered = req.socket?.connecting ?? true;
                     req.destroy(error);
                     closeIdleSockets(sharedAgent, host, port);
                 });
-                req.on("error", (error: NodeJS.ErrnoException) =>
-                    reject(toRpcError(error, address)),
-                );
+                req.on("error", (error: NodeJS.ErrnoException) => {
+                    state.failure = toRpcError(error, address);
+                    reject(state.failure);
+                });
                 req.end(body);
             }),
     );
     return {
         call: async <T>(method: string, params: object, callTimeoutMs = timeoutMs): Promise<T> => {
+            const state: CallState = { timeoutMs: callTimeoutMs, failure: undefined };
             try {
                 // The socket's own timeout comes first: it knows whether the call was delivered.
                 return (await client
                     .timeout(callTimeoutMs + CALL_TIMEOUT_SLACK_MS)
-                    .request(method, params, callTimeoutMs)) as T;
+                    .request(method, params, state)) as T;
             } catch (error) {
-                if (error instanceof RpcError) {
-                    throw error;
+                // The library passes on only the text of what went wrong on the way.
+                if (state.failure !== undefined) {
+                    throw state.failure;
                 }
                 const { code, data } = error as { code?: number; data?: unknown };
                 throw new RpcError((error as Error).message, code ?? 0, data);
@@ -291,6 +307,20 @@
     };
 }
 
+/** Gives a connection up that is not open in time, so that a call can go elsewhere, unsent. */
+function closeUnconnected(socket: Socket, address: string): void {
+    if (!socket.connecting) {
+        return;
+    }
+    const timer = setTimeout(() => {
+        const error = new RpcError(`${address}: no connection within ${CONNECT_TIMEOUT_MS} ms`, 0);
+        error.isUndelivered = true;
+        socket.destroy(error);
+    }, CONNECT_TIMEOUT_MS);
+    socket.once("connect", () => clearTimeout(timer));
+    socket.once("close", () => clearTimeout(timer));
+}
+
 function toRpcError(error: NodeJS.ErrnoException, address: string): RpcError {
     if (error instanceof RpcError) {
         return error;
