Wait for a control group that is down as a whole; send callers away only from the smaller part of a partition

Sent away is right when another instance can serve, and only the smaller part of a partition knows that.

--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -61,18 +61,15 @@
  */
 const READY_SILENCE_MS = 1_200;
 /**
- * How long a call waits for a leader while none has answered for {@link READY_SILENCE_MS}, in ms.
- * The instance is most likely cut off: a caller that is sent away at once reaches another one
- * within its deadline.
+ * How long a call that reached no leader waits while the other control instances answer but none has
+ * led for {@link READY_SILENCE_MS}, in ms. This side is the smaller part of a partition: a caller
+ * that is sent away at once reaches another instance within its deadline.
  */
 const CUT_OFF_BUDGET_MS = 250;
-/**
- * The longest that a call which reached nobody waits for a leader, in ms: an election and a lost
- * try. After that it is better answered, so that its caller tries another instance within its own
- * 3 s. A call that reached somebody goes on for the caller's whole time: its outcome is not known, a
- * caller told so can not repeat it, and the next leader knows whether it was accepted.
- */
-const LEADER_WAIT_MS = 1_600;
+/** The same while there was a leader just now, in ms: an election and a lost try. */
+const ELECTION_BUDGET_MS = 1_600;
+/** A control instance that answered within this time is there, in ms. */
+const HEARD_MS = 1_000;
 /** When to come back while no leader can be reached, in ms: about one election. */
 const RETRY_AFTER_MS = 1_000;
 
@@ -147,9 +144,12 @@
     }
 
     async #carryCall(call: CallerCall, budgetMs: number): Promise<FrontOutcome> {
-        const isCutOff = performance.now() - this.#greetedAt >= READY_SILENCE_MS;
-        const undeliveredMs = Math.min(budgetMs, isCutOff ? CUT_OFF_BUDGET_MS : LEADER_WAIT_MS);
-        const budget = { undeliveredMs, unsureMs: budgetMs };
+        const budget = {
+            computeUndeliveredMs: () => this.#computeWaitMs(budgetMs),
+            // Its outcome is not known, and a caller told so can not repeat it; the next leader
+            // knows whether it was accepted.
+            unsureMs: budgetMs,
+        };
         try {
             const answer = await this.#router.call<CallerAnswer>(METHODS.callers, call, budget);
             this.#greetedAt = performance.now();
@@ -174,6 +174,19 @@
         }
     }
 
+    /**
+     * Gives how long a call that reached nobody waits. When no control instance answers at all they
+     * are most likely all down and come back together: waiting is the caller's best chance, and
+     * elsewhere it would find the same.
+     */
+    #computeWaitMs(budgetMs: number): number {
+        if (!this.#router.hasHeard(HEARD_MS)) {
+            return budgetMs;
+        }
+        const isCutOff = performance.now() - this.#greetedAt >= READY_SILENCE_MS;
+        return Math.min(budgetMs, isCutOff ? CUT_OFF_BUDGET_MS : ELECTION_BUDGET_MS);
+    }
+
     async #handleAdvise(call: AdviseCall): Promise<AdviseAnswer> {
         return { admissions: await this.#options.adviceCalls.advise(call) };
     }
--- a/membership/leader_router.ts
+++ b/membership/leader_router.ts
@@ -52,8 +52,8 @@
 
 /** How long a call may take. */
 export interface CallBudget {
-    /** While no try was delivered to an instance that may lead, in ms. */
-    readonly undeliveredMs: number;
+    /** While no try was delivered to an instance that may lead, in ms; asked again as it waits. */
+    readonly computeUndeliveredMs: () => number;
     /** Once one was: its outcome is not known, and only an answer helps the caller, in ms. */
     readonly unsureMs: number;
 }
@@ -95,6 +95,17 @@
         return this.#leader;
     }
 
+    /**
+     * Tells whether any control instance answered lately, leader or not.
+     *
+     * @param withinMs How lately, in ms.
+     * @returns False when the caller is cut off from all, or none is up.
+     */
+    hasHeard(withinMs: number): boolean {
+        const since = this.#getNow() - withinMs;
+        return [...this.#heardAt.values()].some((at) => at >= since);
+    }
+
     /** Addresses of control instances: those that the leader told of, then the seeds. */
     listMembers(): string[] {
         return [...new Set([...this.#members, ...this.#options.listSeeds()])];
@@ -120,12 +131,14 @@
      * @throws {RpcError} When the leader refused the call.
      */
     async call<T>(method: string, params: object, budget: number | CallBudget): Promise<T> {
-        const { undeliveredMs, unsureMs } =
-            typeof budget === "number" ? { undeliveredMs: budget, unsureMs: budget } : budget;
+        const { computeUndeliveredMs, unsureMs } =
+            typeof budget === "number"
+                ? { computeUndeliveredMs: () => budget, unsureMs: budget }
+                : budget;
         const startedAt = this.#getNow();
         let mayHaveHappened = false;
         for (;;) {
-            const deadline = startedAt + (mayHaveHappened ? unsureMs : undeliveredMs);
+            const deadline = startedAt + (mayHaveHappened ? unsureMs : computeUndeliveredMs());
             const target = this.#leader ?? this.#selectNext();
             if (this.#getNow() >= deadline || target === undefined) {
                 throw new NoLeaderError(mayHaveHappened);
