Drop replaced voters; a refused connection is no answer of a worker

Change: planVoters drops silent voters beyond the target, silence is 1.5 s; 'undelivered' is an answer of its own; a suspect worker is looked at when it sends a heartbeat.

--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -89,8 +89,13 @@
 const DEFAULT_TIMINGS: ConsensusTimings = { heartbeatMs: 50, electionMs: 250 };
 /** Time between two greetings to the leader, in ms. */
 const HELLO_MS = 500;
-/** An instance not heard from for this long counts as gone, in ms: six greetings. */
-const MEMBER_SILENCE_MS = 3_000;
+/**
+ * An instance not heard from for this long counts as gone, in ms: three greetings. It is replaced
+ * only by one that is there and holds the log, so a hasty verdict costs two changes of the voters.
+ */
+const MEMBER_SILENCE_MS = 1_500;
+/** A new leader hears everybody's greeting within this time, in ms. */
+const ACQUAINTANCE_MS = 3_000;
 /** A front not heard from for this long makes no advice calls, in ms. */
 const FRONT_SILENCE_MS = 1_500;
 /** Facts batches between two snapshots: some 20 s of a busy day, below 20 MB of log. */
@@ -422,7 +427,7 @@
         }
         this.#updateLanes();
         // A new leader has not heard from everybody yet: it must not take the others for dead.
-        if (now - this.#leadingSince < MEMBER_SILENCE_MS) {
+        if (now - this.#leadingSince < ACQUAINTANCE_MS) {
             return;
         }
         const live = new Map<EntryId, string>([[this.#self, this.#options.zone]]);
--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -62,6 +62,8 @@
     | { readonly type: "none" }
     /** Nothing arrives and nothing comes back. */
     | { readonly type: "lost" }
+    /** No connection: the sender knows that nothing was sent. */
+    | { readonly type: "refused" }
     /** No answer; carried out after `afterMs`. */
     | { readonly type: "late"; readonly afterMs: number };
 
@@ -412,6 +414,10 @@
             });
         const worker = this.workers.get(id);
         const silence = { type: "unanswered", cause: "timeout" } as A;
+        if (fault.type === "refused") {
+            reply(WAY_MS, { type: "undelivered", cause: "refused" } as A);
+            return;
+        }
         if (fault.type === "lost" || worker === undefined) {
             reply(ORDER_TIMEOUT_MS, silence);
             return;
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -122,6 +122,9 @@
             case "gone":
                 this.removeWorker(worker.record.id, "another incarnation answers");
                 return;
+            case "undelivered":
+                this.#handleUndelivered(worker, member, answer.cause);
+                return;
             case "unanswered":
                 this.#handleUnanswered(worker, member, answer.cause);
                 return;
@@ -204,7 +207,7 @@
             }
         } else if (answer.type === "gone") {
             this.removeWorker(worker.record.id, "another incarnation answers");
-        } else if (answer.type === "unanswered") {
+        } else if (answer.type === "unanswered" || answer.type === "undelivered") {
             this.#setSuspect(worker, answer.cause);
         }
     }
@@ -255,7 +258,7 @@
             this.removeWorker(order.worker, "another incarnation answers");
             return;
         }
-        if (answer.type === "unanswered") {
+        if (answer.type === "unanswered" || answer.type === "undelivered") {
             this.#setSuspect(worker, answer.cause);
             return;
         }
@@ -334,6 +337,19 @@
         }
     }
 
+    /**
+     * Nothing listens there, or a cut refuses. Not an answer: a worker that counted as heard from on
+     * a refused connection would have its lease renewed for ever while it is dead.
+     */
+    #handleUndelivered(worker: WorkerState, member: MemberRun, cause: string): void {
+        this.#setSuspect(worker, cause);
+        if (member.tries <= 1) {
+            this.#attempts.endMember(member, "void", "");
+        } else {
+            this.#startBarrier(worker, member);
+        }
+    }
+
     #handleUnanswered(worker: WorkerState, member: MemberRun, cause: string): void {
         this.#context.recordDecision("failure", "start unanswered", {
             request: member.unit.job,
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -201,6 +201,10 @@
         const worker = this.#context.book.ensureWorker(next, now);
         worker.heartbeat = sequence;
         worker.heardAt = now;
+        if (worker.isSuspect) {
+            // It lives, but orders did not reach it; only an answered look brings work back.
+            this.#context.emit({ type: "look", worker: record.id });
+        }
         if (clockMs !== undefined) {
             worker.clock.record(clockMs, now);
         }
--- a/dispatch/dispatcher_test.ts
+++ b/dispatch/dispatcher_test.ts
@@ -79,6 +79,31 @@
     t.deepEqual(floor.violations, []);
 });
 
+test("a dead worker whose address refuses connections loses its tasks and its work", (t) => {
+    // The caller's job completes after the lease. The worker is gone for good and its address
+    // refuses every connection at once. A refusal taken for an answer would renew the lease with
+    // each look, and the worker, always idle, would be tried again and again.
+    let isDead = false;
+    const floor = new FloorFixture({
+        workers: 2,
+        taskMs: 2_000,
+        getFault: (_kind, worker): OrderFault =>
+            isDead && worker === ("w1" as WorkerId) ? { type: "refused" } : { type: "none" },
+    });
+    const needs = { cpu: 9_000, memoryMb: 1_000, gpu: 0 };
+    floor.submit(JOB, buildSpec({ count: 2, needs }));
+    floor.runFor(500);
+    isDead = true;
+    floor.killWorker("w1" as WorkerId);
+    floor.runFor(15_000);
+    t.is(floor.getState(JOB), "complete");
+    t.is(floor.runs.length, 3);
+    floor.submit("00000000000000a2", buildSpec({ count: 4 }));
+    floor.runFor(5_000);
+    t.is(floor.getState("00000000000000a2"), "complete");
+    t.deepEqual(floor.violations, []);
+});
+
 test("a new leader learns from the workers what runs and starts nothing twice", (t) => {
     const floor = new FloorFixture({ workers: 3, taskMs: 1_000 });
     floor.submit(JOB, buildSpec({ count: 6 }));
--- a/dispatch/types.ts
+++ b/dispatch/types.ts
@@ -129,6 +129,8 @@
       }
     /** Another incarnation answered: this one is gone. */
     | { readonly type: "gone" }
+    /** No connection could be opened: it was not sent. */
+    | { readonly type: "undelivered"; readonly cause: string }
     /** No answer: it may have been carried out, or may be later. */
     | { readonly type: "unanswered"; readonly cause: string };
 
@@ -166,6 +168,7 @@
       }
     | { readonly type: "refused"; readonly reason: RefusalReason }
     | { readonly type: "gone" }
+    | { readonly type: "undelivered"; readonly cause: string }
     | { readonly type: "unanswered"; readonly cause: string };
 
 /** A call to the advice service. */
--- a/membership/voter_plan.ts
+++ b/membership/voter_plan.ts
@@ -42,7 +42,21 @@
             wanted[i] = takeRarest(candidates, rest, input.live);
         }
     }
-    return wanted;
+    return dropSurplus(wanted, input);
+}
+
+/**
+ * Drops silent voters beyond the target. A replaced instance that stays a voter is a loss that
+ * lasts: with four voters, one of them gone for good, the next loss leaves no quorum.
+ */
+function dropSurplus(wanted: readonly EntryId[], input: VoterPlanInput): EntryId[] {
+    const kept = [...wanted];
+    for (const id of wanted) {
+        if (kept.length > input.target && !input.live.has(id)) {
+            kept.splice(kept.indexOf(id), 1);
+        }
+    }
+    return kept;
 }
 
 /** Takes the candidate whose zone has the fewest voters. */
--- a/membership/voter_plan_test.ts
+++ b/membership/voter_plan_test.ts
@@ -31,3 +31,11 @@
     );
     t.deepEqual(planVoters({ current: ABC, live, target: 5 }).slice(3), ["e", "d"]);
 });
+
+test("a voter that was replaced and is gone goes, so that the next loss can be borne", (t) => {
+    // The operator's newest configuration could not be read any more: a new instance came and
+    // was added, the old one left for good but stayed a voter, and one more disk was lost.
+    const current = ["a", "b", "c", "d"] as EntryId[];
+    const live = buildLive(["a", "z1"], ["c", "z3"], ["d", "z2"]);
+    t.deepEqual(planVoters({ current, live, target: 3 }), ["a", "c", "d"]);
+});
