--- a/cli/mod.ts
+++ b/cli/mod.ts
@@ -18,6 +18,7 @@
     CheckCommand,
     DrainCommand,
     FateCommand,
+    LogsExplainCommand,
     LogsMergeCommand,
     RulesSetCommand,
     StatusCommand,
@@ -49,6 +50,7 @@
         DrainCommand,
         RulesSetCommand,
         StatusCommand,
+        LogsExplainCommand,
         LogsMergeCommand,
         Builtins.HelpCommand,
     ]) {
--- a/cli/operator_commands.ts
+++ b/cli/operator_commands.ts
@@ -12,11 +12,11 @@
  */
 
 import { readFileSync } from "node:fs";
-import { Command, Option } from "clipanion";
+import { Command, Option, UsageError } from "clipanion";
 import { parse } from "yaml";
 import { createRpcClient } from "../rpc/mod.ts";
 import { FindingsError, formatFindings } from "../settings/findings.ts";
-import { formatEvent, mergeTimeline } from "../telemetry/mod.ts";
+import { explainRequest, formatEvent, mergeTimeline } from "../telemetry/mod.ts";
 import { loadSettingsFiles } from "./files.ts";
 
 abstract class EntryClientCommand extends Command {
@@ -192,14 +192,51 @@
         description: "Merge the JSON logs of every process into one time line.",
     });
     request = Option.String("--request");
+    since = Option.String("--since", { description: "ISO time or ms since 1970" });
+    until = Option.String("--until", { description: "ISO time or ms since 1970" });
     files = Option.Rest({ required: 1 });
 
     /** @returns The exit code. */
     async execute(): Promise<number> {
         const texts = this.files.map((file) => readFileSync(file, "utf8"));
+        const since = parseTime(this.since, Number.NEGATIVE_INFINITY);
+        const until = parseTime(this.until, Number.POSITIVE_INFINITY);
         for (const event of mergeTimeline(texts, { request: this.request })) {
-            this.context.stdout.write(`${formatEvent(event)}\n`);
+            if (event.t >= since && event.t <= until) {
+                this.context.stdout.write(`${formatEvent(event)}\n`);
+            }
         }
         return 0;
     }
 }
+
+/** `poplarhead logs explain`. */
+export class LogsExplainCommand extends Command {
+    static override paths = [["logs", "explain"]];
+    static override usage = Command.Usage({
+        description: "Explain one request from the JSON logs of every process.",
+    });
+    request = Option.String("--request", { required: true });
+    files = Option.Rest({ required: 1 });
+
+    /** @returns The exit code: 0 when something was logged about the request. */
+    async execute(): Promise<number> {
+        const texts = this.files.map((file) => readFileSync(file, "utf8"));
+        const { events, causes } = explainRequest(mergeTimeline(texts), this.request);
+        events.forEach((event) => this.context.stdout.write(`${formatEvent(event)}\n`));
+        this.context.stdout.write(causes.length === 0 ? "nothing unusual\n" : "causes:\n");
+        causes.forEach((cause) => this.context.stdout.write(`- ${cause}\n`));
+        return events.length === 0 ? 1 : 0;
+    }
+}
+
+function parseTime(text: string | undefined, otherwise: number): number {
+    if (text === undefined) {
+        return otherwise;
+    }
+    const ms = /^\d+$/.test(text) ? Number(text) : Date.parse(text);
+    if (Number.isNaN(ms)) {
+        throw new UsageError(`not a time: ${text}`);
+    }
+    return ms;
+}
--- /dev/null
+++ b/telemetry/explain.ts
@@ -0,0 +1,121 @@
+/**
+ * Explains one request from the merged logs: its own time line, what happened meanwhile to the
+ * workers and leaders it depended on, and where its time went.
+ *
+ * @example
+ * ```ts
+ * import { explainRequest } from "./explain.ts";
+ * const explanation = explainRequest(events, "5c0e7a21d94b36f8");
+ * ```
+ *
+ * @module
+ */
+
+import type { TimelineEvent } from "./timeline.ts";
+
+/** An explanation. */
+export interface Explanation {
+    /** The request's events and those of its workers and of the leaders meanwhile. */
+    readonly events: readonly TimelineEvent[];
+    /** What delayed or ended it, the weightiest first, one sentence each. */
+    readonly causes: readonly string[];
+}
+
+/** Events that touch every request under way. */
+const LEADER_EVENTS: ReadonlySet<string> = new Set(["lead gained", "lead lost", "started"]);
+/** Events of a worker that touch what runs there. */
+const WORKER_EVENTS: ReadonlySet<string> = new Set([
+    "worker silent",
+    "worker answers again",
+    "worker gone",
+    "lease over",
+    "worker changed",
+]);
+/** A step that waited longer than this for a worker waited, in ms: advice alone takes up to 0.8 s. */
+const LONG_WAIT_MS = 1_000;
+/** Events shortly before the request's first line may explain it, in ms. */
+const BEFORE_MS = 3_000;
+
+/**
+ * Explains a request.
+ *
+ * @param events The merged events of every process.
+ * @param request The request's id.
+ * @returns Its events with their surroundings, and the causes found.
+ */
+export function explainRequest(events: readonly TimelineEvent[], request: string): Explanation {
+    const own = events.filter((event) => isAbout(event, request));
+    const first = own[0]?.t ?? 0;
+    const last = own.at(-1)?.t ?? 0;
+    const workers = new Set(own.flatMap((event) => listWorkers(event)));
+    const around = events.filter(
+        (event) =>
+            event.t >= first - BEFORE_MS &&
+            event.t <= last &&
+            (LEADER_EVENTS.has(event.message) || isOfWorker(event, workers)),
+    );
+    const all = [...new Set([...own, ...around])].sort((a, b) => a.t - b.t);
+    return { events: own.length === 0 ? [] : all, causes: listCauses(own, around) };
+}
+
+function listCauses(own: readonly TimelineEvent[], around: readonly TimelineEvent[]): string[] {
+    if (own.length === 0) {
+        return ["no process logged this request: it reached no leader, or its lines were given up"];
+    }
+    const causes: string[] = [];
+    const has = (message: string): boolean => own.some((event) => event.message === message);
+    if (has("no leader for a call") && !has("job accepted")) {
+        causes.push("no leader could be reached while it was handed in");
+    }
+    causes.push(...countEnds(own));
+    for (const event of own) {
+        if (event.message === "job failed") {
+            causes.push(`a task failed as often as its queue allows (${String(event["limit"])})`);
+        } else if (event.message === "start refused") {
+            causes.push(`a start was refused: ${String(event["reason"])}`);
+        } else if (event.message === "start unanswered") {
+            causes.push(`a start got no answer from ${String(event["worker"])}`);
+        } else if (event.message === "attempt placed" && isLongWait(event)) {
+            causes.push(
+                `step ${String(event["step"])} waited ${String(event["waitedMs"])} ms for a worker`,
+            );
+        }
+    }
+    for (const event of around) {
+        if (event.message === "lead lost") {
+            causes.push(`the leader ${event.process} was lost meanwhile`);
+        } else if (event.message === "worker gone" || event.message === "lease over") {
+            causes.push(`${event.message}: ${String(event["worker"])}`);
+        }
+    }
+    return [...new Set(causes)];
+}
+
+/** Ends other than `done`, counted by kind. */
+function countEnds(own: readonly TimelineEvent[]): string[] {
+    const counts = new Map<string, number>();
+    for (const event of own) {
+        const how = event.message === "task ended" ? String(event["how"]) : "done";
+        if (how !== "done") {
+            counts.set(how, (counts.get(how) ?? 0) + 1);
+        }
+    }
+    return [...counts].map(([how, count]) => `${count} of its runs ended ${how}`);
+}
+
+function isLongWait(event: TimelineEvent): boolean {
+    return Number(event["waitedMs"]) > LONG_WAIT_MS;
+}
+
+function isAbout(event: TimelineEvent, request: string): boolean {
+    return event.request === request || String(event["path"] ?? "").endsWith(`/${request}`);
+}
+
+function isOfWorker(event: TimelineEvent, workers: ReadonlySet<string>): boolean {
+    return WORKER_EVENTS.has(event.message) && workers.has(String(event["worker"]));
+}
+
+function listWorkers(event: TimelineEvent): string[] {
+    const listed = Array.isArray(event["workers"]) ? (event["workers"] as string[]) : [];
+    return typeof event["worker"] === "string" ? [...listed, event["worker"]] : listed;
+}
