Match waiting steps with workers only when something changed for them

Cause: each event matched every waiting step with every worker, also steps whose advice was still to come: in a burst on 245 workers hundreds of steps, a thousand events a second.

Change: a step that found no place is tried again when a worker gets room or becomes usable, its advice comes, or 0.3 s have passed; placings are 5 ms apart under load; room taken by a placed unit is worked out without matching again.

--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -68,6 +68,11 @@
 /** An advice call may take this many times its own length, and a little more, in ms. */
 const ADVICE_TIMEOUT_FACTOR = 2.5;
 const ADVICE_TIMEOUT_EXTRA_MS = 400;
+/**
+ * Under load placings are this far apart, in ms: one look over the backlog for many events, at the
+ * cost of less than a commit.
+ */
+const PLACING_PAUSE_MS = 5;
 const JOB_ID = /^[0-9a-f]{16}$/;
 
 /** One term of leading. */
@@ -77,6 +82,7 @@
     readonly #watch: WorkerWatch;
     #ticks: Subscription | undefined;
     #isScheduled = false;
+    #placedAt = Number.NEGATIVE_INFINITY;
     #isStopped = false;
 
     /**
@@ -253,11 +259,17 @@
             return;
         }
         this.#isScheduled = true;
-        setImmediate(() => {
+        const place = (): void => {
             this.#isScheduled = false;
+            this.#placedAt = performance.now();
             this.#dispatcher.placeWaiting();
             this.#flushSoon();
-        });
+        };
+        if (performance.now() - this.#placedAt < PLACING_PAUSE_MS) {
+            setTimeout(place, PLACING_PAUSE_MS);
+        } else {
+            setImmediate(place);
+        }
     }
 
     /**
--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -54,6 +54,8 @@
     readonly recordDecision: RecordDecision;
     /** Something changed that may let a waiting unit be placed. */
     isDirty = true;
+    /** Rises when a worker gets room or becomes usable: what did not fit before may fit now. */
+    roomVersion = 0;
     #facts: Fact[] = [];
     #effects: Effect[] = [];
 
@@ -82,6 +84,12 @@
         this.ledger.apply({ at: this.clock.getWall(), facts: [fact] });
     }
 
+    /** Notes that a worker got room or became usable. */
+    recordRoom(): void {
+        this.roomVersion += 1;
+        this.isDirty = true;
+    }
+
     /**
      * Asks for effects once the facts so far are agreed on.
      *
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -271,7 +271,7 @@
             this.#context.recordDecision("decision", "worker answers again", {
                 worker: order.worker,
             });
-            this.#context.isDirty = true;
+            this.#context.recordRoom();
         }
         this.#context.book.recordAnswer(worker, answer.clockMs, now);
         worker.confirmedFence = Math.max(worker.confirmedFence, order.fence);
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -12,7 +12,7 @@
  */
 
 import type { QueueConfig } from "../configuration/mod.ts";
-import type { UnitRef, WorkerId } from "../job/mod.ts";
+import type { Resources, UnitRef, WorkerId } from "../job/mod.ts";
 import { computeRoom, type Attempts } from "./_attempts.ts";
 import type { DispatchContext } from "./_context.ts";
 import { placeUnit, type Candidate } from "./placement.ts";
@@ -66,15 +66,26 @@
             .listWaiting()
             .map((step) => ({ step, queue: this.#context.findQueue(step.queue) }))
             .filter((entry): entry is RankedStep => entry.queue !== undefined)
+            .filter(({ step, queue }) => this.#isWorthTrying(step, queue))
             .sort((a, b) => rankStep(a.step, a.queue) - rankStep(b.step, b.queue));
         for (const { step, queue } of ranked) {
             this.#placeStep(step, queue, now);
+            step.triedVersion = this.#context.roomVersion;
         }
         for (const { lane, call } of this.#context.desk.takeCalls(now)) {
             this.#context.emit({ type: "advise", lane, call });
         }
     }
 
+    /** Nothing can be placed before the first advice, or until a worker has got room. */
+    #isWorthTrying(step: StepWork, queue: QueueConfig): boolean {
+        const awaitsAdvice =
+            queue.advice !== undefined &&
+            step.advice.callId !== undefined &&
+            step.advice.good.size === 0;
+        return !awaitsAdvice && step.triedVersion !== this.#context.roomVersion;
+    }
+
     #placeStep(step: StepWork, queue: QueueConfig, now: number): void {
         const candidates = this.#listCandidates(step, queue, now);
         let hasPlaced = false;
@@ -92,7 +103,7 @@
             }
             hasPlaced = true;
             this.#startAttempt(step, unit, chosen);
-            candidates.admitted = this.#listCandidates(step, queue, now).admitted;
+            candidates.admitted = takeRoom(candidates.admitted, chosen, computeRoom(step.spec));
         }
         if (!hasPlaced || step.waiting.size > 0) {
             this.#ensureAdvice(step, queue, candidates, now);
@@ -243,6 +254,7 @@
         if (step === undefined || step.advice.callId !== call.id) {
             return;
         }
+        step.triedVersion = undefined;
         step.advice.callId = undefined;
         if (admissions === undefined) {
             return;
@@ -264,3 +276,27 @@
         });
     }
 }
+
+/** Gives the candidates as they are once a unit was placed on some of them. */
+function takeRoom(
+    candidates: readonly Candidate[],
+    chosen: readonly WorkerId[],
+    needs: Resources,
+): Candidate[] {
+    return candidates.map((candidate) => {
+        const count = chosen.filter((id) => id === candidate.id).length;
+        if (count === 0) {
+            return candidate;
+        }
+        const { free } = candidate;
+        return {
+            ...candidate,
+            sameStep: candidate.sameStep + count,
+            free: {
+                cpu: free.cpu - count * needs.cpu,
+                memoryMb: free.memoryMb - count * needs.memoryMb,
+                gpu: free.gpu - count * needs.gpu,
+            },
+        };
+    });
+}
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -52,6 +52,11 @@
 
 /** A stop without an end in the worker's lists is sent again after this, in ms. */
 const STOP_AGAIN_MS = 400;
+/**
+ * All waiting steps are tried again after this, in ms: tickets and pauses of workers run out by the
+ * clock alone.
+ */
+const RETRY_ALL_MS = 300;
 /** Time between two sweeps that forget ended jobs, in ms. */
 const FORGET_EVERY_MS = 5_000;
 /** A worker not heard from for this long, and with nothing running, is forgotten, in ms. */
@@ -66,6 +71,7 @@
     readonly #orders: Orders;
     readonly #placer: StepPlacer;
     #forgottenAt: number;
+    #retriedAt = Number.NEGATIVE_INFINITY;
 
     /**
      * Takes over: every attempt on record may be out, and every worker with one is looked at.
@@ -160,7 +166,7 @@
             before: current,
             queues: configuration.queues.length,
         });
-        this.#context.isDirty = true;
+        this.#context.recordRoom();
         return true;
     }
 
@@ -199,6 +205,7 @@
             this.#checkAddress(next);
         }
         const worker = this.#context.book.ensureWorker(next, now);
+        const wasUsable = this.#context.book.isUsable(worker, now);
         worker.heartbeat = sequence;
         worker.heardAt = now;
         if (worker.isSuspect) {
@@ -208,7 +215,9 @@
         if (clockMs !== undefined) {
             worker.clock.record(clockMs, now);
         }
-        this.#context.isDirty = true;
+        if (!wasUsable) {
+            this.#context.recordRoom();
+        }
     }
 
     /**
@@ -239,6 +248,10 @@
         for (const worker of this.#context.book.workers) {
             this.#tickWorker(worker, now);
         }
+        if (now - this.#retriedAt >= RETRY_ALL_MS) {
+            this.#retriedAt = now;
+            this.#context.recordRoom();
+        }
         if (now - this.#forgottenAt >= FORGET_EVERY_MS) {
             this.#forgottenAt = now;
             this.#forgetEnded();
--- a/dispatch/step_board.ts
+++ b/dispatch/step_board.ts
@@ -50,6 +50,11 @@
     /** When the step became ready, in ms since 1970. */
     readonly readyAt: number;
     readonly advice: StepAdvice;
+    /**
+     * The room version at which its waiting units found no place; `undefined` when it is to be tried.
+     * A backlog of hundreds of steps would otherwise be matched with every worker on every event.
+     */
+    triedVersion: number | undefined;
     /** Workers on which one of its units failed: another one is tried first. */
     readonly failedOn: Set<WorkerId>;
 }
@@ -148,7 +153,11 @@
      * @param ref The unit.
      */
     addWaiting(ref: UnitRef): void {
-        this.#steps.get(createStepKey(ref))?.waiting.add(ref.unit);
+        const step = this.#steps.get(createStepKey(ref));
+        if (step !== undefined) {
+            step.waiting.add(ref.unit);
+            step.triedVersion = undefined;
+        }
     }
 
     /**
@@ -218,6 +227,7 @@
             waiting,
             readyAt: this.#clock.getWall(),
             advice: { asked: new Set(), good: new Map(), callId: undefined, retryAt: 0 },
+            triedVersion: undefined,
             failedOn: new Set(),
         });
         const keys = this.#byJob.get(step.job.id) ?? new Set();
