On large floors the other members gather heartbeats and answer for states

Change: from 100 workers on, a member that hears the leader acknowledges heartbeats that say nothing new and hands them on every 0.3 s; fronts ask replicas for states and the leader for what they do not know.

--- a/control/calls.ts
+++ b/control/calls.ts
@@ -26,6 +26,8 @@
 export const METHODS = {
     callers: "control.callers",
     heartbeat: "control.heartbeat",
+    signs: "control.signs",
+    readState: "control.readState",
     leave: "control.leave",
     configure: "control.configure",
     readConfiguration: "control.readConfiguration",
@@ -66,6 +68,18 @@
     readonly clockMs: number | undefined;
 }
 
+/** Heartbeats that say nothing new, gathered by a member for the leader. */
+export interface SignsCall {
+    readonly signs: readonly LifeSign[];
+}
+
+/** One heartbeat that says nothing but that the worker lives. */
+export interface LifeSign {
+    readonly worker: WorkerId;
+    readonly sequence: number;
+    readonly clockMs: number | undefined;
+}
+
 /** What an instance tells the leader about itself. */
 export interface HelloCall {
     /** Where its RPC server listens. */
@@ -84,6 +98,8 @@
     /** Where workers and operators reach the leader. */
     readonly publicAddress: string;
     readonly limits: HelloLimits | undefined;
+    /** Members that answer for the states of jobs; empty while the leader does it alone. */
+    readonly readers: readonly string[];
 }
 
 /** The limits in force for callers. */
--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -14,12 +14,12 @@
 
 import { interval, type Subscription } from "rxjs";
 import type { Logger } from "winston";
-import type { Configuration } from "../configuration/mod.ts";
-import type { DispatchLimits, LaneId } from "../dispatch/mod.ts";
+import { findQueue, type Configuration } from "../configuration/mod.ts";
+import { isSameRecord, type DispatchLimits, type LaneId } from "../dispatch/mod.ts";
 import { CellClock } from "../entry/cell_clock.ts";
 import { GroupMember } from "../entry/group_member.ts";
 import { PeerNetwork, type PeerEnvelope } from "../entry/peer_network.ts";
-import { Ledger, type FactBatch, type WorkerId } from "../job/mod.ts";
+import { Ledger, type FactBatch, type JobId, type WorkerId } from "../job/mod.ts";
 import {
     OutcomeUnknownError,
     type ConsensusTimings,
@@ -53,10 +53,12 @@
     type HeartbeatCall,
     type HelloAnswer,
     type HelloCall,
+    type SignsCall,
     type WorkerCalls,
 } from "./calls.ts";
 import { ClockGuard } from "./clock_guard.ts";
-import { Leadership, type ConfigureAnswer } from "./leadership.ts";
+import { findState, Leadership, type ConfigureAnswer } from "./leadership.ts";
+import { SignBox } from "./sign_box.ts";
 
 /** Options of {@link ControlDaemon}. */
 export interface ControlDaemonOptions {
@@ -96,6 +98,13 @@
 const MEMBER_SILENCE_MS = 1_500;
 /** A new leader hears everybody's greeting within this time, in ms. */
 const ACQUAINTANCE_MS = 3_000;
+/**
+ * From this many workers on the other members take heartbeats and questions about states for the
+ * leader: below, both are less than a tenth of its processor.
+ */
+const LARGE_FLOOR_WORKERS = 100;
+/** A replica that has not heard the leader for this long answers for no state, in ms: three heartbeats. */
+const READER_SILENCE_MS = 150;
 /** A front not heard from for this long makes no advice calls, in ms. */
 const FRONT_SILENCE_MS = 1_500;
 /** Facts batches between two snapshots: some 20 s of a busy day, below 20 MB of log. */
@@ -119,6 +128,9 @@
     readonly #network: PeerNetwork;
     readonly #clients = new RpcClientPool({ timeoutMs: FORWARD_BUDGET_MS });
     readonly #router: LeaderRouter;
+    readonly #signs = new SignBox({
+        send: (signs) => this.#router.call(METHODS.signs, { signs }, FORWARD_BUDGET_MS),
+    });
     readonly #known = new Map<string, KnownInstance>();
     #member: GroupMember<FactBatch, void> | undefined;
     #leadership: Leadership | undefined;
@@ -165,6 +177,8 @@
                 [METHODS.callers]: (params) => this.#lead().handleCaller(params as CallerCall),
                 [METHODS.heartbeat]: (params) =>
                     this.#lead().handleHeartbeat(params as HeartbeatCall),
+                [METHODS.signs]: (params) => this.#lead().handleSigns((params as SignsCall).signs),
+                [METHODS.readState]: (params) => this.#readState(params as CallerCall),
                 [METHODS.leave]: (params) =>
                     this.#lead().handleLeave((params as { worker: WorkerId }).worker),
                 [METHODS.configure]: (params) =>
@@ -211,11 +225,27 @@
      * @throws {NoLeaderError} When no leader took it in time.
      */
     async handleHeartbeat(call: HeartbeatCall): Promise<void> {
+        if (this.#isPlainSign(call)) {
+            const { record, sequence, clockMs } = call;
+            this.#signs.add({ worker: record.id, sequence, clockMs });
+            return;
+        }
         await this.#runOrForward(METHODS.heartbeat, call, (leadership) =>
             leadership.handleHeartbeat(call),
         );
     }
 
+    /**
+     * Where a worker should send its later heartbeats.
+     *
+     * @returns On a small floor the leader, else this instance, which gathers them for the leader.
+     */
+    get heartbeatAddress(): string | undefined {
+        return this.#isLarge() && !this.isServing
+            ? this.#options.publicAddress
+            : this.leaderPublicAddress;
+    }
+
     /**
      * Takes a worker's word that it has left.
      *
@@ -267,6 +297,43 @@
         return this.#lead().handleCaller(call);
     }
 
+    #isLarge(): boolean {
+        return this.#durable.workers.size >= LARGE_FLOOR_WORKERS;
+    }
+
+    /** A heartbeat that says nothing new waits here for the next ones, on a large floor. */
+    #isPlainSign(call: HeartbeatCall): boolean {
+        const known = this.#durable.workers.get(call.record.id);
+        return (
+            this.#isLarge() &&
+            !this.isServing &&
+            this.#signs.isTrusted &&
+            known !== undefined &&
+            isSameRecord(known, call.record)
+        );
+    }
+
+    /**
+     * Answers for a job's state from this member's replica, while it hears the leader. What it does
+     * not know may be too new for it: the leader is asked then.
+     */
+    #readState(call: CallerCall): CallerAnswer {
+        const silentMs = performance.now() - (this.#member?.heardLeaderAt ?? 0);
+        const { configuration } = this.#durable;
+        const match =
+            configuration === undefined
+                ? undefined
+                : findQueue(configuration, call.host, call.path);
+        const answer =
+            match === undefined || silentMs > READER_SILENCE_MS
+                ? undefined
+                : findState(this.#durable, match.rest as JobId);
+        if (answer === undefined) {
+            throw new MethodError("ask the leader", NOT_LEADER_CODE, { leader: undefined });
+        }
+        return answer;
+    }
+
     #createGroup(): GroupLayout {
         const listVoters = () => this.#wantedVoters;
         return {
@@ -377,6 +444,7 @@
             leader: this.#self,
             members: this.#listMembers(),
             publicAddress: this.#options.publicAddress,
+            readers: this.#isLarge() ? this.#listReaders() : [],
             limits:
                 limits === undefined
                     ? undefined
@@ -384,6 +452,12 @@
         };
     }
 
+    #listReaders(): string[] {
+        return [...this.#known.values()]
+            .filter((known) => known.kind === "control")
+            .map((known) => known.address);
+    }
+
     #listMembers(): string[] {
         const voters = this.#member?.replica.voters.map((voter) => parseEntryId(voter)) ?? [];
         const others = [...this.#known.values()]
@@ -410,6 +484,7 @@
                 return undefined;
             });
         if (answer !== undefined) {
+            this.#signs.confirmLeader();
             this.#leaderPublicAddress = answer.publicAddress;
             this.#router.setMembers(answer.members);
             this.#wantedVoters = answer.members as EntryId[];
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -34,6 +34,7 @@
     CallerAnswer,
     CallerCall,
     HeartbeatCall,
+    LifeSign,
     WorkerCalls,
 } from "./calls.ts";
 import { WorkerWatch } from "./worker_watch.ts";
@@ -156,10 +157,7 @@
         }
         const job = match.rest as JobId;
         if (call.type === "state") {
-            const known = this.#options.durable.jobs.get(job);
-            return known === undefined
-                ? { type: "unknownJob" }
-                : { type: "state", state: known.state };
+            return findState(this.#options.durable, job) ?? { type: "unknownJob" };
         }
         if (call.type === "cancel") {
             return this.#cancel(job);
@@ -191,6 +189,18 @@
         });
     }
 
+    /**
+     * Takes heartbeats that a member gathered.
+     *
+     * @param signs The heartbeats.
+     */
+    handleSigns(signs: readonly LifeSign[]): void {
+        for (const { worker, sequence, clockMs } of signs) {
+            this.#dispatcher.handleSign(worker, sequence, clockMs);
+        }
+        this.#flushSoon();
+    }
+
     /**
      * Takes a worker's word that it has left.
      *
@@ -411,3 +421,15 @@
 
 /** The way back from the service through the front, at most, in ms; the wait before is not age. */
 const ADVICE_AGE_CAP_MS = 50;
+
+/**
+ * Finds the state of a job in a replica.
+ *
+ * @param ledger The replica.
+ * @param job The job.
+ * @returns The answer, or `undefined` when the replica does not know the job.
+ */
+export function findState(ledger: Ledger, job: JobId): CallerAnswer | undefined {
+    const known = ledger.jobs.get(job);
+    return known === undefined ? undefined : { type: "state", state: known.state };
+}
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -220,6 +220,20 @@
         }
     }
 
+    /**
+     * Takes a heartbeat that says nothing new.
+     *
+     * @param id The worker.
+     * @param sequence Rises with each heartbeat of the worker.
+     * @param clockMs The worker's clock when it was sent.
+     */
+    handleSign(id: WorkerId, sequence: number, clockMs: number | undefined): void {
+        const record = this.#context.ledger.workers.get(id);
+        if (record !== undefined) {
+            this.handleHeartbeat(record, sequence, clockMs);
+        }
+    }
+
     /**
      * Takes a worker's word that it has left.
      *
@@ -371,6 +385,13 @@
     }
 }
 
-function isSameRecord(a: WorkerRecord, b: WorkerRecord): boolean {
+/**
+ * Tells whether a heartbeat says what is on record.
+ *
+ * @param a What is on record.
+ * @param b What the heartbeat says.
+ * @returns True when nothing differs.
+ */
+export function isSameRecord(a: WorkerRecord, b: WorkerRecord): boolean {
     return JSON.stringify(a) === JSON.stringify(b);
 }
--- a/entry/group_member.ts
+++ b/entry/group_member.ts
@@ -111,6 +111,11 @@
         return this.#replica.isServing;
     }
 
+    /** When a leader last sent something, in ms on the monotonic clock. */
+    get heardLeaderAt(): number {
+        return this.#heardAt;
+    }
+
     /** The leader's entry instance, as far as this replica knows. */
     get leader(): EntryId | undefined {
         const { leader } = this.#replica;
--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -28,7 +28,7 @@
 } from "../control/calls.ts";
 import type { ControlMetrics } from "../telemetry/control_metrics.ts";
 import { LeaderRouter, NoLeaderError } from "../membership/mod.ts";
-import { parseAddress, startRpcServer, type RpcServer } from "../rpc/mod.ts";
+import { parseAddress, RpcClientPool, startRpcServer, type RpcServer } from "../rpc/mod.ts";
 
 /** Options of {@link FrontDaemon}. */
 export interface FrontDaemonOptions {
@@ -70,6 +70,8 @@
 const ELECTION_BUDGET_MS = 1_600;
 /** A control instance that answered within this time is there, in ms. */
 const HEARD_MS = 1_000;
+/** A replica that does not answer a question about a state by then is not waited for, in ms. */
+const READER_TIMEOUT_MS = 250;
 /** When to come back while no leader can be reached, in ms: about one election. */
 const RETRY_AFTER_MS = 1_000;
 
@@ -83,6 +85,9 @@
     #isGreeting = false;
     #isStopping = false;
     #limits: HelloLimits | undefined;
+    readonly #readerClients = new RpcClientPool({ timeoutMs: READER_TIMEOUT_MS });
+    #readers: readonly string[] = [];
+    #nextReader = 0;
 
     /**
      * @param options Addresses, seeds, the advice service; see {@link FrontDaemonOptions}.
@@ -150,6 +155,10 @@
             // knows whether it was accepted.
             unsureMs: budgetMs,
         };
+        const read = call.type === "state" ? await this.#readState(call) : undefined;
+        if (read !== undefined) {
+            return read;
+        }
         try {
             const answer = await this.#router.call<CallerAnswer>(METHODS.callers, call, budget);
             this.#greetedAt = performance.now();
@@ -174,6 +183,21 @@
         }
     }
 
+    /** Asks a replica for a job's state, where there are some; the leader is asked otherwise. */
+    async #readState(call: CallerCall): Promise<CallerAnswer | undefined> {
+        const reader = this.#readers[this.#nextReader++ % Math.max(1, this.#readers.length)];
+        if (reader === undefined) {
+            return undefined;
+        }
+        return this.#readerClients
+            .getClient(reader)
+            .call<CallerAnswer>(METHODS.readState, call)
+            .catch((error: Error) => {
+                this.#options.log.debug("replica did not answer", { error: error.message });
+                return undefined;
+            });
+    }
+
     /**
      * Gives how long a call that reached nobody waits. When no control instance answers at all they
      * are most likely all down and come back together: waiting is the caller's best chance, and
@@ -211,6 +235,7 @@
             this.#greetedAt = performance.now();
             this.#router.setMembers(answer.members);
             this.#limits = answer.limits ?? this.#limits;
+            this.#readers = answer.readers;
         } catch (error) {
             this.#options.log.warn("no leader greeted", { error: (error as Error).message });
         }
