--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -68,8 +68,6 @@
 const CUT_OFF_BUDGET_MS = 250;
 /** The same while there was a leader just now, in ms: an election and a lost try. */
 const ELECTION_BUDGET_MS = 1_600;
-/** A control instance that answered within this time is there, in ms. */
-const HEARD_MS = 1_000;
 /** A replica that does not answer a question about a state by then is not waited for, in ms. */
 const READER_TIMEOUT_MS = 250;
 /** When to come back while no leader can be reached, in ms: about one election. */
@@ -149,8 +147,9 @@
     }
 
     async #carryCall(call: CallerCall, budgetMs: number): Promise<FrontOutcome> {
+        const startedAt = performance.now();
         const budget = {
-            computeUndeliveredMs: () => this.#computeWaitMs(budgetMs),
+            computeUndeliveredMs: () => this.#computeWaitMs(startedAt, budgetMs),
             // Its outcome is not known, and a caller told so can not repeat it; the next leader
             // knows whether it was accepted.
             unsureMs: budgetMs,
@@ -201,14 +200,17 @@
     /**
      * Gives how long a call that reached nobody waits. When no control instance answers at all they
      * are most likely all down and come back together: waiting is the caller's best chance, and
-     * elsewhere it would find the same.
+     * elsewhere it would find the same. When they answer, an election is given its time, counted
+     * from the last leader or from their return: calls that waited through an outage must not be
+     * sent away just when it ends.
      */
-    #computeWaitMs(budgetMs: number): number {
-        if (!this.#router.hasHeard(HEARD_MS)) {
+    #computeWaitMs(startedAt: number, budgetMs: number): number {
+        const { aliveSince } = this.#router;
+        if (aliveSince === undefined) {
             return budgetMs;
         }
-        const isCutOff = performance.now() - this.#greetedAt >= READY_SILENCE_MS;
-        return Math.min(budgetMs, isCutOff ? CUT_OFF_BUDGET_MS : ELECTION_BUDGET_MS);
+        const electionEndsAt = Math.max(this.#greetedAt, aliveSince) + ELECTION_BUDGET_MS;
+        return Math.min(budgetMs, Math.max(electionEndsAt - startedAt, CUT_OFF_BUDGET_MS));
     }
 
     async #handleAdvise(call: AdviseCall): Promise<AdviseAnswer> {
--- a/membership/leader_router.ts
+++ b/membership/leader_router.ts
@@ -63,6 +63,8 @@
  * costs a caller little more than the election itself.
  */
 const DEFAULT_SILENCE_MS = 350;
+/** Instances count as answering while one has within this time, in ms. */
+const HEARD_MS = 1_000;
 /** How often a call that waits looks whether its instance still answers others, in ms. */
 const SILENCE_CHECK_MS = 50;
 /** Pause between rounds while nobody leads, in ms: a tenth of an election. */
@@ -76,6 +78,8 @@
     readonly #silenceMs: number;
     /** When each instance answered last, whatever it said. */
     readonly #heardAt = new Map<string, number>();
+    #heardLastAt = Number.NEGATIVE_INFINITY;
+    #aliveSince = 0;
     #members: readonly string[] = [];
     #leader: string | undefined;
     #next = 0;
@@ -96,14 +100,13 @@
     }
 
     /**
-     * Tells whether any control instance answered lately, leader or not.
+     * Gives since when control instances have answered, leader or not.
      *
-     * @param withinMs How lately, in ms.
-     * @returns False when the caller is cut off from all, or none is up.
+     * @returns The time in ms, or `undefined` while none has answered for {@link HEARD_MS}: the
+     * caller is cut off from all, or none is up.
      */
-    hasHeard(withinMs: number): boolean {
-        const since = this.#getNow() - withinMs;
-        return [...this.#heardAt.values()].some((at) => at >= since);
+    get aliveSince(): number | undefined {
+        return this.#getNow() - this.#heardLastAt < HEARD_MS ? this.#aliveSince : undefined;
     }
 
     /** Addresses of control instances: those that the leader told of, then the seeds. */
@@ -177,11 +180,11 @@
         });
         try {
             const answer = await Promise.race([call, silence]);
-            this.#heardAt.set(target, this.#getNow());
+            this.#recordHeard(target);
             return answer;
         } catch (error) {
             if (error instanceof RpcError && error.code !== 0) {
-                this.#heardAt.set(target, this.#getNow());
+                this.#recordHeard(target);
             }
             // The call itself may still fail later; nobody waits for it any more.
             call.catch(() => {});
@@ -191,6 +194,15 @@
         }
     }
 
+    #recordHeard(target: string): void {
+        const now = this.#getNow();
+        if (now - this.#heardLastAt >= HEARD_MS) {
+            this.#aliveSince = now;
+        }
+        this.#heardLastAt = now;
+        this.#heardAt.set(target, now);
+    }
+
     /** @returns Whether the call may have been carried out nevertheless. */
     #handleFailure(target: string, error: Error): boolean {
         const { code, data } = error as RpcError;
