Refuse what can never run; jobs that can still be in time go first

Change: dispatch/admission.ts (every empty worker of the pool on record, labels, gangs), dispatch/ranking.ts (in time, late, over; each by age; chains of steps from the callers' estimates).

--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -74,6 +74,8 @@
  * cost of less than a commit.
  */
 const PLACING_PAUSE_MS = 5;
+/** When to come back with a job that no worker on record can run: larger workers come rarely, in ms. */
+const INFEASIBLE_RETRY_MS = 60_000;
 const JOB_ID = /^[0-9a-f]{16}$/;
 
 /** One term of leading. */
@@ -166,7 +168,10 @@
             return { type: "invalid", problem: call.problem };
         }
         const { name, pool } = match.queue;
-        this.#dispatcher.submit({ job, queue: name, pool, spec: call.spec });
+        const problem = this.#dispatcher.submit({ job, queue: name, pool, spec: call.spec });
+        if (problem !== undefined) {
+            return { type: "refused", reason: problem, retryAfterMs: INFEASIBLE_RETRY_MS };
+        }
         await this.#ensureDurable(() => this.#options.durable.jobs.has(job));
         return { type: "accepted" };
     }
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -16,7 +16,8 @@
 import { computeRoom, type Attempts } from "./_attempts.ts";
 import type { DispatchContext } from "./_context.ts";
 import { placeUnit, type Candidate } from "./placement.ts";
-import { createStepKey, rankStep, type StepWork } from "./step_board.ts";
+import { rankStep } from "./ranking.ts";
+import { createStepKey, type StepWork } from "./step_board.ts";
 import type { Admission, AdviceCall } from "./types.ts";
 import { getFreeRoom, type WorkerState } from "./worker_book.ts";
 
@@ -62,12 +63,14 @@
         }
         this.#context.isDirty = false;
         const now = this.#context.clock.getNow();
+        const wall = this.#context.clock.getWall();
         const ranked = this.#context.board
             .listWaiting()
             .map((step) => ({ step, queue: this.#context.findQueue(step.queue) }))
             .filter((entry): entry is RankedStep => entry.queue !== undefined)
             .filter(({ step, queue }) => this.#isWorthTrying(step, queue))
-            .sort((a, b) => rankStep(a.step, a.queue) - rankStep(b.step, b.queue));
+            .map((entry) => ({ ...entry, rank: rankStep(entry.step, entry.queue, wall) }))
+            .sort((a, b) => a.rank - b.rank);
         for (const { step, queue } of ranked) {
             this.#placeStep(step, queue, now);
             step.triedVersion = this.#context.roomVersion;
@@ -208,7 +211,7 @@
             queue: queue.name,
             policy: queue.advice,
             workers,
-            rank: rankStep(step, queue),
+            rank: rankStep(step, queue, this.#context.clock.getWall()),
         };
         advice.callId = call.id;
         this.#context.desk.addCall(call, queue.priority, now);
--- /dev/null
+++ b/dispatch/admission.ts
@@ -0,0 +1,70 @@
+/**
+ * Which jobs are refused when they are handed in. The pattern: some jobs ask for more than any
+ * worker has, or for a label that none carries. Accepted, such a job waits for ever and its caller
+ * learns of it by its own deadline; refused at once, the caller can change it.
+ *
+ * @example
+ * ```ts
+ * import { checkFeasible } from "./admission.ts";
+ * const problem = checkFeasible(spec, workers);
+ * ```
+ *
+ * @module
+ */
+
+import type { JobSpec, Resources, StepSpec, WorkerRecord } from "../job/mod.ts";
+
+/**
+ * Checks whether the workers of a pool, all empty, could ever run a job.
+ *
+ * @param spec The job.
+ * @param workers Every worker of its pool on record, also those that are silent or busy. While none
+ * is on record nothing is known, and nothing is refused.
+ * @returns Why it can never run, or `undefined` when it can.
+ */
+export function checkFeasible(spec: JobSpec, workers: readonly WorkerRecord[]): string | undefined {
+    if (workers.length === 0) {
+        return undefined;
+    }
+    for (const [i, step] of spec.steps.entries()) {
+        const problem = checkStep(step, workers);
+        if (problem !== undefined) {
+            return `step ${i}: ${problem}`;
+        }
+    }
+    return undefined;
+}
+
+function checkStep(step: StepSpec, workers: readonly WorkerRecord[]): string | undefined {
+    const { requiredLabel } = step;
+    const labelled = workers.filter(
+        (worker) => requiredLabel === undefined || worker.labels.includes(requiredLabel),
+    );
+    if (labelled.length === 0) {
+        return `no worker carries the label ${String(requiredLabel)}`;
+    }
+    const places = labelled.map((worker) => countPlaces(step, worker.capacity));
+    if (places.every((count) => count === 0)) {
+        return "no worker is large enough for one of its tasks";
+    }
+    const total = places.reduce((sum, count) => sum + count, 0);
+    if (step.isGang && total < step.count) {
+        return `the workers have room for ${total} of its ${step.count} tasks at once`;
+    }
+    return undefined;
+}
+
+function countPlaces(step: StepSpec, capacity: Resources): number {
+    const { needs } = step;
+    let places = step.maxPerWorker > 0 ? step.maxPerWorker : step.count;
+    if (needs.cpu > 0 && !step.isFiller) {
+        places = Math.min(places, Math.floor(capacity.cpu / needs.cpu));
+    }
+    if (needs.memoryMb > 0) {
+        places = Math.min(places, Math.floor(capacity.memoryMb / needs.memoryMb));
+    }
+    if (needs.gpu > 0) {
+        places = Math.min(places, Math.floor(capacity.gpu / needs.gpu));
+    }
+    return places;
+}
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -18,6 +18,7 @@
 
 import type { Configuration, PoolName, QueueName } from "../configuration/mod.ts";
 import type { JobId, JobSpec, WorkerId, WorkerRecord } from "../job/mod.ts";
+import { checkFeasible } from "./admission.ts";
 import { Attempts } from "./_attempts.ts";
 import { DispatchContext, type DispatchContextOptions } from "./_context.ts";
 import { Orders } from "./_orders.ts";
@@ -110,11 +111,25 @@
      * Accepts a job, or finds that it was handed in before.
      *
      * @param submission The job.
-     * @returns Whether it is new.
+     * @returns Why it can never run, or `undefined` when it is accepted.
      */
-    submit(submission: Submission): boolean {
+    submit(submission: Submission): string | undefined {
         if (this.#context.ledger.jobs.has(submission.job)) {
-            return false;
+            return undefined;
+        }
+        const problem = checkFeasible(
+            submission.spec,
+            [...this.#context.ledger.workers.values()].filter(
+                (worker) => worker.pool === submission.pool,
+            ),
+        );
+        if (problem !== undefined) {
+            this.#context.recordDecision("failure", "job refused", {
+                request: submission.job,
+                queue: submission.queue,
+                problem,
+            });
+            return problem;
         }
         this.#context.record({ type: "jobAccepted", ...submission });
         const job = this.#context.ledger.jobs.get(submission.job);
@@ -127,7 +142,7 @@
             steps: submission.spec.steps.length,
         });
         this.#context.isDirty = true;
-        return true;
+        return undefined;
     }
 
     /**
--- a/dispatch/mod.ts
+++ b/dispatch/mod.ts
@@ -10,10 +10,12 @@
  * @module
  */
 
+export * from "./admission.ts";
 export * from "./advice_desk.ts";
 export * from "./dispatcher.ts";
 export * from "./lane_plan.ts";
 export * from "./placement.ts";
+export * from "./ranking.ts";
 export * from "./step_board.ts";
 export * from "./types.ts";
 export * from "./worker_book.ts";
--- /dev/null
+++ b/dispatch/ranking.ts
@@ -0,0 +1,80 @@
+/**
+ * Who goes first. The pattern: after an outage, or in a burst beyond the floor's room, more waits
+ * than can be done in time. First come, first served then makes everybody late in turn: the room
+ * goes to jobs whose time is over anyway.
+ *
+ * @example
+ * ```ts
+ * import { rankStep } from "./ranking.ts";
+ * steps.sort((a, b) => rankStep(a, queueOf(a), now) - rankStep(b, queueOf(b), now));
+ * ```
+ *
+ * @module
+ */
+
+import type { QueueConfig } from "../configuration/mod.ts";
+import type { JobSpec } from "../job/mod.ts";
+import type { StepWork } from "./step_board.ts";
+
+/** Thirty million years in ms: a priority outweighs every time. */
+const RANK_PER_PRIORITY = 1e18;
+/** Jobs that will be late go behind those of their priority that can still be in time. */
+const RANK_WHEN_LATE = 2e17;
+/** Jobs whose time is over go behind all others of their priority. */
+const RANK_WHEN_OVER = 4e17;
+/** A job that took this many times its objective is worth nothing to its caller any more. */
+const WORTHLESS_FACTOR = 3;
+/** Estimates are off by half and more: a job counts as over only when it surely is. */
+const ESTIMATE_MARGIN = 1.5;
+
+/**
+ * Ranks a step among those that wait: by its queue's priority; then jobs that can still be in time,
+ * those that will be late, those that are of no use any more; within each by the time they came.
+ *
+ * @param step The step.
+ * @param queue Its queue.
+ * @param wall The time, in ms since 1970.
+ * @returns The rank; the smallest goes first.
+ */
+export function rankStep(
+    step: Pick<StepWork, "job" | "step">,
+    queue: Pick<QueueConfig, "priority" | "stretch" | "targetLatencyMs">,
+    wall: number,
+): number {
+    const { acceptedAt, spec } = step.job;
+    const objective = computeObjective(spec, queue);
+    const elapsed = wall - acceptedAt;
+    const base = queue.priority * RANK_PER_PRIORITY + acceptedAt;
+    if (elapsed > WORTHLESS_FACTOR * ESTIMATE_MARGIN * objective) {
+        return base + RANK_WHEN_OVER;
+    }
+    const isLate = elapsed + computeChainFrom(spec, step.step) > objective;
+    return isLate ? base + RANK_WHEN_LATE : base;
+}
+
+/**
+ * Computes the time in which a job should be done, by its caller's estimates.
+ *
+ * @param spec The job; `undefined` when it is forgotten.
+ * @param queue Its queue.
+ * @returns Ms.
+ */
+export function computeObjective(
+    spec: JobSpec | undefined,
+    queue: Pick<QueueConfig, "stretch" | "targetLatencyMs">,
+): number {
+    const chains = (spec?.steps ?? []).map((_step, i) => computeChainFrom(spec, i));
+    return queue.stretch * Math.max(0, ...chains) + queue.targetLatencyMs;
+}
+
+/** The longest chain of steps from one on that wait for each other, in ms of their estimates. */
+function computeChainFrom(spec: JobSpec | undefined, from: number): number {
+    const steps = spec?.steps ?? [];
+    const chains = new Array<number>(steps.length).fill(0);
+    // Steps wait only for earlier ones, so the later ones' chains are known first.
+    for (let i = steps.length - 1; i >= from; i--) {
+        const behind = steps.map((step, k) => (step.after.includes(i) ? (chains[k] ?? 0) : 0));
+        chains[i] = (steps[i]?.estimateMs ?? 0) + Math.max(0, ...behind);
+    }
+    return chains[from] ?? 0;
+}
--- /dev/null
+++ b/dispatch/ranking_test.ts
@@ -0,0 +1,62 @@
+import test from "ava";
+import { buildQueue, buildSpec, FloorFixture } from "./_fixtures.ts";
+import { computeObjective, rankStep } from "./ranking.ts";
+
+const URGENT = buildQueue({ stretch: 1.5, targetLatencyMs: 250 });
+
+test("the objective follows the longest chain of steps", (t) => {
+    const spec = buildSpec(
+        { estimateMs: 400 },
+        { estimateMs: 900 },
+        { estimateMs: 300, after: [0] },
+    );
+    t.is(computeObjective(spec, URGENT), 1.5 * 900 + 250);
+});
+
+test("priority goes first, then use, then age", (t) => {
+    const job = (acceptedAt: number) =>
+        ({ step: 0, job: { acceptedAt, spec: buildSpec({}) } }) as never;
+    const slow = buildQueue({ priority: 2 });
+    const rank = (acceptedAt: number, queue = URGENT): number =>
+        rankStep(job(acceptedAt), queue, 100_000);
+    t.true(rank(99_900) < rank(99_950));
+    t.true(rank(99_950) < rank(10_000));
+    t.true(rank(10_000) < rank(99_000, slow));
+});
+
+test("after an outage new jobs are in time although the backlog is not", (t) => {
+    // For 6 s no worker answers; callers see their jobs late whatever is done. The backlog is three
+    // times what the floor does in the time that counts. Served in turn it would make the next
+    // hundreds late too; served last it costs only those that were late already.
+    let isOut = true;
+    const floor = new FloorFixture({
+        workers: 2,
+        taskMs: 300,
+        queues: [URGENT],
+        getFault: () => (isOut ? { type: "refused" } : { type: "none" }),
+    });
+    const needs = { cpu: 4_000, memoryMb: 500, gpu: 0 };
+    const startedAt = new Map<string, number>();
+    let count = 0;
+    const submit = (): void => {
+        const id = `00000000000${(65_536 + count++).toString(16)}`;
+        startedAt.set(id, floor.now);
+        floor.submit(id, buildSpec({ needs, estimateMs: 300 }));
+    };
+    for (; floor.now < 8_000; floor.runFor(50)) {
+        submit();
+    }
+    isOut = false;
+    const fresh: string[] = [];
+    for (const end = floor.now + 6_000; floor.now < end; floor.runFor(60)) {
+        submit();
+        fresh.push([...startedAt.keys()].at(-1) ?? "");
+    }
+    floor.runFor(20_000);
+    const late = fresh.filter((id) => {
+        const run = floor.runs.find((r) => r.task.startsWith(id));
+        return (run?.at ?? Number.POSITIVE_INFINITY) - (startedAt.get(id) ?? 0) > 700;
+    });
+    t.true(late.length < fresh.length * 0.35, `${late.length} of ${fresh.length} late`);
+    t.true([...startedAt.keys()].every((id) => floor.getState(id) === "complete"));
+});
--- a/dispatch/step_board.ts
+++ b/dispatch/step_board.ts
@@ -12,7 +12,7 @@
  * @module
  */
 
-import type { QueueConfig, QueueName } from "../configuration/mod.ts";
+import type { QueueName } from "../configuration/mod.ts";
 import {
     countOccurrences,
     isStepDone,
@@ -245,17 +245,3 @@
 export function createStepKey(ref: Pick<UnitRef, "job" | "occurrence" | "step">): StepKey {
     return `${ref.job}.${ref.occurrence}.${ref.step}` as StepKey;
 }
-
-/** A million years in ms: a priority outweighs every time. */
-const RANK_PER_PRIORITY = 3e16;
-
-/**
- * Ranks a step among those that wait: by its queue's priority, then by the time its job came.
- *
- * @param step The step.
- * @param queue Its queue.
- * @returns The rank; the smallest goes first.
- */
-export function rankStep(step: StepWork, queue: QueueConfig): number {
-    return queue.priority * RANK_PER_PRIORITY + step.job.acceptedAt;
-}
