--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -16,9 +16,9 @@
 import type { Logger } from "winston";
 import { findQueue, type Configuration } from "../configuration/mod.ts";
 import { isSameRecord, type DispatchLimits, type LaneId } from "../dispatch/mod.ts";
-import { CellClock } from "../entry/cell_clock.ts";
-import { GroupMember } from "../entry/group_member.ts";
-import { PeerNetwork, type PeerEnvelope } from "../entry/peer_network.ts";
+import { CellClock } from "../group/mod.ts";
+import { GroupMember } from "../group/mod.ts";
+import { PeerNetwork, type PeerEnvelope } from "../group/mod.ts";
 import { Ledger, type FactBatch, type JobId, type WorkerId } from "../job/mod.ts";
 import {
     OutcomeUnknownError,
@@ -58,6 +58,7 @@
 } from "./calls.ts";
 import { ClockGuard } from "./clock_guard.ts";
 import { findState, Leadership, type ConfigureAnswer } from "./leadership.ts";
+import { MemberTable } from "./member_table.ts";
 import { SignBox } from "./sign_box.ts";
 
 /** Options of {@link ControlDaemon}. */
@@ -91,11 +92,6 @@
 const DEFAULT_TIMINGS: ConsensusTimings = { heartbeatMs: 50, electionMs: 250 };
 /** Time between two greetings to the leader, in ms. */
 const HELLO_MS = 500;
-/**
- * An instance not heard from for this long counts as gone, in ms: three greetings. It is replaced
- * only by one that is there and holds the log, so a hasty verdict costs two changes of the voters.
- */
-const MEMBER_SILENCE_MS = 1_500;
 /** A new leader hears everybody's greeting within this time, in ms. */
 const ACQUAINTANCE_MS = 3_000;
 /**
@@ -105,8 +101,6 @@
 const LARGE_FLOOR_WORKERS = 100;
 /** A replica that has not heard the leader for this long answers for no state, in ms: three heartbeats. */
 const READER_SILENCE_MS = 150;
-/** A front not heard from for this long makes no advice calls, in ms. */
-const FRONT_SILENCE_MS = 1_500;
 /** Facts batches between two snapshots: some 20 s of a busy day, below 20 MB of log. */
 const DEFAULT_SNAPSHOT_EVERY = 4_000;
 /** How long a worker's or an operator's call may take on its way to the leader, in ms. */
@@ -114,10 +108,6 @@
 /** A message between members is given up after this, in ms: about one election timeout. */
 const PEER_TIMEOUT_MS = 400;
 
-interface KnownInstance extends HelloCall {
-    readonly heardAt: number;
-}
-
 /** One control instance. */
 export class ControlDaemon {
     readonly #options: ControlDaemonOptions;
@@ -131,7 +121,7 @@
     readonly #signs = new SignBox({
         send: (signs) => this.#router.call(METHODS.signs, { signs }, FORWARD_BUDGET_MS),
     });
-    readonly #known = new Map<string, KnownInstance>();
+    readonly #members = new MemberTable();
     #member: GroupMember<FactBatch, void> | undefined;
     #leadership: Leadership | undefined;
     #server: RpcServer | undefined;
@@ -433,10 +423,8 @@
     }
 
     #handleHello(call: HelloCall): HelloAnswer {
-        const leadership = this.#lead();
-        const isNew = !this.#known.has(call.address);
-        this.#known.set(call.address, { ...call, heardAt: performance.now() });
-        if (isNew && leadership !== undefined && call.kind === "front") {
+        this.#lead();
+        if (this.#members.add(call, performance.now()) && call.kind === "front") {
             this.#updateLanes();
         }
         const limits = this.#durable.configuration?.limits;
@@ -444,7 +432,7 @@
             leader: this.#self,
             members: this.#listMembers(),
             publicAddress: this.#options.publicAddress,
-            readers: this.#isLarge() ? this.#listReaders() : [],
+            readers: this.#isLarge() ? this.#members.listAddresses("control") : [],
             limits:
                 limits === undefined
                     ? undefined
@@ -452,17 +440,9 @@
         };
     }
 
-    #listReaders(): string[] {
-        return [...this.#known.values()]
-            .filter((known) => known.kind === "control")
-            .map((known) => known.address);
-    }
-
     #listMembers(): string[] {
         const voters = this.#member?.replica.voters.map((voter) => parseEntryId(voter)) ?? [];
-        const others = [...this.#known.values()]
-            .filter((known) => known.kind === "control")
-            .map((known) => known.address);
+        const others = this.#members.listAddresses("control");
         return [...new Set<string>([this.#self, ...voters, ...others])];
     }
 
@@ -494,23 +474,13 @@
     /** The leader's view of who is there: fronts for advice calls, control instances to vote. */
     #updateMembers(): void {
         const now = performance.now();
-        for (const [address, known] of this.#known) {
-            const limit = known.kind === "front" ? FRONT_SILENCE_MS : MEMBER_SILENCE_MS;
-            if (now - known.heardAt > limit) {
-                this.#known.delete(address);
-            }
-        }
+        this.#members.removeSilent(now);
         this.#updateLanes();
         // A new leader has not heard from everybody yet: it must not take the others for dead.
         if (now - this.#leadingSince < ACQUAINTANCE_MS) {
             return;
         }
-        const live = new Map<EntryId, string>([[this.#self, this.#options.zone]]);
-        for (const known of this.#known.values()) {
-            if (known.kind === "control") {
-                live.set(known.address as EntryId, known.zone);
-            }
-        }
+        const live = this.#members.getControlZones().set(this.#self, this.#options.zone);
         const voters = this.#member?.replica.voters.map((voter) => parseEntryId(voter)) ?? [];
         this.#wantedVoters = planVoters({
             current: [...new Set(voters)],
@@ -520,7 +490,7 @@
     }
 
     #updateLanes(): void {
-        const fronts = [...this.#known.values()].filter((known) => known.kind === "front");
-        this.#leadership?.setLanes(fronts.map((known) => known.address as unknown as LaneId));
+        const fronts = this.#members.listAddresses("front");
+        this.#leadership?.setLanes(fronts as unknown as LaneId[]);
     }
 }
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -143,13 +143,7 @@
             return undefined;
         }
         member.stopSentAt = this.#context.clock.getNow();
-        return {
-            worker: member.worker,
-            address: worker.record.address,
-            task: member.name,
-            attempt: member.attempt,
-            fence: worker.fence,
-        };
+        return createOrder(worker, member);
     }
 
     /**
@@ -163,14 +157,7 @@
         if (worker === undefined || member.pacePercent === undefined) {
             return undefined;
         }
-        return {
-            worker: member.worker,
-            address: worker.record.address,
-            task: member.name,
-            attempt: member.attempt,
-            fence: worker.fence,
-            percent: member.pacePercent,
-        };
+        return { ...createOrder(worker, member), percent: member.pacePercent };
     }
 
     /**
@@ -485,3 +472,14 @@
         this.#context.book.removeWorker(id);
     }
 }
+
+/** What every order about a task that is out says. */
+function createOrder(worker: WorkerState, member: MemberRun): StopOrder {
+    return {
+        worker: member.worker,
+        address: worker.record.address,
+        task: member.name,
+        attempt: member.attempt,
+        fence: worker.fence,
+    };
+}
--- a/entry/call_router.ts
+++ b/entry/call_router.ts
@@ -16,7 +16,7 @@
 import type { EntryId, Gossip, GroupLayout } from "../membership/mod.ts";
 import { MethodError, RpcError } from "../rpc/mod.ts";
 import { createNoLeaderError, NO_LEADER_CODE, type NoLeaderData } from "./errors.ts";
-import type { PeerNetwork } from "./peer_network.ts";
+import type { PeerNetwork } from "../group/mod.ts";
 
 /** What the router needs of a local group member. */
 export interface LocalMember {
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -58,7 +58,7 @@
 } from "./errors.ts";
 import type { AdoptAnswer, AdoptItem, GroupRoom } from "./hand_over_agent.ts";
 import { PeerApi, type PeerMember } from "./peer_api.ts";
-import { PeerNetwork } from "./peer_network.ts";
+import { PeerNetwork } from "../group/mod.ts";
 import { EndWaiters } from "./end_waiters.ts";
 import { describeStatus, type EntryStatus } from "./status.ts";
 import { WorkerApi } from "./worker_api.ts";
