--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -16,9 +16,7 @@
 import type { Logger } from "winston";
 import { findQueue, type Configuration } from "../configuration/mod.ts";
 import { isSameRecord, type DispatchLimits, type LaneId } from "../dispatch/mod.ts";
-import { CellClock } from "../group/mod.ts";
-import { GroupMember } from "../group/mod.ts";
-import { PeerNetwork, type PeerEnvelope } from "../group/mod.ts";
+import { CellClock, GroupMember, PeerNetwork, type PeerEnvelope } from "../group/mod.ts";
 import { Ledger, type FactBatch, type JobId, type WorkerId } from "../job/mod.ts";
 import {
     OutcomeUnknownError,
--- a/entry/zone_group.ts
+++ b/entry/zone_group.ts
@@ -37,7 +37,6 @@
 import { MethodError } from "../rpc/mod.ts";
 import { createWorkerState, type WorkerState } from "../scheduler/mod.ts";
 import type { EntryMetrics } from "../telemetry/mod.ts";
-import { CellClock } from "../group/mod.ts";
 import type { ConfigGroup } from "./config_group.ts";
 import { KEY_CONFLICT_CODE } from "./errors.ts";
 import {
@@ -46,7 +45,7 @@
     type AdoptItem,
     type HandOverAgentOptions,
 } from "./hand_over_agent.ts";
-import { GroupMember, type GroupMemberOptions } from "../group/mod.ts";
+import { CellClock, GroupMember, type GroupMemberOptions } from "../group/mod.ts";
 import { WorkerLink } from "./worker_link.ts";
 
 /** What applying an input gave, or why it gave nothing; the same on every replica. */
