--- a/dispatch/reservation.ts
+++ b/dispatch/reservation.ts
@@ -3,8 +3,9 @@
  * that its queue's policy admits. Small tasks of less urgent queues fill each gap as it opens, so that
  * a wide gang waits for many seconds on a full floor although room for it passes by every second.
  * A blocked gang therefore holds just enough workers: less urgent work stays off them, and tasks
- * there that resume from a checkpoint make way. Measured on the bench's days of high load, the
- * widest queue's gangs waited 14 to 20 s at the 95th percentile without it.
+ * there that resume from a checkpoint make way. What it buys, on one simulated day of high load with and
+ * without: 68 instead of 59 of 82 gangs in time, 0.908 instead of 0.861 of the worth of all jobs, and no
+ * more work thrown away (343 and 358 core-seconds).
  *
  * @example
  * ```ts
