--- a/cell/_fixtures.ts
+++ b/cell/_fixtures.ts
@@ -21,7 +21,7 @@
     type ServiceId,
     type ZoneId,
 } from "../inventory/mod.ts";
-import { createRules } from "../settings/rules_file.ts";
+import { createRules } from "../rules/rules_file.ts";
 import type { Rules } from "../rules/mod.ts";
 import { Cell, type CellOptions } from "./cell.ts";
 import type { RequestSpec } from "./types.ts";
--- a/cell/cell.ts
+++ b/cell/cell.ts
@@ -36,7 +36,7 @@
     type RulesChangeResult,
 } from "../rules/mod.ts";
 import { getFree, isTakingWork, type WorkerState } from "../scheduler/mod.ts";
-import { listRulesProblems, type RulesFile } from "../settings/rules_file.ts";
+import { listRulesProblems, type RulesFile } from "../rules/rules_file.ts";
 import {
     Books,
     computeSpecHash,
--- a/cell/replication_test.ts
+++ b/cell/replication_test.ts
@@ -2,7 +2,7 @@
 import fc from "fast-check";
 import { createId, type InstanceId, type LeaseId, type RequestId } from "../inventory/mod.ts";
 import { createWorkerState } from "../scheduler/mod.ts";
-import { createRulesFile } from "../settings/rules_file.ts";
+import { createRulesFile } from "../rules/rules_file.ts";
 import { buildCell, buildInventoryFixture, buildRulesFixture, buildSpec } from "./_fixtures.ts";
 import { Cell, type CellInput, type Effect, type RequestSpec } from "./mod.ts";
 
--- a/cell/types.ts
+++ b/cell/types.ts
@@ -21,7 +21,7 @@
     TaskId,
 } from "../inventory/mod.ts";
 import type { RulesChange } from "../rules/mod.ts";
-import type { RulesFile } from "../settings/rules_file.ts";
+import type { RulesFile } from "../rules/rules_file.ts";
 
 /** What the stand-in worker is told to do with a task; opaque to the scheduler. */
 export interface WorkOrder {
--- a/cli/files.ts
+++ b/cli/files.ts
@@ -17,7 +17,7 @@
 import { FindingsError, type Finding } from "../settings/findings.ts";
 import { loadDeploymentText } from "../settings/deployment_file.ts";
 import { loadInventoryText } from "../settings/inventory_file.ts";
-import { loadRulesText } from "../settings/rules_file.ts";
+import { loadRulesText } from "../rules/rules_file.ts";
 
 /** The operators' files, checked. */
 export interface SettingsFiles {
--- a/entry/_cluster_fixtures.ts
+++ b/entry/_cluster_fixtures.ts
@@ -22,7 +22,7 @@
 import { buildInventory } from "../examples/build_examples.ts";
 import { createId, type CustomerId } from "../inventory/mod.ts";
 import { Cluster, type ClusterOptions } from "../load/cluster_runner.ts";
-import { createRulesFile, type RulesFile } from "../settings/rules_file.ts";
+import { createRulesFile, type RulesFile } from "../rules/rules_file.ts";
 import { Caller } from "../standin/mod.ts";
 import { auditTimeline, type ToldFate } from "../telemetry/mod.ts";
 
--- a/entry/api_schema.ts
+++ b/entry/api_schema.ts
@@ -13,7 +13,7 @@
 
 import { z } from "zod";
 import { MethodError } from "../rpc/mod.ts";
-import { rulesSchema } from "../settings/rules_file.ts";
+import { rulesSchema } from "../rules/rules_file.ts";
 
 const resources = z.object({
     cores: z.number().nonnegative(),
--- a/entry/config_group.ts
+++ b/entry/config_group.ts
@@ -13,7 +13,7 @@
  */
 
 import { RulesBook, type Rules, type RulesChange, type RulesChangeResult } from "../rules/mod.ts";
-import { createRulesFile, type RulesFile } from "../settings/rules_file.ts";
+import { createRulesFile, type RulesFile } from "../rules/rules_file.ts";
 import { GroupMember, type GroupMemberOptions } from "../group/mod.ts";
 
 /** A change with what the zones' groups said against it. */
--- a/entry/invariants_test.ts
+++ b/entry/invariants_test.ts
@@ -5,7 +5,7 @@
 import { buildInventoryFixture, buildRulesFixture, buildSpec } from "../cell/_fixtures.ts";
 import type { Instance } from "../inventory/mod.ts";
 import { createRpcClient } from "../rpc/mod.ts";
-import type { RulesFile } from "../settings/rules_file.ts";
+import type { RulesFile } from "../rules/rules_file.ts";
 import { Caller, WorkerHost } from "../standin/mod.ts";
 import { createLogger } from "../telemetry/mod.ts";
 import { EntryInstance } from "./entry.ts";
--- a/rules/rules_book.ts
+++ b/rules/rules_book.ts
@@ -12,7 +12,7 @@
  * @module
  */
 
-import { createRules, createRulesFile, type RulesFile } from "../settings/rules_file.ts";
+import { createRules, createRulesFile, type RulesFile } from "./rules_file.ts";
 import type { Rules } from "./rules.ts";
 
 /** A rules change as an operator sends it. */
--- a/settings/settings_test.ts
+++ b/settings/settings_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { FindingsError } from "./findings.ts";
 import { loadInventoryText } from "./inventory_file.ts";
-import { loadRulesText } from "./rules_file.ts";
+import { loadRulesText } from "../rules/rules_file.ts";
 
 function buildBadInventory(): string {
     return [
