Remove what nothing reads: dead fields, getters, parsers and a gauge that was never set

Found in the last read of the change: MemberRun.progressedAt and WorkerState.confirmedFence were written and never read, AdviceDesk.waitingCount, parseTaskName, getUnitOf and ControlDaemon.handleCaller had no caller, and poplarhead_jobs was always empty. 58 lines deleted, nothing added; behaviour unchanged.

Measured: types and lint clean; dispatch, control, job, membership and telemetry tests 76 passed.

--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -275,16 +275,6 @@
         return answer.document;
     }
 
-    /**
-     * Serves a caller on this instance, if it leads.
-     *
-     * @param call The call.
-     * @returns The answer.
-     */
-    handleCaller(call: CallerCall): Promise<CallerAnswer> {
-        return this.#lead().handleCaller(call);
-    }
-
     #isLarge(): boolean {
         return this.#durable.workers.size >= LARGE_FLOOR_WORKERS;
     }
--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -122,7 +122,6 @@
             startedAt: now,
             percent: 0,
             reportedAt: now,
-            progressedAt: now,
             estimateMs: spec?.estimateMs ?? 0,
             isMovable: spec !== undefined && isMovable(spec),
             isPerpetual: spec?.isPerpetual ?? false,
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -112,7 +112,6 @@
                 if (member.state === "ordered") {
                     member.state = "running";
                     member.startedAt = now;
-                    member.progressedAt = now;
                 }
                 return;
             case "refused":
@@ -261,7 +260,6 @@
             this.#context.recordRoom();
         }
         this.#context.book.recordAnswer(worker, answer.clockMs, now);
-        worker.confirmedFence = Math.max(worker.confirmedFence, order.fence);
         worker.toldCursor = Math.max(worker.toldCursor, order.cursor);
         answer.ended.forEach((report) => this.#handleEnd(worker, report));
         if (worker.readCursor > worker.durableCursor) {
@@ -421,9 +419,6 @@
         if (percent > 0 || now - member.startedAt > START_UP_MS) {
             worker.speed.record(doneMs, tookMs, now);
         }
-        if (percent > member.percent) {
-            member.progressedAt = now;
-        }
         member.percent = percent;
         member.reportedAt = now;
     }
--- a/dispatch/advice_desk.ts
+++ b/dispatch/advice_desk.ts
@@ -61,11 +61,6 @@
     #plan = new Map<QueueName, LaneId[]>();
     #plannedAt = Number.NEGATIVE_INFINITY;
 
-    /** Calls that wait for a lane. */
-    get waitingCount(): number {
-        return this.#waiting.size;
-    }
-
     /**
      * Sets the front instances that can call.
      *
--- a/dispatch/types.ts
+++ b/dispatch/types.ts
@@ -59,8 +59,6 @@
     percent: number;
     /** When {@link MemberRun.percent} was last reported. */
     reportedAt: number;
-    /** When {@link MemberRun.percent} last rose. */
-    progressedAt: number;
     /** The caller's estimate of its duration, in ms. */
     readonly estimateMs: number;
     /** It can be stopped and resumes elsewhere from its checkpoint. */
--- a/dispatch/worker_book.ts
+++ b/dispatch/worker_book.ts
@@ -38,8 +38,6 @@
     readonly speed: WorkerSpeed;
     /** The fence of the next order. */
     fence: number;
-    /** The highest fence that the worker is known to have taken. */
-    confirmedFence: number;
     /** The latest lease end that any order carried, on the worker's clock. */
     leaseUntil: number;
     /** When every lease of an earlier leader is over for certain, in ms of our clock. */
@@ -120,7 +118,6 @@
             clock: new WorkerClock(),
             speed: new WorkerSpeed(),
             fence: this.#nextFence,
-            confirmedFence: 0,
             leaseUntil: Number.NEGATIVE_INFINITY,
             inheritedLeaseEndsAt: now,
             used: { cpu: 0, memoryMb: 0, gpu: 0 },
--- a/job/types.ts
+++ b/job/types.ts
@@ -164,33 +164,3 @@
 export function formatTaskName(ref: TaskRef): TaskName {
     return `${ref.job}.${ref.occurrence}.${ref.step}.${ref.index}` as TaskName;
 }
-
-/**
- * Parses a task's name.
- *
- * @param name The name.
- * @returns The task, or `undefined` when the text is not a task's name.
- */
-export function parseTaskName(name: string): TaskRef | undefined {
-    const match = /^([0-9a-f]{1,32})\.(\d+)\.(\d+)\.(\d+)$/.exec(name);
-    if (match === null) {
-        return undefined;
-    }
-    return {
-        job: match[1] as JobId,
-        occurrence: Number(match[2]),
-        step: Number(match[3]),
-        index: Number(match[4]),
-    };
-}
-
-/**
- * Gives the unit that a task belongs to.
- *
- * @param step The task's step.
- * @param index The task's index.
- * @returns The unit's number.
- */
-export function getUnitOf(step: StepSpec, index: number): number {
-    return step.isGang ? 0 : index;
-}
--- a/telemetry/control_metrics.ts
+++ b/telemetry/control_metrics.ts
@@ -26,7 +26,6 @@
     readonly adviceSeconds: Histogram;
     readonly callSeconds: Histogram<"call" | "outcome">;
     readonly leading: Gauge;
-    readonly jobs: Gauge<"state">;
     readonly loopDelaySeconds: Gauge;
     readonly cpuSeconds: Gauge;
     readonly residentBytes: Gauge;
@@ -88,7 +87,6 @@
             "outcome",
         ]),
         leading: createGauge("poplarhead_control_leading", "1 while this instance leads."),
-        jobs: createGauge("poplarhead_jobs", "Jobs on record, by state.", ["state"]),
         loopDelaySeconds: createGauge(
             "poplarhead_event_loop_delay_seconds",
             "How late the last one-second timer was.",
