--- a/log/_fixtures.ts
+++ b/log/_fixtures.ts
@@ -12,6 +12,7 @@
  * @module
  */
 
+import { createRandom } from "../tools/seeded_random.ts";
 import { Consensus, DEFAULT_TIMINGS } from "./consensus.ts";
 import type { GroupMessage, HardState, LogEntry, MemberId, StoredState } from "./types.ts";
 
@@ -213,17 +214,3 @@
 
 /** Election timeouts come from here, so that a run repeats. */
 export { DEFAULT_TIMINGS };
-
-/**
- * Creates a seeded source of numbers in [0, 1).
- *
- * @param seed The seed.
- * @returns The source (a linear congruential generator: tests need repeatability, not quality).
- */
-export function createRandom(seed: number): () => number {
-    let state = seed >>> 0;
-    return () => {
-        state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-        return state / 2 ** 32;
-    };
-}
