Work that would be lost with a leaving worker starts again elsewhere at once

Cause: a draining worker's tasks ran on to its end and were lost with it; only then did they start elsewhere. Change: the heartbeat's time left is decoded; dispatch/evacuation.ts selects what cannot be done by then, dispatch/_evacuator.ts stops it if another worker has room. Ruled out: stopping without room elsewhere (the worker may stay longer than it must).

--- a/control/_fixtures.ts
+++ b/control/_fixtures.ts
@@ -154,7 +154,12 @@
             };
             // No leader yet, or none any more: the next heartbeat tries again.
             await daemon
-                ?.handleHeartbeat({ record, sequence: this.#sequence, clockMs: worker.clockMs })
+                ?.handleHeartbeat({
+                    record,
+                    sequence: this.#sequence,
+                    clockMs: worker.clockMs,
+                    leavesInMs: undefined,
+                })
                 .catch(() => {});
         }
     }
--- a/control/calls.ts
+++ b/control/calls.ts
@@ -13,6 +13,7 @@
 
 import type {
     Admission,
+    Heartbeat,
     LookAnswer,
     LookOrder,
     OrderAnswer,
@@ -20,7 +21,7 @@
     StartOrder,
     StopOrder,
 } from "../dispatch/mod.ts";
-import type { JobSpec, JobState, WorkerId, WorkerRecord } from "../job/mod.ts";
+import type { JobSpec, JobState, WorkerId } from "../job/mod.ts";
 
 /** Methods that control instances and fronts serve to each other. */
 export const METHODS = {
@@ -63,12 +64,7 @@
     | { readonly type: "refused"; readonly reason: string; readonly retryAfterMs: number };
 
 /** A worker's heartbeat. */
-export interface HeartbeatCall {
-    readonly record: WorkerRecord;
-    /** Rises with each heartbeat of the worker. */
-    readonly sequence: number;
-    readonly clockMs: number | undefined;
-}
+export type HeartbeatCall = Heartbeat;
 
 /** Heartbeats that say nothing new, gathered by a member for the leader. */
 export interface SignsCall {
--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -291,6 +291,7 @@
             this.#isLarge() &&
             !this.isServing &&
             this.#signs.isTrusted &&
+            !call.record.isDraining &&
             known !== undefined &&
             isSameRecord(known, call.record)
         );
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -185,7 +185,7 @@
     async handleHeartbeat(call: HeartbeatCall): Promise<void> {
         const { record } = call;
         const { durable } = this.#options;
-        this.#dispatcher.handleHeartbeat(record, call.sequence, call.clockMs);
+        this.#dispatcher.handleHeartbeat(call);
         // An acknowledged farewell binds the next leader too: it must be on record before.
         await this.#ensureDurable(() => {
             const known = durable.workers.get(record.id);
--- /dev/null
+++ b/dispatch/_evacuator.ts
@@ -0,0 +1,72 @@
+/**
+ * Has work move off workers that leave, as far as others have room for it.
+ *
+ * @example
+ * ```ts
+ * import { Evacuator } from "./_evacuator.ts";
+ * new Evacuator(context, attempts).drainWorker(worker, now);
+ * ```
+ *
+ * @module
+ */
+
+import type { Attempts } from "./_attempts.ts";
+import type { DispatchContext } from "./_context.ts";
+import { selectEvacuees } from "./evacuation.ts";
+import type { MemberRun } from "./types.ts";
+import { getFreeRoom, hasRoomFor, type WorkerState } from "./worker_book.ts";
+
+/** The evacuations of one leader. */
+export class Evacuator {
+    readonly #context: DispatchContext;
+    readonly #attempts: Attempts;
+
+    /**
+     * @param context What the parts share.
+     * @param attempts The attempts under way.
+     */
+    constructor(context: DispatchContext, attempts: Attempts) {
+        this.#context = context;
+        this.#attempts = attempts;
+    }
+
+    /**
+     * Stops what would be lost with a worker that leaves; it starts again elsewhere.
+     *
+     * @param worker The worker; nothing happens unless it drains and told when it ends.
+     * @param now Our clock, in ms.
+     */
+    drainWorker(worker: WorkerState, now: number): void {
+        const { record, leavesAt } = worker;
+        if (!record.isDraining || leavesAt === undefined) {
+            return;
+        }
+        for (const member of selectEvacuees(worker.members.values(), { now, leavesAt })) {
+            if (!this.#hasRoomElsewhere(worker, member, now)) {
+                continue;
+            }
+            this.#context.recordDecision("decision", "task evacuated", {
+                request: member.unit.job,
+                task: member.name,
+                worker: record.id,
+                percent: member.percent,
+                leavesInMs: Math.round(leavesAt - now),
+            });
+            this.#attempts.stopMember(member);
+        }
+    }
+
+    #hasRoomElsewhere(worker: WorkerState, member: MemberRun, now: number): boolean {
+        for (const other of this.#context.book.workers) {
+            if (
+                other !== worker &&
+                other.record.pool === worker.record.pool &&
+                this.#context.book.isUsable(other, now) &&
+                hasRoomFor(getFreeRoom(other), member.room)
+            ) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -88,6 +88,7 @@
     readonly paces: { task: string; percent: number; at: number }[] = [];
     readonly #acknowledgedDone = new Set<string>();
     readonly #records = new Map<WorkerId, WorkerRecord>();
+    readonly #leavesAt = new Map<WorkerId, number>();
     readonly #looking = new Set<WorkerId>();
     #events: Event[] = [];
     #eventCount = 0;
@@ -143,12 +144,16 @@
         }
     }
 
-    /** Has a worker announce that it leaves. */
-    drainWorker(id: WorkerId): void {
+    /** Has a worker announce that it leaves, after a time if it tells. */
+    drainWorker(id: WorkerId, leavesInMs?: number): void {
         const record = this.#records.get(id);
         if (record !== undefined) {
             this.#records.set(id, { ...record, isDraining: true });
         }
+        if (leavesInMs !== undefined) {
+            this.#leavesAt.set(id, this.now + leavesInMs);
+            this.#sendHeartbeats(false);
+        }
     }
 
     /** Hands a job in. */
@@ -283,8 +288,13 @@
     #sendHeartbeats(isRepeated = true): void {
         this.#heartbeat += 1;
         for (const [id, record] of this.#records) {
-            const clock = this.workers.get(id)?.clockMs;
-            this.dispatcher.handleHeartbeat(record, this.#heartbeat, clock);
+            const leavesAt = this.#leavesAt.get(id);
+            this.dispatcher.handleHeartbeat({
+                record,
+                sequence: this.#heartbeat,
+                clockMs: this.workers.get(id)?.clockMs,
+                leavesInMs: leavesAt === undefined ? undefined : leavesAt - this.now,
+            });
         }
         this.#flush();
         if (isRepeated) {
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -21,11 +21,13 @@
 import { checkFeasible } from "./admission.ts";
 import { Attempts } from "./_attempts.ts";
 import { DispatchContext, type DispatchContextOptions } from "./_context.ts";
+import { Evacuator } from "./_evacuator.ts";
 import { Orders } from "./_orders.ts";
 import { StepPlacer } from "./_placer.ts";
 import type {
     Admission,
     AdviceCall,
+    Heartbeat,
     LaneId,
     LookAnswer,
     LookOrder,
@@ -71,6 +73,7 @@
     readonly #attempts: Attempts;
     readonly #orders: Orders;
     readonly #placer: StepPlacer;
+    readonly #evacuator: Evacuator;
     #forgottenAt: number;
     #retriedAt = Number.NEGATIVE_INFINITY;
 
@@ -84,6 +87,7 @@
         this.#attempts = new Attempts(this.#context);
         this.#orders = new Orders(this.#context, this.#attempts);
         this.#placer = new StepPlacer(this.#context, this.#attempts);
+        this.#evacuator = new Evacuator(this.#context, this.#attempts);
         this.#forgottenAt = this.#context.clock.getNow();
         this.#adoptWorkers();
         this.#attempts.adoptJobs();
@@ -188,11 +192,10 @@
     /**
      * Takes a worker's heartbeat.
      *
-     * @param record What it tells of itself.
-     * @param sequence Rises with each heartbeat of the worker.
-     * @param clockMs The worker's clock when it was sent.
+     * @param heartbeat What it tells of itself.
      */
-    handleHeartbeat(record: WorkerRecord, sequence: number, clockMs: number | undefined): void {
+    handleHeartbeat(heartbeat: Heartbeat): void {
+        const { record, sequence, clockMs, leavesInMs } = heartbeat;
         if (this.#context.ledger.isGone(record.id)) {
             return;
         }
@@ -223,6 +226,7 @@
         const wasUsable = this.#context.book.isUsable(worker, now);
         worker.heartbeat = sequence;
         worker.heardAt = now;
+        worker.leavesAt = leavesInMs === undefined ? worker.leavesAt : now + leavesInMs;
         if (worker.isSuspect) {
             // It lives, but orders did not reach it; only an answered look brings work back.
             this.#context.emit({ type: "look", worker: record.id });
@@ -245,7 +249,7 @@
     handleSign(id: WorkerId, sequence: number, clockMs: number | undefined): void {
         const record = this.#context.ledger.workers.get(id);
         if (record !== undefined) {
-            this.handleHeartbeat(record, sequence, clockMs);
+            this.handleHeartbeat({ record, sequence, clockMs, leavesInMs: undefined });
         }
     }
 
@@ -324,6 +328,7 @@
                 this.#context.emit({ type: "stop", member });
             }
         }
+        this.#evacuator.drainWorker(worker, now);
         const isIdle = worker.members.size === 0;
         if (isIdle && now - worker.heardAt > FORGET_WORKER_MS && Number.isFinite(worker.heardAt)) {
             this.#orders.removeWorker(worker.record.id, "silent");
--- a/dispatch/mod.ts
+++ b/dispatch/mod.ts
@@ -13,6 +13,7 @@
 export * from "./admission.ts";
 export * from "./advice_desk.ts";
 export * from "./dispatcher.ts";
+export * from "./evacuation.ts";
 export * from "./lane_plan.ts";
 export * from "./placement.ts";
 export * from "./ranking.ts";
--- a/dispatch/types.ts
+++ b/dispatch/types.ts
@@ -12,7 +12,15 @@
 
 import type { AdvicePolicy, QueueName } from "../configuration/mod.ts";
 import type { Brand } from "../inventory/mod.ts";
-import type { EndKind, Fact, Resources, TaskName, UnitRef, WorkerId } from "../job/mod.ts";
+import type {
+    EndKind,
+    Fact,
+    Resources,
+    TaskName,
+    UnitRef,
+    WorkerId,
+    WorkerRecord,
+} from "../job/mod.ts";
 
 /** One occurrence's step, `JOB.OCCURRENCE.STEP`. */
 export type StepKey = Brand<string, "StepKey">;
@@ -201,6 +209,17 @@
     /** The ends up to this number are durable here; the worker may forget them. */
     | { readonly type: "acknowledge"; readonly worker: WorkerId; readonly cursor: number };
 
+/** A worker's word about itself. */
+export interface Heartbeat {
+    readonly record: WorkerRecord;
+    /** Rises with each heartbeat of the worker: late ones are told by it. */
+    readonly sequence: number;
+    /** The worker's clock when it was sent; `undefined` when it does not tell. */
+    readonly clockMs: number | undefined;
+    /** While it drains, the time that is left at least, in ms, where it tells. */
+    readonly leavesInMs: number | undefined;
+}
+
 /** What one input led to. */
 export interface Outcome {
     readonly facts: readonly Fact[];
--- a/dispatch/worker_book.ts
+++ b/dispatch/worker_book.ts
@@ -61,6 +61,8 @@
     calmSince: number | undefined;
     /** The newest heartbeat's number: late ones are told by it. */
     heartbeat: number;
+    /** While it drains: when it may end at the earliest, in ms of our clock, if it told. */
+    leavesAt: number | undefined;
 }
 
 /** Options of {@link WorkerBook}. */
@@ -132,6 +134,7 @@
             lastFailedJob: "",
             calmSince: undefined,
             heartbeat: -1,
+            leavesAt: undefined,
         };
         this.#workers.set(record.id, state);
         return state;
@@ -310,3 +313,14 @@
         gpu: capacity.gpu - worker.used.gpu,
     };
 }
+
+/**
+ * Tells whether something fits.
+ *
+ * @param free What is left.
+ * @param needs What it takes.
+ * @returns True when there is enough of everything.
+ */
+export function hasRoomFor(free: Resources, needs: Resources): boolean {
+    return free.cpu >= needs.cpu && free.memoryMb >= needs.memoryMb && free.gpu >= needs.gpu;
+}
