--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -190,7 +190,7 @@
             how,
             tookMs: Math.round(this.#context.clock.getNow() - member.startedAt),
         });
-        this.#context.recordRoom();
+        this.#context.recordRoom(this.#context.book.findWorker(member.worker));
         if (members !== undefined && members.size > 0) {
             if (how !== "done") {
                 // The others of a gang can not go on without this one.
--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -17,7 +17,7 @@
 import { AdviceDesk } from "./advice_desk.ts";
 import { StepBoard } from "./step_board.ts";
 import type { DispatchClock, DispatchLimits, Effect, Outcome, RecordDecision } from "./types.ts";
-import { WorkerBook } from "./worker_book.ts";
+import { WorkerBook, type WorkerState } from "./worker_book.ts";
 
 /** Options of {@link DispatchContext}. */
 export interface DispatchContextOptions {
@@ -54,8 +54,6 @@
     readonly recordDecision: RecordDecision;
     /** Something changed that may let a waiting unit be placed. */
     isDirty = true;
-    /** Rises when a worker gets room or becomes usable: what did not fit before may fit now. */
-    roomVersion = 0;
     #facts: Fact[] = [];
     #effects: Effect[] = [];
 
@@ -84,9 +82,15 @@
         this.ledger.apply({ at: this.clock.getWall(), facts: [fact] });
     }
 
-    /** Notes that a worker got room or became usable. */
-    recordRoom(): void {
-        this.roomVersion += 1;
+    /**
+     * Notes that a worker got room or became usable.
+     *
+     * @param worker The worker; `undefined` when it is gone already.
+     */
+    recordRoom(worker: WorkerState | undefined): void {
+        if (worker !== undefined) {
+            this.book.recordRoom(worker);
+        }
         this.isDirty = true;
     }
 
--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -46,6 +46,12 @@
     readonly seed?: number;
     readonly capacity?: Resources;
     readonly taskMs?: number;
+    /** How long each task runs, in ms; goes before `taskMs`. */
+    readonly computeTaskMs?: (task: string) => number;
+    /** Promises are checked at each event; a benchmark of a large floor leaves that out. */
+    readonly isChecked?: boolean;
+    /** Fronts that call the advice service. */
+    readonly fronts?: number;
     readonly clockDrift?: number;
     readonly queues?: readonly QueueConfig[];
     /** Decides whether an order is lost on its way, carried out late, or both ways fine. */
@@ -90,7 +96,7 @@
     readonly #records = new Map<WorkerId, WorkerRecord>();
     readonly #leavesAt = new Map<WorkerId, number>();
     readonly #looking = new Set<WorkerId>();
-    #events: Event[] = [];
+    readonly #events: Event[] = [];
     #eventCount = 0;
     #heartbeat = 0;
     #term = 1;
@@ -110,7 +116,7 @@
         }
         this.#addEvent(0, () => this.#tick());
         this.#addEvent(0, () => this.#sendHeartbeats());
-        this.dispatcher.setLanes(["front-1", "front-2", "front-3"] as unknown as LaneId[]);
+        this.dispatcher.setLanes(this.#listLanes());
     }
 
     /** Adds a worker at an address; an earlier one there is dead. */
@@ -174,7 +180,7 @@
         this.#epoch += 1;
         this.#looking.clear();
         this.dispatcher = this.#createDispatcher();
-        this.dispatcher.setLanes(["front-1", "front-2", "front-3"] as unknown as LaneId[]);
+        this.dispatcher.setLanes(this.#listLanes());
         this.#sendHeartbeats(false);
         this.#flush();
     }
@@ -183,7 +189,6 @@
     runFor(ms: number): void {
         const end = this.now + ms;
         for (;;) {
-            this.#events.sort((a, b) => a.at - b.at || a.order - b.order);
             const next = this.#events[0];
             if (next === undefined || next.at > end) {
                 break;
@@ -191,7 +196,9 @@
             this.#events.shift();
             this.now = Math.max(this.now, next.at);
             next.run();
-            this.#checkWorkers();
+            if (this.#options.isChecked ?? true) {
+                this.#checkWorkers();
+            }
         }
         this.now = end;
     }
@@ -201,6 +208,11 @@
         return this.durable.jobs.get(id as JobId)?.state ?? "unknown";
     }
 
+    #listLanes(): LaneId[] {
+        const count = this.#options.fronts ?? 3;
+        return Array.from({ length: count }, (_unused, i) => `front-${i + 1}` as LaneId);
+    }
+
     #createDispatcher(): Dispatcher {
         const working = new Ledger();
         working.restore(this.durable.encode());
@@ -230,7 +242,8 @@
             capacity,
             getNow: () => this.now,
             clockDrift: this.#options.clockDrift,
-            computeTaskMs: () => this.#options.taskMs ?? 300,
+            computeTaskMs: (task) =>
+                this.#options.computeTaskMs?.(task) ?? this.#options.taskMs ?? 300,
             getRoom: (task) => this.#findRoom(task),
             getLoad: this.#options.getLoad,
             getEnd: (task) => this.#options.getEnd?.(task, id) ?? "done",
@@ -276,7 +289,15 @@
     }
 
     #addEvent(delay: number, run: () => void): void {
-        this.#events.push({ at: this.now + delay, order: this.#eventCount++, run });
+        const event = { at: this.now + delay, order: this.#eventCount++, run };
+        // Behind every event of the same time: the order of creation is kept.
+        let [low, high] = [0, this.#events.length];
+        while (low < high) {
+            const middle = (low + high) >>> 1;
+            const isBefore = (this.#events[middle]?.at ?? 0) <= event.at;
+            [low, high] = isBefore ? [middle + 1, high] : [low, middle];
+        }
+        this.#events.splice(low, 0, event);
     }
 
     #tick(): void {
--- /dev/null
+++ b/dispatch/_holds.ts
@@ -0,0 +1,175 @@
+/**
+ * The workers that blocked gangs hold, and the tasks that make way for them; see
+ * `reservation.ts` for the pattern.
+ *
+ * @example
+ * ```ts
+ * import { GangHolds } from "./_holds.ts";
+ * const holds = new GangHolds(context, attempts);
+ * holds.setHolders(ranked);
+ * holds.isHeld(workerId, entry);
+ * ```
+ *
+ * @module
+ */
+
+import type { QueueConfig } from "../configuration/mod.ts";
+import type { Resources, WorkerId } from "../job/mod.ts";
+import { computeRoom, type Attempts } from "./_attempts.ts";
+import type { StepCandidates } from "./_candidates.ts";
+import type { DispatchContext } from "./_context.ts";
+import { selectHeld, selectVictims } from "./reservation.ts";
+import type { StepWork } from "./step_board.ts";
+import { getFreeRoom } from "./worker_book.ts";
+
+/**
+ * Gangs that hold workers at the same time: a third of the floor at most stands ready (a mean gang
+ * takes two to six workers of thirty), and the others fill what is left.
+ */
+const MAX_HOLDERS = 2;
+/** Time between two rounds of making way for one gang, in ms: a stop takes up to 0.9 s. */
+const CLEAR_EVERY_MS = 1_500;
+
+/** A step that waits, with its place in the order. */
+export interface RankedStep {
+    readonly step: StepWork;
+    readonly queue: QueueConfig;
+    readonly rank: number;
+}
+
+/** The holds of one leader. */
+export class GangHolds {
+    readonly #context: DispatchContext;
+    readonly #attempts: Attempts;
+    #holders: readonly RankedStep[] = [];
+
+    /**
+     * @param context What the parts share.
+     * @param attempts The attempts under way.
+     */
+    constructor(context: DispatchContext, attempts: Attempts) {
+        this.#context = context;
+        this.#attempts = attempts;
+    }
+
+    /**
+     * Takes the first gangs that hold workers as this round's holders.
+     *
+     * @param ranked All waiting steps in order.
+     */
+    setHolders(ranked: readonly RankedStep[]): void {
+        const holders: RankedStep[] = [];
+        for (const entry of ranked) {
+            if (holders.length === MAX_HOLDERS) {
+                break;
+            }
+            if (entry.step.held.size > 0) {
+                holders.push(entry);
+            }
+        }
+        this.#holders = holders;
+    }
+
+    /**
+     * Tells whether a worker is kept for a gang ahead of a step. The most urgent queue's tasks are
+     * short and go anywhere; others stay off held workers.
+     *
+     * @param id The worker.
+     * @param entry The step.
+     * @returns True when the step must not use the worker.
+     */
+    isHeld(id: WorkerId, entry: RankedStep): boolean {
+        return this.#holders.some(
+            (holder) =>
+                holder.rank < entry.rank &&
+                holder.queue.priority > 0 &&
+                entry.queue.priority >= holder.queue.priority &&
+                holder.step.held.has(id),
+        );
+    }
+
+    /**
+     * Has a gang that found no room hold workers, and less urgent tasks make way there.
+     *
+     * @param entry The step.
+     * @param candidates The workers that it may run on.
+     * @param now Our clock, in ms.
+     */
+    updateHold(entry: RankedStep, candidates: StepCandidates, now: number): void {
+        const { step, queue } = entry;
+        const before = step.held;
+        step.held =
+            step.spec.isGang && step.waiting.size > 0
+                ? this.#selectHeld(entry, candidates)
+                : new Map();
+        this.#releaseWorkers(before, step.held);
+        const mayClear = now - step.clearedAt >= CLEAR_EVERY_MS;
+        if (step.held.size === 0 || !mayClear || this.#holders.length >= MAX_HOLDERS) {
+            return;
+        }
+        step.clearedAt = now;
+        for (const [id, count] of step.held) {
+            this.#clearWorker(id, count * computeRoom(step.spec).cpu, { step, queue });
+        }
+    }
+
+    #selectHeld({ step, queue }: RankedStep, candidates: StepCandidates): Map<WorkerId, number> {
+        const places = [...candidates.admitted, ...candidates.expired].map(({ id }) => ({
+            id,
+            attainable: this.#computeAttainable(id, queue.priority),
+        }));
+        return selectHeld(places, { needs: computeRoom(step.spec), count: step.spec.count });
+    }
+
+    /** What others were kept from may be used again. */
+    #releaseWorkers(
+        before: ReadonlyMap<WorkerId, number>,
+        held: ReadonlyMap<WorkerId, number>,
+    ): void {
+        for (const id of before.keys()) {
+            const worker = held.has(id) ? undefined : this.#context.book.findWorker(id);
+            if (worker !== undefined) {
+                this.#context.recordRoom(worker);
+            }
+        }
+    }
+
+    #clearWorker(
+        id: WorkerId,
+        neededCpu: number,
+        { step, queue }: Pick<RankedStep, "step" | "queue">,
+    ): void {
+        const worker = this.#context.book.findWorker(id);
+        if (worker === undefined) {
+            return;
+        }
+        const missingCpu = neededCpu - getFreeRoom(worker).cpu;
+        const victims = selectVictims(worker.members.values(), missingCpu, queue.priority);
+        for (const victim of victims) {
+            this.#context.recordDecision("decision", "task makes way", {
+                request: victim.unit.job,
+                task: victim.name,
+                worker: id,
+                for: step.key,
+            });
+            this.#attempts.stopMember(victim);
+        }
+    }
+
+    /** What a worker has left once work less urgent than a priority has gone. */
+    #computeAttainable(id: WorkerId, priority: number): Resources {
+        const worker = this.#context.book.findWorker(id);
+        if (worker === undefined) {
+            return { cpu: 0, memoryMb: 0, gpu: 0 };
+        }
+        const room = { ...getFreeRoom(worker) };
+        for (const member of worker.members.values()) {
+            if (member.priority > priority) {
+                room.cpu += member.room.cpu;
+                room.memoryMb += member.room.memoryMb;
+                room.gpu += member.room.gpu;
+            }
+        }
+        return room;
+    }
+}
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -257,7 +257,7 @@
             this.#context.recordDecision("decision", "worker answers again", {
                 worker: order.worker,
             });
-            this.#context.recordRoom();
+            this.#context.recordRoom(worker);
         }
         this.#context.book.recordAnswer(worker, answer.clockMs, now);
         worker.toldCursor = Math.max(worker.toldCursor, order.cursor);
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -11,51 +11,46 @@
  * @module
  */
 
-import type { QueueConfig } from "../configuration/mod.ts";
-import type { Resources, UnitRef, WorkerId } from "../job/mod.ts";
+import type { UnitRef, WorkerId } from "../job/mod.ts";
 import { computeRoom, type Attempts } from "./_attempts.ts";
+import { listCandidates, takeRoom, type StepCandidates } from "./_candidates.ts";
 import type { DispatchContext } from "./_context.ts";
-import { placeUnit, type Candidate } from "./placement.ts";
+import { GangHolds, type RankedStep } from "./_holds.ts";
+import { placeUnit } from "./placement.ts";
 import { rankStep } from "./ranking.ts";
-import { selectHeld, selectVictims } from "./reservation.ts";
-import { createStepKey, type StepWork } from "./step_board.ts";
+import type { StepWork } from "./step_board.ts";
 import type { Admission, AdviceCall } from "./types.ts";
-import { getFreeRoom, type WorkerState } from "./worker_book.ts";
+import type { WorkerState } from "./worker_book.ts";
 
 /** A ticket is not used so shortly before its end: the commit and the order take time, in ms. */
 const TICKET_MARGIN_MS = 150;
 /** Pause before asking again when nothing new can be learned, in ms. */
 const ADVICE_RETRY_MS = 500;
-/**
- * Gangs that hold workers at the same time: a third of the floor at most stands ready (a mean gang
- * takes two to six workers of thirty), and the others fill what is left.
- */
-const MAX_HOLDERS = 2;
-/** Time between two rounds of making way for one gang, in ms: a stop takes up to 0.9 s. */
-const CLEAR_EVERY_MS = 1_500;
 /** The most workers named in one call (the service's limit). */
 const MAX_ADVICE_WORKERS = 100;
+/**
+ * A waiting step is matched with every worker at least this often, in ms: tickets run out by the
+ * clock alone. In between it is matched with those that got room since its last try.
+ */
+const RETRY_ALL_MS = 1_000;
+/**
+ * A gang needs room on many workers at once, so it is matched with all of them, this often, in ms; a
+ * tenth of what its shortest objective leaves for waiting.
+ */
+const RETRY_GANG_MS = 50;
+/** Gangs that are matched so often; the others behind them, in ms. */
+const EAGER_GANGS = 8;
+const RETRY_LATER_GANG_MS = 250;
 
-interface RankedStep {
-    readonly step: StepWork;
-    readonly queue: QueueConfig;
-    readonly rank: number;
-}
-
-interface StepCandidates {
-    admitted: Candidate[];
-    /** Workers that the advice service was never asked about. */
-    readonly unasked: Candidate[];
-    /** Good workers whose ticket is over. */
-    readonly expired: Candidate[];
-}
+/** Which workers a step is matched with. */
+type Match = "none" | "changed" | "all";
 
 /** The placements of one leader. */
 export class StepPlacer {
     readonly #context: DispatchContext;
     readonly #attempts: Attempts;
+    readonly #holds: GangHolds;
     #nextCall = 1;
-    #holders: readonly RankedStep[] = [];
 
     /**
      * @param context What the parts share.
@@ -64,6 +59,7 @@
     constructor(context: DispatchContext, attempts: Attempts) {
         this.#context = context;
         this.#attempts = attempts;
+        this.#holds = new GangHolds(context, attempts);
     }
 
     /** Places what waits, if anything changed since the last time. */
@@ -73,18 +69,14 @@
         }
         this.#context.isDirty = false;
         const now = this.#context.clock.getNow();
-        const wall = this.#context.clock.getWall();
-        const ranked = this.#context.board
-            .listWaiting()
-            .map((step) => ({ step, queue: this.#context.findQueue(step.queue) }))
-            .filter((entry): entry is Omit<RankedStep, "rank"> => entry.queue !== undefined)
-            .map((entry) => ({ ...entry, rank: rankStep(entry.step, entry.queue, wall) }))
-            .sort((a, b) => a.rank - b.rank);
-        this.#holders = ranked.filter(({ step }) => step.held.size > 0).slice(0, MAX_HOLDERS);
+        const ranked = this.#rankWaiting();
+        this.#holds.setHolders(ranked);
+        let gangs = 0;
         for (const entry of ranked) {
-            if (this.#isWorthTrying(entry.step, entry.queue)) {
-                this.#placeStep(entry, now);
-                entry.step.triedVersion = this.#context.roomVersion;
+            gangs += entry.step.spec.isGang ? 1 : 0;
+            const match = this.#selectMatch(entry, gangs, now);
+            if (match !== "none") {
+                this.#placeStep(entry, match, now);
             }
         }
         for (const { lane, call } of this.#context.desk.takeCalls(now)) {
@@ -92,160 +84,89 @@
         }
     }
 
-    /** Nothing can be placed before the first advice, or until a worker has got room. */
-    #isWorthTrying(step: StepWork, queue: QueueConfig): boolean {
+    #rankWaiting(): RankedStep[] {
+        const wall = this.#context.clock.getWall();
+        const ranked: RankedStep[] = [];
+        for (const step of this.#context.board.steps) {
+            const queue = step.waiting.size > 0 ? this.#context.findQueue(step.queue) : undefined;
+            if (queue !== undefined) {
+                ranked.push({ step, queue, rank: rankStep(step, queue, wall) });
+            }
+        }
+        return ranked.sort((a, b) => a.rank - b.rank);
+    }
+
+    /**
+     * Selects the workers that a step is matched with. A backlog of hundreds of steps matched with
+     * hundreds of workers at each end of a task would take the leader's whole processor; a worker
+     * that had no room for a task at the last try has none now unless it got some since.
+     */
+    #selectMatch({ step, queue }: RankedStep, gangsSoFar: number, now: number): Match {
         const awaitsAdvice =
             queue.advice !== undefined &&
             step.advice.callId !== undefined &&
             step.advice.good.size === 0;
-        return !awaitsAdvice && step.triedVersion !== this.#context.roomVersion;
-    }
-
-    #placeStep(entry: RankedStep, now: number): void {
-        const { step, queue } = entry;
-        const candidates = this.#listCandidates(entry, now);
-        let hasPlaced = false;
-        for (const unit of [...step.waiting]) {
-            const count = step.spec.isGang ? step.spec.count : 1;
-            const chosen = placeUnit({
-                needs: computeRoom(step.spec),
-                count,
-                candidates: candidates.admitted,
-                maxPerWorker: step.spec.maxPerWorker,
-                isRackLocal: step.spec.isRackLocal,
-            });
-            if (chosen === undefined) {
-                break;
-            }
-            hasPlaced = true;
-            this.#startAttempt(step, unit, chosen);
-            candidates.admitted = takeRoom(candidates.admitted, chosen, computeRoom(step.spec));
+        if (awaitsAdvice) {
+            return "none";
         }
-        this.#updateHold(entry, candidates, now);
-        if (!hasPlaced || step.waiting.size > 0) {
-            this.#ensureAdvice(step, queue, candidates, now);
+        if (step.triedVersion === undefined) {
+            return "all";
         }
-    }
-
-    /** A gang that finds no room holds workers and has less urgent tasks make way there. */
-    #updateHold(entry: RankedStep, candidates: StepCandidates, now: number): void {
-        const { step, queue } = entry;
-        if (!step.spec.isGang || step.waiting.size === 0) {
-            step.held = new Map();
-            return;
+        const waitedMs = now - step.triedAllAt;
+        if (step.spec.isGang) {
+            const everyMs = gangsSoFar <= EAGER_GANGS ? RETRY_GANG_MS : RETRY_LATER_GANG_MS;
+            return waitedMs >= everyMs ? "all" : "none";
         }
-        const places = [...candidates.admitted, ...candidates.expired].map(({ id }) => ({
-            id,
-            attainable: this.#computeAttainable(id, queue.priority),
-        }));
-        const gang = { needs: computeRoom(step.spec), count: step.spec.count };
-        step.held = selectHeld(places, gang);
-        const mayClear = now - step.clearedAt >= CLEAR_EVERY_MS;
-        if (step.held.size === 0 || !mayClear || this.#holders.length >= MAX_HOLDERS) {
-            return;
-        }
-        step.clearedAt = now;
-        for (const [id, count] of step.held) {
-            this.#clearWorker(id, count * gang.needs.cpu, entry);
+        if (waitedMs >= RETRY_ALL_MS) {
+            return "all";
         }
+        return step.triedVersion === this.#context.book.roomVersion ? "none" : "changed";
     }
 
-    #clearWorker(id: WorkerId, neededCpu: number, { step, queue }: RankedStep): void {
-        const worker = this.#context.book.findWorker(id);
-        if (worker === undefined) {
-            return;
+    #placeStep(entry: RankedStep, match: Match, now: number): void {
+        const { step } = entry;
+        const { book } = this.#context;
+        const workers = match === "all" ? book.workers : book.listChanged(step.triedVersion ?? 0);
+        step.triedVersion = book.roomVersion;
+        if (match === "all") {
+            step.triedAllAt = now;
         }
-        const missingCpu = neededCpu - getFreeRoom(worker).cpu;
-        const victims = selectVictims(worker.members.values(), missingCpu, queue.priority);
-        for (const victim of victims) {
-            this.#context.recordDecision("decision", "task makes way", {
-                request: victim.unit.job,
-                task: victim.name,
-                worker: id,
-                for: step.key,
-            });
-            this.#attempts.stopMember(victim);
+        const candidates = this.#listCandidates(entry, workers, now);
+        const hasPlaced = this.#placeUnits(step, candidates);
+        if (match === "all") {
+            this.#holds.updateHold(entry, candidates, now);
         }
-    }
-
-    /** What a worker has left once work less urgent than a priority has gone. */
-    #computeAttainable(id: WorkerId, priority: number): Resources {
-        const worker = this.#context.book.findWorker(id);
-        if (worker === undefined) {
-            return { cpu: 0, memoryMb: 0, gpu: 0 };
-        }
-        const room = { ...getFreeRoom(worker) };
-        for (const member of worker.members.values()) {
-            if (member.priority > priority) {
-                room.cpu += member.room.cpu;
-                room.memoryMb += member.room.memoryMb;
-                room.gpu += member.room.gpu;
-            }
+        if (!hasPlaced || step.waiting.size > 0) {
+            this.#ensureAdvice(entry, candidates, now);
         }
-        return room;
     }
 
-    /** The most urgent queue's tasks are short and go anywhere; others stay off held workers. */
-    #isHeld(id: WorkerId, entry: RankedStep): boolean {
-        return this.#holders.some(
-            (holder) =>
-                holder.rank < entry.rank &&
-                holder.queue.priority > 0 &&
-                entry.queue.priority >= holder.queue.priority &&
-                holder.step.held.has(id),
-        );
-    }
-
-    #listCandidates(entry: RankedStep, now: number): StepCandidates {
-        const { step, queue } = entry;
-        const result: StepCandidates = { admitted: [], unasked: [], expired: [] };
-        const { spec, advice } = step;
-        for (const worker of this.#context.book.workers) {
-            const { record } = worker;
-            if (
-                record.pool !== queue.pool ||
-                !this.#context.book.isUsable(worker, now) ||
-                (spec.requiredLabel !== undefined && !record.labels.includes(spec.requiredLabel))
-            ) {
-                continue;
-            }
-            const candidate = this.#createCandidate(step, worker);
-            if (this.#isHeld(record.id, entry)) {
-                continue;
-            }
-            if (queue.advice === undefined) {
-                result.admitted.push(candidate);
-                continue;
-            }
-            const admission = advice.good.get(record.id);
-            if (admission !== undefined) {
-                const list = admission.validUntil > now ? result.admitted : result.expired;
-                list.push(candidate);
-            } else if (!advice.asked.has(record.id)) {
-                result.unasked.push(candidate);
+    #placeUnits(step: StepWork, candidates: StepCandidates): boolean {
+        const needs = computeRoom(step.spec);
+        const count = step.spec.isGang ? step.spec.count : 1;
+        const { maxPerWorker, isRackLocal } = step.spec;
+        let hasPlaced = false;
+        for (const unit of [...step.waiting]) {
+            const request = { needs, count, candidates: candidates.admitted };
+            const chosen = placeUnit({ ...request, maxPerWorker, isRackLocal });
+            if (chosen === undefined) {
+                break;
             }
+            hasPlaced = true;
+            this.#startAttempt(step, unit, chosen);
+            takeRoom(candidates.admitted, chosen, needs);
         }
-        return result;
+        return hasPlaced;
     }
 
-    #createCandidate(step: StepWork, worker: WorkerState): Candidate {
-        let sameStep = 0;
-        if (step.spec.maxPerWorker > 0) {
-            for (const member of worker.members.values()) {
-                sameStep += createStepKey(member.unit) === step.key ? 1 : 0;
-            }
-        }
-        const { preferredRack } = step.spec;
-        return {
-            id: worker.record.id,
-            free: getFreeRoom(worker),
-            rack: worker.record.labels[1] ?? "",
-            sameStep,
-            isNear: preferredRack !== undefined && worker.record.labels.includes(preferredRack),
-            slowness:
-                worker.speed.computeSlowness(this.#context.clock.getNow()) +
-                (step.failedOn.has(worker.record.id) ? 1 : 0),
-        };
+    #listCandidates(
+        entry: RankedStep,
+        workers: Iterable<WorkerState>,
+        now: number,
+    ): StepCandidates {
+        const { step, queue } = entry;
+        const isHeld = (id: WorkerId): boolean => this.#holds.isHeld(id, entry);
+        return listCandidates(this.#context, { step, queue, workers, isHeld, now });
     }
 
     #startAttempt(step: StepWork, unitNumber: number, workers: readonly WorkerId[]): void {
@@ -278,27 +199,24 @@
     }
 
     /** Asks about workers that could take a unit now, had they a valid ticket. */
-    #ensureAdvice(
-        step: StepWork,
-        queue: QueueConfig,
-        candidates: StepCandidates,
-        now: number,
-    ): void {
+    #ensureAdvice(entry: RankedStep, candidates: StepCandidates, now: number): void {
+        const { step, queue, rank } = entry;
         const { advice } = step;
         if (queue.advice === undefined || advice.callId !== undefined || now < advice.retryAt) {
             return;
         }
-        const workers = this.#selectForAdvice(step, candidates);
-        if (workers.length === 0) {
+        if (this.#selectForAdvice(step, candidates).length === 0) {
             return;
         }
+        // One call for all of them costs little more than one for those that changed.
+        const all = this.#listCandidates(entry, this.#context.book.workers, now);
         const call: AdviceCall = {
             id: this.#nextCall++,
             step: step.key,
             queue: queue.name,
             policy: queue.advice,
-            workers,
-            rank: rankStep(step, queue, this.#context.clock.getWall()),
+            workers: this.#selectForAdvice(step, all),
+            rank,
         };
         advice.callId = call.id;
         this.#context.desk.addCall(call, queue.priority, now);
@@ -368,27 +286,3 @@
         });
     }
 }
-
-/** Gives the candidates as they are once a unit was placed on some of them. */
-function takeRoom(
-    candidates: readonly Candidate[],
-    chosen: readonly WorkerId[],
-    needs: Resources,
-): Candidate[] {
-    return candidates.map((candidate) => {
-        const count = chosen.filter((id) => id === candidate.id).length;
-        if (count === 0) {
-            return candidate;
-        }
-        const { free } = candidate;
-        return {
-            ...candidate,
-            sameStep: candidate.sameStep + count,
-            free: {
-                cpu: free.cpu - count * needs.cpu,
-                memoryMb: free.memoryMb - count * needs.memoryMb,
-                gpu: free.gpu - count * needs.gpu,
-            },
-        };
-    });
-}
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -55,11 +55,6 @@
 
 /** A stop without an end in the worker's lists is sent again after this, in ms. */
 const STOP_AGAIN_MS = 400;
-/**
- * All waiting steps are tried again after this, in ms: tickets and pauses of workers run out by the
- * clock alone.
- */
-const RETRY_ALL_MS = 300;
 /** Time between two sweeps that forget ended jobs, in ms. */
 const FORGET_EVERY_MS = 5_000;
 /** A worker not heard from for this long, and with nothing running, is forgotten, in ms. */
@@ -75,7 +70,7 @@
     readonly #placer: StepPlacer;
     readonly #evacuator: Evacuator;
     #forgottenAt: number;
-    #retriedAt = Number.NEGATIVE_INFINITY;
+    #tickedAt = Number.NEGATIVE_INFINITY;
 
     /**
      * Takes over: every attempt on record may be out, and every worker with one is looked at.
@@ -185,7 +180,8 @@
             before: current,
             queues: configuration.queues.length,
         });
-        this.#context.recordRoom();
+        this.#context.board.forgetTries();
+        this.#context.isDirty = true;
         return true;
     }
 
@@ -235,7 +231,7 @@
             worker.clock.record(clockMs, now);
         }
         if (!wasUsable) {
-            this.#context.recordRoom();
+            this.#context.recordRoom(worker);
         }
     }
 
@@ -281,10 +277,7 @@
         for (const worker of this.#context.book.workers) {
             this.#tickWorker(worker, now);
         }
-        if (now - this.#retriedAt >= RETRY_ALL_MS) {
-            this.#retriedAt = now;
-            this.#context.recordRoom();
-        }
+        this.#tickedAt = now;
         if (now - this.#forgottenAt >= FORGET_EVERY_MS) {
             this.#forgottenAt = now;
             this.#forgetEnded();
@@ -329,6 +322,9 @@
             }
         }
         this.#evacuator.drainWorker(worker, now);
+        if (worker.pausedUntil > this.#tickedAt && worker.pausedUntil <= now) {
+            this.#context.recordRoom(worker);
+        }
         const isIdle = worker.members.size === 0;
         if (isIdle && now - worker.heardAt > FORGET_WORKER_MS && Number.isFinite(worker.heardAt)) {
             this.#orders.removeWorker(worker.record.id, "silent");
--- a/dispatch/placement.ts
+++ b/dispatch/placement.ts
@@ -15,10 +15,11 @@
 /** A worker that may run the step. */
 export interface Candidate {
     readonly id: WorkerId;
-    readonly free: Resources;
+    /** What it has left; a caller that places unit after unit takes from it. */
+    readonly free: { -readonly [K in keyof Resources]: Resources[K] };
     readonly rack: string;
     /** Tasks of the step that it runs already. */
-    readonly sameStep: number;
+    sameStep: number;
     /** It holds the step's data. */
     readonly isNear: boolean;
     /** How much slower it works than the others, 1 for as fast. */
@@ -81,6 +82,10 @@
     if (total < request.count) {
         return undefined;
     }
+    if (request.count === 1) {
+        const compare = (a: Slot, b: Slot): Slot => (compareSlots(b, a, request.needs) < 0 ? b : a);
+        return [slots.reduce(compare).candidate.id];
+    }
     slots.sort((a, b) => compareSlots(a, b, request.needs));
     const chosen: WorkerId[] = [];
     for (const { candidate, fits } of slots) {
--- a/dispatch/step_board.ts
+++ b/dispatch/step_board.ts
@@ -55,6 +55,8 @@
      * A backlog of hundreds of steps would otherwise be matched with every worker on every event.
      */
     triedVersion: number | undefined;
+    /** When it was last matched with every worker, in ms. */
+    triedAllAt: number;
     /** Workers that it holds while its gang finds no room; empty for others. */
     held: ReadonlyMap<WorkerId, number>;
     /** When it last had others make way, in ms. */
@@ -197,9 +199,11 @@
         return keys;
     }
 
-    /** Lists steps with units that wait for a worker. */
-    listWaiting(): StepWork[] {
-        return [...this.#steps.values()].filter((step) => step.waiting.size > 0);
+    /** Has every step matched with all workers again: the queues changed. */
+    forgetTries(): void {
+        for (const step of this.#steps.values()) {
+            step.triedVersion = undefined;
+        }
     }
 
     #openOccurrence(job: Job, number: number): void {
@@ -232,6 +236,7 @@
             readyAt: this.#clock.getWall(),
             advice: { asked: new Set(), good: new Map(), callId: undefined, retryAt: 0 },
             triedVersion: undefined,
+            triedAllAt: Number.NEGATIVE_INFINITY,
             held: new Map(),
             clearedAt: Number.NEGATIVE_INFINITY,
             failedOn: new Set(),
--- a/dispatch/worker_book.ts
+++ b/dispatch/worker_book.ts
@@ -63,6 +63,8 @@
     heartbeat: number;
     /** While it drains: when it may end at the earliest, in ms of our clock, if it told. */
     leavesAt: number | undefined;
+    /** {@link WorkerBook.roomVersion} when it last got room or became usable. */
+    roomVersion: number;
 }
 
 /** Options of {@link WorkerBook}. */
@@ -77,7 +79,11 @@
 export class WorkerBook {
     readonly #options: WorkerBookOptions;
     readonly #workers = new Map<WorkerId, WorkerState>();
+    /** Every worker, the one that got room last at the end. */
+    readonly #byChange = new Set<WorkerState>();
     #nextFence: number;
+    /** Rises when a worker gets room or becomes usable: what did not fit before may fit now. */
+    roomVersion = 0;
 
     /**
      * @param options The first fence, the lease's length.
@@ -135,8 +141,10 @@
             calmSince: undefined,
             heartbeat: -1,
             leavesAt: undefined,
+            roomVersion: 0,
         };
         this.#workers.set(record.id, state);
+        this.recordRoom(state);
         return state;
     }
 
@@ -146,7 +154,40 @@
      * @param id The worker.
      */
     removeWorker(id: WorkerId): void {
-        this.#workers.delete(id);
+        const worker = this.#workers.get(id);
+        if (worker !== undefined) {
+            this.#workers.delete(id);
+            this.#byChange.delete(worker);
+        }
+    }
+
+    /**
+     * Notes that a worker got room or became usable.
+     *
+     * @param worker The worker.
+     */
+    recordRoom(worker: WorkerState): void {
+        this.roomVersion += 1;
+        worker.roomVersion = this.roomVersion;
+        this.#byChange.delete(worker);
+        this.#byChange.add(worker);
+    }
+
+    /**
+     * Lists the workers that got room or became usable since a version.
+     *
+     * @param version The version.
+     * @returns The workers, the last one first.
+     */
+    listChanged(version: number): WorkerState[] {
+        const changed: WorkerState[] = [];
+        for (const worker of [...this.#byChange].reverse()) {
+            if (worker.roomVersion <= version) {
+                break;
+            }
+            changed.push(worker);
+        }
+        return changed;
     }
 
     /**
