Hold a question about a running job's state until its end is on record

Cause: callers ask the moment their last task has ended; the end is on record 20 to 120 ms later. Ruled out: shorter pauses between looks (they delay one end in seven by 50 ms), placing (83 ms to the start in the median). Tests: control/state_reader_test.ts.

--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -55,9 +55,10 @@
     type WorkerCalls,
 } from "./calls.ts";
 import { ClockGuard } from "./clock_guard.ts";
-import { findState, Leadership, type ConfigureAnswer } from "./leadership.ts";
+import { Leadership, type ConfigureAnswer } from "./leadership.ts";
 import { MemberTable } from "./member_table.ts";
 import { SignBox } from "./sign_box.ts";
+import { StateReader } from "./state_reader.ts";
 
 /** Options of {@link ControlDaemon}. */
 export interface ControlDaemonOptions {
@@ -116,6 +117,7 @@
     readonly #options: ControlDaemonOptions;
     readonly #self: EntryId;
     readonly #durable = new Ledger();
+    readonly #states = new StateReader(this.#durable);
     readonly #clock = new CellClock();
     readonly #guard: ClockGuard;
     readonly #network: PeerNetwork;
@@ -185,7 +187,10 @@
             self: this.#self,
             incarnation: loadIncarnation({ dataDir, bootstrap }),
             machine: {
-                apply: (batch) => this.#durable.apply(batch),
+                apply: (batch) => {
+                    this.#durable.apply(batch);
+                    this.#states.update();
+                },
                 encode: () => this.#durable.encode(),
                 restore: (state) => this.#durable.restore(state),
             },
@@ -301,7 +306,7 @@
      * Answers for a job's state from this member's replica, while it hears the leader. What it does
      * not know may be too new for it: the leader is asked then.
      */
-    #readState(call: CallerCall): CallerAnswer {
+    async #readState(call: CallerCall): Promise<CallerAnswer> {
         const silentMs = performance.now() - (this.#member?.heardLeaderAt ?? 0);
         const { configuration } = this.#durable;
         const match =
@@ -311,7 +316,7 @@
         const answer =
             match === undefined || silentMs > READER_SILENCE_MS
                 ? undefined
-                : findState(this.#durable, match.rest as JobId);
+                : await this.#states.readState(match.rest as JobId);
         if (answer === undefined) {
             throw new MethodError("ask the leader", NOT_LEADER_CODE, { leader: undefined });
         }
@@ -383,6 +388,7 @@
         });
         this.#leadership = new Leadership({
             durable: this.#durable,
+            states: this.#states,
             propose: (batch) => replica.propose(batch).catch((error) => this.#refuseCall(error)),
             isServing: () => this.isServing,
             term: replica.term,
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -37,12 +37,15 @@
     LifeSign,
     WorkerCalls,
 } from "./calls.ts";
+import type { StateReader } from "./state_reader.ts";
 import { WorkerWatch } from "./worker_watch.ts";
 
 /** Options of {@link Leadership}. */
 export interface LeadershipOptions {
     /** The state that a quorum holds. */
     readonly durable: Ledger;
+    /** Answers for the states of jobs in it. */
+    readonly states: StateReader;
     /** Has a batch agreed on; rejects when this process leads no more. */
     readonly propose: (batch: FactBatch) => Promise<void>;
     /** Whether no other process can lead now. */
@@ -159,7 +162,7 @@
         }
         const job = match.rest as JobId;
         if (call.type === "state") {
-            return findState(this.#options.durable, job) ?? { type: "unknownJob" };
+            return (await this.#options.states.readState(job)) ?? { type: "unknownJob" };
         }
         if (call.type === "cancel") {
             return this.#cancel(job);
@@ -426,15 +429,3 @@
 
 /** The way back from the service through the front, at most, in ms; the wait before is not age. */
 const ADVICE_AGE_CAP_MS = 50;
-
-/**
- * Finds the state of a job in a replica.
- *
- * @param ledger The replica.
- * @param job The job.
- * @returns The answer, or `undefined` when the replica does not know the job.
- */
-export function findState(ledger: Ledger, job: JobId): CallerAnswer | undefined {
-    const known = ledger.jobs.get(job);
-    return known === undefined ? undefined : { type: "state", state: known.state };
-}
--- a/control/mod.ts
+++ b/control/mod.ts
@@ -13,4 +13,5 @@
 export * from "./clock_guard.ts";
 export * from "./daemon.ts";
 export * from "./leadership.ts";
+export * from "./state_reader.ts";
 export * from "./worker_watch.ts";
--- /dev/null
+++ b/control/state_reader_test.ts
@@ -0,0 +1,62 @@
+import test from "ava";
+import { buildSpec, POOL, QUEUE } from "../dispatch/_fixtures.ts";
+import { Ledger, type Fact, type JobId, type JobSpec, type WorkerId } from "../job/mod.ts";
+import { StateReader } from "./state_reader.ts";
+
+const JOB = "00000000000000a1" as JobId;
+const HOLD_MS = 300;
+
+function buildRunning(spec: JobSpec): { ledger: Ledger; reader: StateReader } {
+    const ledger = new Ledger();
+    const unit = { job: JOB, occurrence: 0, step: 0, unit: 0 };
+    const members = [[0, "w1" as WorkerId]] as const;
+    applyFact(ledger, { type: "jobAccepted", job: JOB, queue: QUEUE, pool: POOL, spec });
+    applyFact(ledger, { type: "attemptStarted", unit, attempt: 1, members });
+    return { ledger, reader: new StateReader(ledger, { holdMs: HOLD_MS }) };
+}
+
+function applyFact(ledger: Ledger, fact: Fact): void {
+    ledger.apply({ at: 0, facts: [fact] });
+}
+
+function endTask(ledger: Ledger): void {
+    const unit = { job: JOB, occurrence: 0, step: 0, unit: 0 };
+    applyFact(ledger, {
+        type: "memberEnded",
+        unit,
+        attempt: 1,
+        index: 0,
+        how: "done",
+        checkpoint: "",
+    });
+}
+
+test("a caller that asks just before its job's end is on record is told of the end", async (t) => {
+    // The caller sees its last task end and asks at once; the end is on its way to the replica. Told
+    // `running` it would come again after a pause of its own, a quarter of a second later.
+    const { ledger, reader } = buildRunning(buildSpec({}));
+    const startedAt = performance.now();
+    const answer = reader.readState(JOB);
+    setTimeout(() => {
+        endTask(ledger);
+        reader.update();
+    }, 40);
+    t.deepEqual(await answer, { type: "state", state: "complete" });
+    t.true(performance.now() - startedAt < HOLD_MS);
+});
+
+test("a job that goes on is said to run after a moment", async (t) => {
+    const { reader } = buildRunning(buildSpec({}));
+    t.deepEqual(await reader.readState(JOB), { type: "state", state: "running" });
+});
+
+test("jobs that end some other time, ended jobs and unknown ones are answered at once", async (t) => {
+    const startedAt = performance.now();
+    const lasting = buildRunning(buildSpec({ isPerpetual: true }));
+    t.deepEqual(await lasting.reader.readState(JOB), { type: "state", state: "running" });
+    const { ledger, reader } = buildRunning(buildSpec({}));
+    endTask(ledger);
+    t.deepEqual(await reader.readState(JOB), { type: "state", state: "complete" });
+    t.is(await reader.readState("00000000000000b2" as JobId), undefined);
+    t.true(performance.now() - startedAt < HOLD_MS);
+});
