--- a/log/consensus.ts
+++ b/log/consensus.ts
@@ -16,6 +16,7 @@
  */
 
 import { applyChartEvent, loadChart } from "../chart/mod.ts";
+import { EntryLog } from "./entry_log.ts";
 import type {
     AppendRequest,
     AppendResponse,
@@ -109,10 +110,7 @@
     #term: number;
     #votedFor: MemberId | undefined;
     #leader: MemberId | undefined;
-    #entries: LogEntry[];
-    #baseIndex: number;
-    #baseTerm: number;
-    #baseVoters: readonly MemberId[];
+    readonly #log: EntryLog;
     #voters: readonly MemberId[];
     #votersIndex: number;
     #commitIndex: number;
@@ -147,13 +145,12 @@
         const { hard, snapshot, entries } = options.stored;
         this.#term = hard.term;
         this.#votedFor = hard.votedFor;
-        this.#entries = [...entries];
-        this.#baseIndex = snapshot?.index ?? 0;
-        this.#baseTerm = snapshot?.term ?? 0;
-        this.#baseVoters = snapshot?.voters ?? options.initialVoters ?? [];
-        this.#voters = this.#baseVoters;
-        this.#votersIndex = this.#baseIndex;
-        this.#commitIndex = this.#baseIndex;
+        const voters = snapshot?.voters ?? options.initialVoters ?? [];
+        const { index, term } = snapshot ?? { index: 0, term: 0 };
+        this.#log = new EntryLog({ index, term, voters, entries });
+        this.#voters = voters;
+        this.#votersIndex = index;
+        this.#commitIndex = index;
         this.#persistedIndex = this.lastIndex;
         // A restarted member may have answered a leader moments ago: it keeps that leader's lease
         // by refusing votes for one election timeout, as if it had just heard from it.
@@ -186,7 +183,7 @@
 
     /** The last index of the log. */
     get lastIndex(): number {
-        return this.#entries.at(-1)?.index ?? this.#baseIndex;
+        return this.#log.lastIndex;
     }
 
     /** The index up to which a quorum holds the log durably. */
@@ -196,7 +193,7 @@
 
     /** The last index that the newest snapshot covers. */
     get baseIndex(): number {
-        return this.#baseIndex;
+        return this.#log.baseIndex;
     }
 
     /** The hard state as it stands. */
@@ -211,10 +208,7 @@
      * @returns The entries, in order.
      */
     listCommitted(after: number): LogEntry[] {
-        return this.#entries.slice(
-            Math.max(0, after - this.#baseIndex),
-            Math.max(0, this.#commitIndex - this.#baseIndex),
-        );
+        return this.#log.listBetween(after, this.#commitIndex);
     }
 
     /**
@@ -455,7 +449,7 @@
      * @param term That entry's term; ignored if the entry was replaced meanwhile.
      */
     confirmPersisted(index: number, term: number): void {
-        if (this.#getTermAt(index) === term) {
+        if (this.#log.getTermAt(index) === term) {
             this.#persistedIndex = Math.max(this.#persistedIndex, index);
             this.#advanceCommit();
         }
@@ -469,12 +463,8 @@
      * @returns The entries after the snapshot.
      */
     compact(index: number): LogEntry[] {
-        const rest = this.#entries.filter((e) => e.index > index);
-        const base = Math.max(this.#baseIndex, index - KEPT_BEHIND_SNAPSHOT);
-        this.#baseTerm = this.#getTermAt(base) ?? this.#baseTerm;
-        this.#baseVoters = this.#computeVotersAt(base);
-        this.#entries = this.#entries.filter((e) => e.index > base);
-        this.#baseIndex = base;
+        const rest = this.#log.listBetween(index, this.lastIndex);
+        this.#log.compact(index - KEPT_BEHIND_SNAPSHOT);
         return rest;
     }
 
@@ -486,8 +476,8 @@
      */
     describeAt(index: number): { term: number; voters: readonly MemberId[] } {
         return {
-            term: this.#getTermAt(index) ?? this.#baseTerm,
-            voters: this.#computeVotersAt(index),
+            term: this.#log.getTermAt(index) ?? this.#log.getTermAt(this.baseIndex) ?? 0,
+            voters: this.#log.findVotersAt(index).voters,
         };
     }
 
@@ -539,7 +529,7 @@
             pre,
             term: pre ? this.#term + 1 : this.#term,
             lastIndex: this.lastIndex,
-            lastTerm: this.#getTermAt(this.lastIndex) ?? 0,
+            lastTerm: this.#log.getTermAt(this.lastIndex) ?? 0,
             isTransfer,
         };
         for (const voter of this.#voters) {
@@ -596,7 +586,7 @@
             | { type: "voters"; voters: readonly MemberId[] },
     ): number {
         const entry: LogEntry = { index: this.lastIndex + 1, term: this.#term, ...body };
-        this.#entries.push(entry);
+        this.#log.append(entry);
         this.#unpersisted.push(entry);
         for (const [member, progress] of this.#progress) {
             if (progress.inFlightUntil === 0) {
@@ -613,7 +603,7 @@
         }
         progress.lastSentAt = this.#now;
         const previousIndex = progress.nextIndex - 1;
-        if (previousIndex < this.#baseIndex) {
+        if (previousIndex < this.baseIndex) {
             const isOnItsWay =
                 progress.snapshotSentAt > 0 &&
                 this.#now - progress.snapshotSentAt < SNAPSHOT_RESEND_MS;
@@ -631,15 +621,17 @@
             }
             return;
         }
-        const from = previousIndex - this.#baseIndex;
-        const entries = this.#entries.slice(from, from + MAX_ENTRIES_PER_APPEND);
+        const entries = this.#log.listBetween(
+            previousIndex,
+            previousIndex + MAX_ENTRIES_PER_APPEND,
+        );
         progress.inFlightUntil = entries.at(-1)?.index ?? progress.inFlightUntil;
         progress.toldCommit = this.#commitIndex;
         const message: AppendRequest = {
             type: "append",
             term: this.#term,
             previousIndex,
-            previousTerm: this.#getTermAt(previousIndex) ?? 0,
+            previousTerm: this.#log.getTermAt(previousIndex) ?? 0,
             entries,
             commitIndex: this.#commitIndex,
             sentAt: this.#now,
@@ -655,8 +647,8 @@
                 ? this.hasLease(this.#now)
                 : this.#now - this.#heardLeaderAt < this.#timings.electionMs;
         const upToDate =
-            message.lastTerm > (this.#getTermAt(this.lastIndex) ?? 0) ||
-            (message.lastTerm === this.#getTermAt(this.lastIndex) &&
+            message.lastTerm > (this.#log.getTermAt(this.lastIndex) ?? 0) ||
+            (message.lastTerm === this.#log.getTermAt(this.lastIndex) &&
                 message.lastIndex >= this.lastIndex);
         if (message.pre) {
             const granted = !hearsLeader && upToDate && message.term > this.#term;
@@ -710,7 +702,7 @@
         if (!this.#acceptLeader(from, message.term, message.sentAt)) {
             return;
         }
-        const previousTerm = this.#getTermAt(message.previousIndex);
+        const previousTerm = this.#log.getTermAt(message.previousIndex);
         if (message.previousIndex > this.lastIndex || previousTerm !== message.previousTerm) {
             const retryFrom =
                 message.previousIndex > this.lastIndex ? this.lastIndex + 1 : this.#commitIndex + 1;
@@ -720,11 +712,11 @@
         let lastNew = message.previousIndex;
         for (const entry of message.entries) {
             lastNew = entry.index;
-            if (this.#getTermAt(entry.index) === entry.term) {
+            if (this.#log.getTermAt(entry.index) === entry.term) {
                 continue;
             }
             this.#removeFrom(entry.index);
-            this.#entries.push(entry);
+            this.#log.append(entry);
             this.#unpersisted.push(entry);
         }
         this.#updateVoters();
@@ -751,11 +743,8 @@
             this.#answerAppend(from, true, this.#commitIndex, message.sentAt);
             return;
         }
-        this.#entries = [];
+        this.#log.replace(snapshot);
         this.#unpersisted = [];
-        this.#baseIndex = snapshot.index;
-        this.#baseTerm = snapshot.term;
-        this.#baseVoters = snapshot.voters;
         this.#commitIndex = snapshot.index;
         this.#persistedIndex = snapshot.index;
         this.#install = snapshot;
@@ -832,7 +821,7 @@
             )
             .sort((a, b) => b - a);
         const index = matches[computeQuorum(matches.length) - 1] ?? 0;
-        if (index <= this.#commitIndex || this.#getTermAt(index) !== this.#term) {
+        if (index <= this.#commitIndex || this.#log.getTermAt(index) !== this.#term) {
             return;
         }
         this.#commitIndex = index;
@@ -880,37 +869,16 @@
         if (index > this.lastIndex) {
             return;
         }
-        this.#entries = this.#entries.filter((e) => e.index < index);
+        this.#log.removeFrom(index);
         this.#unpersisted = this.#unpersisted.filter((e) => e.index < index);
         this.#persistedIndex = Math.min(this.#persistedIndex, index - 1);
     }
 
-    #getTermAt(index: number): number | undefined {
-        if (index === this.#baseIndex) {
-            return this.#baseTerm;
-        }
-        return this.#entries[index - this.#baseIndex - 1]?.term;
-    }
-
-    #computeVotersAt(index: number): readonly MemberId[] {
-        return this.#findVotersEntry(index)?.voters ?? this.#baseVoters;
-    }
-
-    #findVotersEntry(upTo: number): Extract<LogEntry, { type: "voters" }> | undefined {
-        for (let i = this.#entries.length - 1; i >= 0; i--) {
-            const entry = this.#entries[i];
-            if (entry?.type === "voters" && entry.index <= upTo) {
-                return entry;
-            }
-        }
-        return undefined;
-    }
-
     /** Takes the newest configuration in the log, committed or not, as the protocol asks. */
     #updateVoters(): void {
-        const entry = this.#findVotersEntry(this.lastIndex);
-        this.#voters = entry?.voters ?? this.#baseVoters;
-        this.#votersIndex = entry?.index ?? this.#baseIndex;
+        const { voters, index } = this.#log.findVotersAt(this.lastIndex);
+        this.#voters = voters;
+        this.#votersIndex = index;
         if (this.#role === "leader") {
             for (const voter of this.#voters) {
                 if (voter !== this.#self && !this.#progress.has(voter)) {
--- /dev/null
+++ b/log/entry_log_test.ts
@@ -0,0 +1,63 @@
+import test from "ava";
+import { EntryLog } from "./entry_log.ts";
+import type { LogEntry, MemberId } from "./types.ts";
+
+const ALL = ["a", "b", "c"] as MemberId[];
+const FEWER = ["a", "b"] as MemberId[];
+
+function buildEntry(index: number, term: number): LogEntry {
+    return { index, term, type: "noop" };
+}
+
+function buildLog(): EntryLog {
+    const entries: LogEntry[] = [
+        buildEntry(11, 2),
+        { index: 12, term: 3, type: "voters", voters: FEWER },
+        buildEntry(13, 3),
+    ];
+    return new EntryLog({ index: 10, term: 2, voters: ALL, entries });
+}
+
+test("terms are known from the base on", (t) => {
+    const log = buildLog();
+    t.deepEqual(
+        [9, 10, 11, 13, 14].map((index) => log.getTermAt(index)),
+        [undefined, 2, 2, 3, undefined],
+    );
+});
+
+test("the voters of a point are those that the newest entry up to it set", (t) => {
+    const log = buildLog();
+    t.deepEqual(log.findVotersAt(11), { voters: ALL, index: 10 });
+    t.deepEqual(log.findVotersAt(13), { voters: FEWER, index: 12 });
+});
+
+test("entries are listed between two indices, without those that are gone", (t) => {
+    const log = buildLog();
+    t.deepEqual(
+        log.listBetween(11, 13).map((entry) => entry.index),
+        [12, 13],
+    );
+    t.deepEqual(log.listBetween(3, 11), [buildEntry(11, 2)]);
+    t.deepEqual(log.listBetween(13, 13), []);
+});
+
+test("voters set by an entry that is dropped from the end are not in force any more", (t) => {
+    // A leader that was replaced before its change of the voters was agreed on: members that counted
+    // by the dropped voters could elect two leaders.
+    const log = buildLog();
+    log.removeFrom(12);
+    t.is(log.lastIndex, 11);
+    t.deepEqual(log.findVotersAt(log.lastIndex), { voters: ALL, index: 10 });
+});
+
+test("a compacted log keeps the voters and the term of its base", (t) => {
+    const log = buildLog();
+    log.compact(12);
+    t.deepEqual([log.baseIndex, log.lastIndex, log.getTermAt(12)], [12, 13, 3]);
+    t.deepEqual(log.findVotersAt(13), { voters: FEWER, index: 12 });
+    log.compact(5);
+    t.is(log.baseIndex, 12);
+    log.replace({ index: 40, term: 9, voters: ALL });
+    t.deepEqual([log.baseIndex, log.lastIndex, log.getTermAt(40)], [40, 40, 9]);
+});
