Give a call up only after what has arrived was read

Cause: a late event loop runs its timers before it reads. Test: rpc/timeout_test.ts, which fails with a plain timer.

--- a/membership/leader_router.ts
+++ b/membership/leader_router.ts
@@ -158,12 +158,14 @@
             .call<T>(method, params, Math.max(1, Math.ceil(limitMs)));
         let timer: NodeJS.Timeout | undefined;
         const silence = new Promise<never>((_resolve, reject) => {
-            timer = setInterval(() => {
+            const check = (): void => {
                 const heardAt = Math.max(startedAt, this.#heardAt.get(target) ?? 0);
                 if (this.#getNow() - heardAt > this.#silenceMs) {
                     reject(new RpcError(`${target} has answered nothing: timeout`, 0));
                 }
-            }, SILENCE_CHECK_MS);
+            };
+            // On a busy event loop what has arrived is read before the instance counts as silent.
+            timer = setInterval(() => setImmediate(check), SILENCE_CHECK_MS);
         });
         try {
             const answer = await Promise.race([call, silence]);
--- a/rpc/http_rpc.ts
+++ b/rpc/http_rpc.ts
@@ -244,6 +244,7 @@
             new Promise<void>((resolve, reject) => {
                 const body = JSON.stringify(payload);
                 sent += Buffer.byteLength(body);
+                let hasResponse = false;
                 const req = sendHttp(
                     {
                         host,
@@ -257,6 +258,7 @@
                         headers: { "content-type": "application/json" },
                     },
                     (res) => {
+                        hasResponse = true;
                         const chunks: Buffer[] = [];
                         res.on("data", (c: Buffer) => chunks.push(c));
                         res.on("end", () => {
@@ -270,7 +272,10 @@
                     },
                 );
                 req.on("socket", (socket) => closeUnconnected(socket, address));
-                req.on("timeout", () => {
+                const giveUp = (): void => {
+                    if (hasResponse) {
+                        return;
+                    }
                     const error = new RpcError(
                         `timeout after ${state.timeoutMs} ms calling ${address}`,
                         0,
@@ -278,7 +283,9 @@
                     error.isUndelivered = req.socket?.connecting ?? true;
                     req.destroy(error);
                     closeIdleSockets(sharedAgent, host, port);
-                });
+                };
+                // As in `startTimeout`: what has arrived is read before the call is given up.
+                req.on("timeout", () => setImmediate(giveUp));
                 req.on("error", (error: NodeJS.ErrnoException) => {
                     state.failure = toRpcError(error, address);
                     reject(state.failure);
--- a/rpc/mod.ts
+++ b/rpc/mod.ts
@@ -11,3 +11,4 @@
 
 export * from "./http_rpc.ts";
 export * from "./client_pool.ts";
+export * from "./timeout.ts";
--- /dev/null
+++ b/rpc/timeout_test.ts
@@ -0,0 +1,53 @@
+import { createServer, request as sendHttp, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import test, { type ExecutionContext } from "ava";
+import { startTimeout } from "./timeout.ts";
+
+const TIMEOUT_MS = 60;
+
+/** A server whose answer is on its way when the event loop becomes busy. */
+async function startServer(t: ExecutionContext): Promise<number> {
+    const server: Server = createServer((_req, res) => {
+        res.end("ok", () => runBusy(3 * TIMEOUT_MS));
+    });
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    t.teardown(() => server.close());
+    return (server.address() as AddressInfo).port;
+}
+
+/** Keeps the event loop from running, as a burst of other work does. */
+function runBusy(ms: number): void {
+    const end = performance.now() + ms;
+    while (performance.now() < end) {
+        // Busy on purpose.
+    }
+}
+
+test("an answer that arrived while the loop was busy is not given up", async (t) => {
+    // The answer lies in the socket when the loop comes back after the timeout. Timers run first: a
+    // plain timer gives the call up, although nothing was late but this process itself.
+    const port = await startServer(t);
+    const outcome = await new Promise<string>((resolve) => {
+        const req = sendHttp({ host: "127.0.0.1", port }, () => {
+            cancel();
+            resolve("answered");
+        });
+        const cancel = startTimeout(TIMEOUT_MS, () => resolve("given up"));
+        req.end();
+    });
+    t.is(outcome, "answered");
+});
+
+test("silence is given up in time, and a cancelled timeout does nothing", async (t) => {
+    const fired: string[] = [];
+    const startedAt = performance.now();
+    await new Promise<void>((resolve) => {
+        startTimeout(TIMEOUT_MS / 2, () => fired.push("cancelled"))();
+        startTimeout(TIMEOUT_MS, () => {
+            fired.push("silent");
+            resolve();
+        });
+    });
+    t.deepEqual(fired, ["silent"]);
+    t.true(performance.now() - startedAt < 5 * TIMEOUT_MS);
+});
