--- a/control/state_reader.ts
+++ b/control/state_reader.ts
@@ -22,9 +22,10 @@
 
 /**
  * How long a question waits for a running job's end, in ms: an end is on record 20 to 120 ms after it
- * happened (a pause between two looks at a worker, the way, a commit), later on a busy leader.
+ * happened (a pause between two looks at a worker, the way, a commit), later on a busy leader. Well
+ * below the silence after which a front takes the leader for lost (350 ms).
  */
-const DEFAULT_HOLD_MS = 250;
+const DEFAULT_HOLD_MS = 200;
 /** Questions that wait at the same time at most: some hundred bytes each. */
 const MAX_WAITING = 2_000;
 
--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -89,7 +89,7 @@
 const RELAY_PAUSE_MS = 60;
 /** The addresses of other fronts are asked for this often, in ms; they matter for seconds at a time. */
 const PEERS_EVERY_MS = 5_000;
-/** A replica that does not answer a question about a state by then is not waited for, in ms: it may hold one for 250. */
+/** A replica that does not answer a question about a state by then is not waited for, in ms: it may hold one for 200. */
 const READER_TIMEOUT_MS = 500;
 /** When to come back while no leader can be reached, in ms: about one election. */
 const RETRY_AFTER_MS = 1_000;
