Pause a worker that refuses for want of room

It concerns deployments whose workers guard themselves. Change: such a refusal pauses the worker for 1.5 s, as one for ill health does.

--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -50,6 +50,8 @@
     readonly computeTaskMs?: (task: string) => number;
     /** Promises are checked at each event; a benchmark of a large floor leaves that out. */
     readonly isChecked?: boolean;
+    /** What differs from the usual worker, by its number from 1. */
+    readonly getRecord?: (number: number) => Partial<WorkerRecord>;
     /** Fronts that call the advice service. */
     readonly fronts?: number;
     readonly clockDrift?: number;
@@ -127,7 +129,7 @@
             }
         }
         const { capacity = { cpu: 16_000, memoryMb: 32_000, gpu: 0 } } = this.#options;
-        this.#records.set(id, {
+        const record = {
             id,
             address,
             pool: POOL,
@@ -136,8 +138,10 @@
             labels: ["a", "r1"],
             instance: "",
             isDraining: false,
-        });
-        this.workers.set(id, this.#createWorker(id, capacity));
+            ...this.#options.getRecord?.(Number(id.slice(1))),
+        };
+        this.#records.set(id, record);
+        this.workers.set(id, this.#createWorker(id, record.capacity));
     }
 
     /** Ends a worker: its runs end with it, and it answers no more. */
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -298,8 +298,8 @@
             reason,
             tries: member.tries,
         });
-        if (reason === "unhealthy") {
-            this.#context.book.recordUnhealthy(worker, this.#context.clock.getNow());
+        if (reason === "unhealthy" || reason === "no_room") {
+            this.#context.book.recordRefusal(worker, this.#context.clock.getNow());
         }
         if (member.tries <= 1) {
             this.#dropTicket(member, reason);
--- a/dispatch/worker_book.ts
+++ b/dispatch/worker_book.ts
@@ -28,8 +28,8 @@
 const MAX_QUARANTINE_MS = 8_000;
 /** Failures in a row, of different jobs, that put a worker in quarantine. */
 const FAILURES_TO_QUARANTINE = 2;
-/** Pause after a worker called itself unhealthy, in ms: about the time between two heartbeats. */
-const UNHEALTHY_PAUSE_MS = 1_500;
+/** Pause after a worker refused an order, in ms: about the time between two heartbeats. */
+const REFUSAL_PAUSE_MS = 1_500;
 
 /** One worker as its leader sees it. */
 export interface WorkerState {
@@ -313,13 +313,14 @@
     }
 
     /**
-     * Pauses a worker that refused an order because it is unhealthy.
+     * Pauses a worker that refused an order because it is unhealthy, or has less room than our account
+     * says. It looks idle and would draw, and refuse, every start that fits nowhere else.
      *
      * @param worker The worker.
      * @param now Our clock, in ms.
      */
-    recordUnhealthy(worker: WorkerState, now: number): void {
-        worker.pausedUntil = Math.max(worker.pausedUntil, now + UNHEALTHY_PAUSE_MS);
+    recordRefusal(worker: WorkerState, now: number): void {
+        worker.pausedUntil = Math.max(worker.pausedUntil, now + REFUSAL_PAUSE_MS);
     }
 
     /**
