--- a/cell/cell.ts
+++ b/cell/cell.ts
@@ -17,26 +17,17 @@
  * @module
  */
 
-import { applyChartEvent } from "../chart/mod.ts";
 import {
     createId,
-    getMaxResources,
-    isFitting,
-    NO_RESOURCES,
     type InstanceId,
     type Inventory,
     type LeaseId,
     type RequestId,
     type TaskId,
 } from "../inventory/mod.ts";
-import {
-    getKindClass,
-    type Rules,
-    type RulesChange,
-    type RulesChangeResult,
-} from "../rules/mod.ts";
+import { type Rules, type RulesChange, type RulesChangeResult } from "../rules/mod.ts";
 import { getFree, isTakingWork, type WorkerState } from "../scheduler/mod.ts";
-import { listRulesProblems, type RulesFile } from "../rules/rules_file.ts";
+import type { RulesFile } from "../rules/rules_file.ts";
 import {
     Books,
     computeSpecHash,
@@ -46,8 +37,10 @@
     type Tombstone,
 } from "./_books.ts";
 import { HandOvers } from "./_hand_overs.ts";
-import { leaseChart, Lifecycle, NO_GUARDS, requestChart } from "./_lifecycle.ts";
+import { LeaseKeeper } from "./_lease_keeper.ts";
+import { Lifecycle, requestChart } from "./_lifecycle.ts";
 import { Placer } from "./_placer.ts";
+import { RulesChanges } from "./_rules_changes.ts";
 import { encodeBooks, restoreBooks } from "./_snapshot.ts";
 import {
     ADOPTED_CALLER,
@@ -74,6 +67,8 @@
     readonly #lifecycle: Lifecycle;
     readonly #placer: Placer;
     readonly #handOvers: HandOvers;
+    readonly #leases: LeaseKeeper;
+    readonly #rulesChanges: RulesChanges;
     #lastPlacedAt = 0;
 
     /**
@@ -84,6 +79,8 @@
         this.#lifecycle = new Lifecycle(this.#books);
         this.#placer = new Placer(this.#books, this.#lifecycle);
         this.#handOvers = new HandOvers(this.#books, this.#lifecycle);
+        this.#leases = new LeaseKeeper(this.#books, this.#lifecycle);
+        this.#rulesChanges = new RulesChanges(this.#books);
     }
 
     /**
@@ -418,100 +415,24 @@
         return true;
     }
 
-    /**
-     * Takes a heartbeat: renews the listed leases and takes their reported use. A lease the
-     * worker holds but the cell has ended (or never made) is stopped, so no stray copy runs.
-     *
-     * @param instance The worker's instance.
-     * @param held The leases the worker holds, with their use.
-     * @param at The time in ms.
-     */
+    /** See {@link LeaseKeeper.handleHeartbeat}. */
     handleHeartbeat(instance: InstanceId, held: readonly HeldLease[], at: number): void {
-        const worker = this.#books.workers.get(instance);
-        if (worker === undefined) {
-            return;
-        }
-        this.#renewWorker(worker, at);
-        for (const item of held) {
-            const lease = this.#findLiveLease(item.lease, item.epoch);
-            if (lease === undefined) {
-                this.#books.emit({
-                    type: "stop",
-                    address: worker.address ?? "",
-                    instance,
-                    incarnation: worker.incarnation,
-                    lease: item.lease,
-                    epoch: item.epoch,
-                    mode: "stop",
-                });
-                continue;
-            }
-            this.#renewLease(lease, at);
-            if (item.usage !== undefined) {
-                lease.reported = item.usage;
-                this.#books.setHeld(worker, lease, getMaxResources(lease.declared, item.usage));
-            }
-        }
+        this.#leases.handleHeartbeat(instance, held, at);
     }
 
-    /**
-     * Tells whether a heartbeat lists just the leases that this cell has live on the worker, none
-     * using more than declared: then the short `renew` input says the same as the heartbeat.
-     *
-     * @param instance The worker's instance.
-     * @param held The leases the worker holds.
-     * @returns True when `renew` is enough.
-     */
+    /** See {@link LeaseKeeper.isRenewal}. */
     isRenewal(instance: InstanceId, held: readonly HeldLease[]): boolean {
-        const worker = this.#books.workers.get(instance);
-        return (
-            worker !== undefined &&
-            worker.leases.size === held.length &&
-            held.every((item) => {
-                const lease = this.#findLiveLease(item.lease, item.epoch);
-                return (
-                    lease?.worker === instance &&
-                    !lease.stopSent &&
-                    isFitting(lease.held, lease.declared) &&
-                    isFitting(item.usage ?? NO_RESOURCES, lease.declared)
-                );
-            })
-        );
+        return this.#leases.isRenewal(instance, held);
     }
 
-    /**
-     * Lists which of a worker's leases it must stop: those that ended here, and those that were
-     * told to stop and still run (the stop may have been lost).
-     *
-     * @param held The leases the worker holds.
-     * @returns The leases to stop.
-     */
+    /** See {@link LeaseKeeper.listToStop}. */
     listToStop(held: readonly HeldLease[]): LeaseId[] {
-        return held
-            .filter((item) => this.#findLiveLease(item.lease, item.epoch)?.stopSent !== false)
-            .map((item) => item.lease);
+        return this.#leases.listToStop(held);
     }
 
-    /**
-     * Renews workers and every live lease on them.
-     *
-     * @param instances The workers' instances.
-     * @param at The time in ms.
-     */
+    /** See {@link LeaseKeeper.renewWorkers}. */
     renewWorkers(instances: readonly InstanceId[], at: number): void {
-        for (const instance of instances) {
-            const worker = this.#books.workers.get(instance);
-            if (worker === undefined) {
-                continue;
-            }
-            this.#renewWorker(worker, at);
-            for (const id of worker.leases) {
-                const lease = this.#books.leases.get(id);
-                if (lease !== undefined) {
-                    this.#renewLease(lease, at);
-                }
-            }
-        }
+        this.#leases.renewWorkers(instances, at);
     }
 
     /**
@@ -535,126 +456,29 @@
         this.#books.isDirty = true;
     }
 
-    /**
-     * Takes a worker's reply to a lease offer.
-     *
-     * @param id The lease.
-     * @param accepted Whether the worker took it.
-     * @param reason The worker's reason when it did not.
-     * @param at The time in ms.
-     */
+    /** See {@link LeaseKeeper.handleGrantReply}. */
     handleGrantReply(id: LeaseId, accepted: boolean, reason: string, at: number): void {
-        const lease = this.#books.leases.get(id);
-        if (lease === undefined || lease.state !== leaseChart.initial) {
-            return;
-        }
-        if (accepted) {
-            lease.state = applyChartEvent(leaseChart, lease.state, "accept", NO_GUARDS);
-            lease.renewedAt = at;
-            return;
-        }
-        this.#closeDeclined(lease, reason, at);
+        this.#leases.handleGrantReply(id, accepted, reason, at);
     }
 
-    /**
-     * Takes a worker's report of a task.
-     *
-     * @param id The lease.
-     * @param epoch The lease's epoch as the worker holds it; a stale one is ignored.
-     * @param report What happened.
-     * @param detail The worker's words.
-     * @param at The time in ms.
-     */
+    /** See {@link LeaseKeeper.handleReport}. */
     handleReport(id: LeaseId, epoch: number, report: TaskReport, detail: string, at: number): void {
-        const lease = this.#findLiveLease(id, epoch);
-        const request = lease === undefined ? undefined : this.#books.getRequest(lease.request);
-        const task = request?.tasks.find((t) => t.id === lease?.task);
-        if (lease === undefined || request === undefined || task === undefined) {
-            return;
-        }
-        if (report === "declined") {
-            if (lease.state === leaseChart.initial) {
-                this.#closeDeclined(lease, detail, at);
-            }
-            return;
-        }
-        if (report === "started") {
-            if (lease.state === leaseChart.initial) {
-                lease.state = applyChartEvent(leaseChart, lease.state, "accept", NO_GUARDS);
-            }
-            lease.renewedAt = at;
-            task.state = "running";
-            this.#lifecycle.handleTaskStarted(request, at);
-            return;
-        }
-        this.#recordWorkerResult(this.#books.getWorker(lease.worker), request, report, at);
-        this.#lifecycle.closeLease(lease, "release", report, detail, at);
+        this.#leases.handleReport(id, epoch, report, detail, at);
     }
 
-    /**
-     * Applies a rules change: once per change id; a stale expected version is a conflict.
-     *
-     * @param change The change.
-     * @returns Applied with the new version, or why not.
-     */
+    /** See {@link RulesChanges.setRules}. */
     setRules(change: RulesChange): RulesChangeResult {
-        const result = this.#books.rulesBook.applyChange(change, () =>
-            this.listRulesProblems(change.rules),
-        );
-        this.#books.isDirty = true;
-        return result;
+        return this.#rulesChanges.setRules(change);
     }
 
-    /**
-     * Takes rules that the configuration group decided. Kinds that it drops while requests of
-     * them have not ended stay known to those requests only; requests of a kind that became
-     * non-idempotent are not run again.
-     *
-     * @param file The rules.
-     * @returns Whether they are in force now; older ones than those in force are ignored.
-     */
+    /** See {@link RulesChanges.adoptRules}. */
     adoptRules(file: RulesFile): boolean {
-        const before = this.rules;
-        if (!this.#books.rulesBook.adoptRules(file)) {
-            return false;
-        }
-        for (const [kind, rule] of before.kinds) {
-            if (!this.rules.kinds.has(kind)) {
-                this.#books.retiredKinds.set(kind, {
-                    rule,
-                    kindClass: getKindClass(before, rule),
-                });
-            }
-        }
-        for (const request of this.#books.requests.values()) {
-            if (this.rules.kinds.get(request.spec.kind)?.idempotent === false) {
-                request.atMostOnce = true;
-            }
-        }
-        this.#books.isDirty = true;
-        return true;
+        return this.#rulesChanges.adoptRules(file);
     }
 
-    /**
-     * Finds what would break if rules took effect: problems of the rules themselves, and kinds
-     * that requests not yet ended still need (their next tick would find no rule for them).
-     *
-     * @param rules The rules.
-     * @returns One line per problem.
-     */
+    /** See {@link RulesChanges.listRulesProblems}. */
     listRulesProblems(rules: RulesFile): string[] {
-        const problems = listRulesProblems(rules);
-        const kinds = new Set(rules.kinds.map((k) => k.name));
-        const inUse = new Map<string, number>();
-        for (const request of this.#books.requests.values()) {
-            if (!requestChart.finalStates.has(request.state) && !kinds.has(request.spec.kind)) {
-                inUse.set(request.spec.kind, (inUse.get(request.spec.kind) ?? 0) + 1);
-            }
-        }
-        for (const [kind, count] of inUse) {
-            problems.push(`kind "${kind}" is in use by ${count} request(s) not yet ended`);
-        }
-        return problems;
+        return this.#rulesChanges.listRulesProblems(rules);
     }
 
     /**
@@ -664,7 +488,7 @@
      * @param at The time in ms.
      */
     tick(at: number): void {
-        this.#expireLeases(at);
+        this.#leases.expireLeases(at);
         this.#placer.placeQueued(at);
         this.#books.removeOld(at);
         this.#lastPlacedAt = at;
@@ -711,107 +535,7 @@
         if (at - this.#lastPlacedAt < IDLE_PLACE_MS) {
             return false;
         }
-        return !this.#books.queue.isEmpty || this.#hasExpired(at);
-    }
-
-    #hasExpired(at: number): boolean {
-        const deadline = this.#getSilenceLimit();
-        return (
-            this.#books.workerList.some((w) => w.alive && at - w.lastHeartbeatAt > deadline) ||
-            this.#hasExpiredLease(at - deadline)
-        );
-    }
-
-    #hasExpiredLease(renewedBefore: number): boolean {
-        for (const id of this.#books.liveLeases) {
-            if ((this.#books.leases.get(id)?.renewedAt ?? renewedBefore) < renewedBefore) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    #expireLeases(at: number): void {
-        const deadline = this.#getSilenceLimit();
-        for (const worker of this.#books.workerList) {
-            if (worker.alive && at - worker.lastHeartbeatAt > deadline) {
-                worker.alive = false;
-            }
-        }
-        // Over the ids themselves: building a list of thousands of leases on every tick took 7%
-        // of the cell's time. Closing one takes it, and maybe others of its request, out.
-        for (const id of this.#books.liveLeases) {
-            const lease = this.#books.leases.get(id);
-            if (lease === undefined || at - lease.renewedAt <= deadline) {
-                continue;
-            }
-            this.#books.counters.expiries += 1;
-            this.#lifecycle.closeLease(
-                lease,
-                "expire",
-                "lost",
-                `no heartbeat from ${lease.worker} for ${at - lease.renewedAt} ms`,
-                at,
-            );
-        }
-    }
-
-    #getSilenceLimit(): number {
-        return this.#books.options.leaseTtlMs + this.#books.options.leaseGraceMs;
-    }
-
-    #renewWorker(worker: WorkerState, at: number): void {
-        if (!worker.alive) {
-            worker.alive = true;
-            this.#books.isDirty = true;
-        }
-        worker.lastHeartbeatAt = at;
-    }
-
-    #renewLease(lease: LeaseRecord, at: number): void {
-        lease.state = applyChartEvent(leaseChart, lease.state, "renew", NO_GUARDS);
-        lease.renewedAt = at;
-    }
-
-    #findLiveLease(id: LeaseId, epoch: number): LeaseRecord | undefined {
-        const lease = this.#books.leases.get(id);
-        const isLive = lease?.epoch === epoch && !leaseChart.finalStates.has(lease.state);
-        return isLive ? lease : undefined;
-    }
-
-    #closeDeclined(lease: LeaseRecord, reason: string, at: number): void {
-        this.#books.counters.declines += 1;
-        this.#lifecycle.closeLease(
-            lease,
-            "decline",
-            "declined",
-            `worker ${lease.worker} declined: ${reason}`,
-            at,
-        );
-    }
-
-    #recordWorkerResult(
-        worker: WorkerState,
-        request: RequestRecord,
-        report: TaskReport,
-        at: number,
-    ): void {
-        if (report === "completed") {
-            worker.failuresInARow = 0;
-        }
-        if (report !== "failed") {
-            return;
-        }
-        worker.failuresInARow += 1;
-        if (worker.failuresInARow >= this.#books.options.quarantineAfter) {
-            worker.quarantinedUntil = at + this.#books.options.quarantineMs;
-            this.#books.recordFate(
-                request,
-                at,
-                "quarantine",
-                `worker ${worker.instance.id} failed ${worker.failuresInARow} in a row`,
-            );
-        }
+        return !this.#books.queue.isEmpty || this.#leases.hasExpired(at);
     }
 
     #checkSameSpec(existing: RequestId, spec: RequestSpec): void {
