--- /dev/null
+++ b/dispatch/matching_test.ts
@@ -0,0 +1,123 @@
+import test from "ava";
+import type { WorkerId } from "../job/mod.ts";
+import { buildQueue, buildSpec, buildStep, FloorFixture, QUEUE } from "./_fixtures.ts";
+import { WorkerBook } from "./worker_book.ts";
+
+/**
+ * The pattern: hundreds of steps wait on a full floor, and tasks end hundreds of times a second. Steps are
+ * matched only with workers that got room since their last try, so each way to get room must be noted.
+ */
+
+const FULL = "00000000000000a1";
+const WAITING = "00000000000000b2";
+const WHOLE = { cpu: 16_000, memoryMb: 1_000, gpu: 0 };
+
+function countStarts(floor: FloorFixture, job: string): number {
+    return floor.runs.filter((run) => run.task.startsWith(job)).length;
+}
+
+function buildRecord(id: string) {
+    return {
+        id: id as WorkerId,
+        address: `${id}:80`,
+        pool: buildQueue().pool,
+        zone: "z",
+        capacity: WHOLE,
+        labels: [],
+        instance: "",
+        isDraining: false,
+    };
+}
+
+test("only workers that got room since a version are listed, the newest first", (t) => {
+    const book = new WorkerBook({ firstFence: 1, leaseMs: 1_000 });
+    const [a, b, c] = ["a", "b", "c"].map((id) => book.ensureWorker(buildRecord(id), 0));
+    const before = book.roomVersion;
+    t.deepEqual(book.listChanged(before), []);
+    book.recordRoom(c!);
+    book.recordRoom(a!);
+    t.deepEqual(
+        book.listChanged(before).map((worker) => worker.record.id),
+        [a!.record.id, c!.record.id],
+    );
+    book.removeWorker(a!.record.id);
+    t.deepEqual(book.listChanged(before), [c]);
+    t.is(book.listChanged(0).length, 2);
+    t.true(book.listChanged(0).includes(b!));
+});
+
+test("a waiting task starts as soon as one that filled its worker has ended", (t) => {
+    const floor = new FloorFixture({ workers: 2, taskMs: 600 });
+    floor.submit(FULL, buildSpec({ count: 2, needs: WHOLE }));
+    floor.runFor(100);
+    floor.submit(WAITING, buildSpec({ count: 1, needs: WHOLE }));
+    floor.runFor(400);
+    t.is(countStarts(floor, WAITING), 0);
+    floor.runFor(300);
+    t.is(countStarts(floor, WAITING), 1);
+});
+
+test("a waiting task starts when the pause of the only worker with room is over", (t) => {
+    // Nothing ends and nobody announces anything at that moment: the clock alone makes the worker usable.
+    const floor = new FloorFixture({
+        workers: 1,
+        taskMs: 100,
+        getEnd: (task) => (task.startsWith(WAITING) ? "done" : "failed"),
+    });
+    floor.submit(FULL, buildSpec({ count: 1 }));
+    floor.submit("00000000000000c3", buildSpec({ count: 1 }));
+    floor.runFor(700);
+    floor.submit(WAITING, buildSpec({ count: 1 }));
+    floor.runFor(100);
+    t.is(countStarts(floor, WAITING), 0);
+    floor.runFor(9_000);
+    t.is(floor.getState(WAITING), "complete");
+});
+
+test("a waiting task starts on a worker that joins, and on one that answers again", (t) => {
+    let isSilent = true;
+    const floor = new FloorFixture({
+        workers: 1,
+        taskMs: 300,
+        getFault: (_kind, worker) =>
+            isSilent && worker === "w1" ? { type: "lost" } : { type: "none" },
+    });
+    floor.submit(WAITING, buildSpec({ count: 1, needs: WHOLE }));
+    floor.runFor(2_000);
+    t.is(countStarts(floor, WAITING), 0);
+    floor.addWorker("w2" as WorkerId, "10.0.0.2:80");
+    floor.submit(FULL, buildSpec({ count: 1, needs: WHOLE }));
+    floor.runFor(2_000);
+    t.is(floor.getState(FULL), "complete");
+    isSilent = false;
+    floor.runFor(4_000);
+    t.is(floor.getState(WAITING), "complete");
+});
+
+test("a task whose ticket ran out while it waited asks again and starts", (t) => {
+    // The advice is good for 500 ms, the only good worker is full for 2 s.
+    const queue = buildQueue({ advice: { decideMs: 20, perWorkerMs: 0, validMs: 500 } });
+    const floor = new FloorFixture({
+        workers: 1,
+        queues: [queue],
+        computeTaskMs: (task) => (task.startsWith(FULL) ? 2_000 : 200),
+    });
+    floor.submit(FULL, buildSpec({ count: 1, needs: WHOLE }), QUEUE);
+    floor.runFor(100);
+    floor.submit(WAITING, buildSpec({ count: 1, needs: WHOLE }), QUEUE);
+    floor.runFor(3_000);
+    t.is(floor.getState(WAITING), "complete");
+    t.deepEqual(floor.violations, []);
+});
+
+test("a backlog of hundreds of jobs drains in order of age, none forgotten", (t) => {
+    const floor = new FloorFixture({ workers: 4, taskMs: 50, isChecked: false });
+    const ids = Array.from({ length: 300 }, (_unused, i) => (i + 1).toString(16).padStart(16, "0"));
+    ids.forEach((id) => floor.submit(id, { ...buildSpec(), steps: [buildStep({ needs: WHOLE })] }));
+    floor.runFor(30_000);
+    t.true(ids.every((id) => floor.getState(id) === "complete"));
+    t.deepEqual(
+        floor.runs.map((run) => run.task.slice(0, 16)),
+        ids,
+    );
+});
