--- a/control/state_reader.ts
+++ b/control/state_reader.ts
@@ -5,7 +5,7 @@
  * for a moment.
  *
  * What it buys, on a simulated calm day: 506 of 508 callers asked within 150 ms before their job's end
- * was on record, and learned of it 216 ms after that in the median; see BENCH.md, "Questions about states".
+ * was on record, and learned of it 216 ms after that in the median (traced with a line for each question).
  *
  * @example
  * ```ts
--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -76,9 +76,8 @@
  */
 const READY_SILENCE_MS = 700;
 /**
- * How long a call waits on a front that is cut off, in ms: a caller that is sent away at once reaches
- * another instance within its deadline. Held for 1.6 s, as before the front knew that it was cut
- * off, a caller had one more try, and often the deadline was over.
+ * How long a call waits on a front that is cut off, in ms: a caller that is sent away at once has two or
+ * three more tries within its deadline of some seconds; one that is held for 1.6 s has one at most.
  */
 const CUT_OFF_BUDGET_MS = 250;
 /** Time between two questions to the other fronts while no leader is heard, in ms. */
@@ -89,7 +88,10 @@
 const RELAY_PAUSE_MS = 60;
 /** The addresses of other fronts are asked for this often, in ms; they matter for seconds at a time. */
 const PEERS_EVERY_MS = 5_000;
-/** A replica that does not answer a question about a state by then is not waited for, in ms: it may hold one for 200. */
+/**
+ * A replica that does not answer a question about a state by then is not waited for, in ms: it may
+ * hold one for 200.
+ */
 const READER_TIMEOUT_MS = 500;
 /** When to come back while no leader can be reached, in ms: about one election. */
 const RETRY_AFTER_MS = 1_000;
