--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -34,12 +34,13 @@
  */
 const RETRY_ALL_MS = 1_000;
 /**
- * A gang needs room on many workers at once, so it is matched with all of them, this often, in ms; a
- * tenth of what its shortest objective leaves for waiting.
+ * A gang needs room on many workers at once, so it is matched with all of them, this often, in ms: a
+ * fifth of what the shortest objective leaves for waiting.
  */
 const RETRY_GANG_MS = 50;
-/** Gangs that are matched so often; the others behind them, in ms. */
+/** The first gangs in order are matched that often: more than find room within a second. */
 const EAGER_GANGS = 8;
+/** The gangs behind them are matched this often, in ms: a backlog of them costs a fifth as much. */
 const RETRY_LATER_GANG_MS = 250;
 
 /** Which workers a step is matched with. */
