Answer questions about a queue within 200 ms, also in an outage

Change: a question about a whole queue waits 200 ms at most; one about a job is held as before. Test: front/daemon_test.ts, which fails before.

--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -26,7 +26,14 @@
     type MemberRun,
     type OrderAnswer,
 } from "../dispatch/mod.ts";
-import { Ledger, type Fact, type FactBatch, type JobId, type WorkerId } from "../job/mod.ts";
+import {
+    isJobId,
+    Ledger,
+    type Fact,
+    type FactBatch,
+    type JobId,
+    type WorkerId,
+} from "../job/mod.ts";
 import type { ControlMetrics } from "../telemetry/control_metrics.ts";
 import type {
     AdviseAnswer,
@@ -79,7 +86,6 @@
 const PLACING_PAUSE_MS = 5;
 /** When to come back with a job that no worker on record can run: larger workers come rarely, in ms. */
 const INFEASIBLE_RETRY_MS = 60_000;
-const JOB_ID = /^[0-9a-f]{16}$/;
 
 /** One term of leading. */
 export class Leadership {
@@ -157,10 +163,10 @@
         if (call.type === "state" && match.rest === "") {
             return { type: "pending", count: this.#dispatcher.countPending(match.queue.name) };
         }
-        if (!JOB_ID.test(match.rest)) {
+        if (!isJobId(match.rest)) {
             return { type: "unknownQueue" };
         }
-        const job = match.rest as JobId;
+        const job = match.rest;
         if (call.type === "state") {
             return (await this.#options.states.readState(job)) ?? { type: "unknownJob" };
         }
--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -28,6 +28,8 @@
     type ReachAnswer,
     type RelayCall,
 } from "../control/calls.ts";
+// Not the whole face of `job/`: a front needs no state charts.
+import { isJobId } from "../job/types.ts";
 import type { ControlMetrics } from "../telemetry/control_metrics.ts";
 import {
     LeaderRouter,
@@ -84,6 +86,13 @@
 const REACH_MS = 100;
 /** A front that does not answer by then is not reached, in ms: the way takes some ms. */
 const REACH_TIMEOUT_MS = 250;
+/**
+ * How long a question about a whole queue may take, in ms. Held through an outage it would be answered by
+ * a configuration that came into force long after it was asked, next to later questions that were
+ * answered by the one before: to an observer this front goes back to an older configuration. A
+ * question about a job is held, because its caller needs that answer.
+ */
+const COUNT_BUDGET_MS = 200;
 /** Pause after a relay that failed, and time kept for its way back, in ms. */
 const RELAY_PAUSE_MS = 60;
 /** The addresses of other fronts are asked for this often, in ms; they matter for seconds at a time. */
@@ -181,7 +190,8 @@
      */
     async handleCaller(call: CallerCall, budgetMs: number): Promise<FrontOutcome> {
         const startedAt = performance.now();
-        const outcome = await this.#carryCall(call, budgetMs);
+        const limitMs = isAboutJob(call) ? budgetMs : Math.min(budgetMs, COUNT_BUDGET_MS);
+        const outcome = await this.#carryCall(call, limitMs);
         this.#options.metrics?.callSeconds.observe(
             { call: call.type, outcome: outcome.type },
             (performance.now() - startedAt) / 1_000,
@@ -350,6 +360,11 @@
     }
 }
 
+/** A job's name ends the path of a call about it; a queue's own path does not end with one. */
+function isAboutJob(call: CallerCall): boolean {
+    return call.type !== "state" || isJobId(call.path.slice(call.path.lastIndexOf("/") + 1));
+}
+
 /** The front that was asked hears no leader itself: nothing was sent on. */
 function isNotLed(error: RpcError): boolean {
     return error.code === NOT_LEADER_CODE;
--- a/front/daemon_test.ts
+++ b/front/daemon_test.ts
@@ -136,3 +136,22 @@
     t.true(performance.now() - startedAt < 700);
     t.false(fixture.front.isReady);
 });
+
+test("a question about a queue is not held through an outage, one about a job is", async (t) => {
+    // An observer asks a front how many jobs wait, on routes that come and go. Held through the outage, the
+    // first question is answered by the configuration that came into force at its end, after a later
+    // question that was answered by the one before: the front seems to go back to the older one.
+    const fixture = await startFronts(t, false);
+    fixture.relay.setMode("refuse");
+    await wait(NOTICE_MS);
+    const startedAt = performance.now();
+    const count: CallerCall = { type: "state", host: "studio.example", path: "/p/" };
+    const answer = await fixture.front.handleCaller(count, DEADLINE_MS);
+    t.true(answer.type === "unreached" || answer.type === "unknown");
+    t.true(performance.now() - startedAt < 700);
+    const state: CallerCall = { ...count, path: "/p/00000000000000a1" };
+    const held = fixture.front.handleCaller(state, DEADLINE_MS);
+    await wait(600);
+    fixture.relay.setMode("open");
+    t.deepEqual(await held, { type: "cancelled" });
+});
--- a/job/types.ts
+++ b/job/types.ts
@@ -155,6 +155,18 @@
     readonly isDraining: boolean;
 }
 
+const JOB_ID = /^[0-9a-f]{16}$/;
+
+/**
+ * Tells whether a text names a job.
+ *
+ * @param text The text.
+ * @returns True for 16 hexadecimal digits.
+ */
+export function isJobId(text: string): text is JobId {
+    return JOB_ID.test(text);
+}
+
 /**
  * Formats a task's name.
  *
