Do work of one round of placing once: the list of changed workers, the candidates for advice

Found in the last read of the change: each waiting step copied and reversed the set of all workers, and a step matched with all workers listed them again before it asked for advice. Tests of dispatch, control and job: 86 passed.

--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -28,7 +28,7 @@
 } from "../dispatch/mod.ts";
 import {
     isJobId,
-    Ledger,
+    type Ledger,
     type Fact,
     type FactBatch,
     type JobId,
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -138,7 +138,7 @@
             this.#holds.updateHold(entry, candidates, now);
         }
         if (!hasPlaced || step.waiting.size > 0) {
-            this.#ensureAdvice(entry, candidates, now);
+            this.#ensureAdvice(entry, match, candidates, now);
         }
     }
 
@@ -200,23 +200,27 @@
     }
 
     /** Asks about workers that could take a unit now, had they a valid ticket. */
-    #ensureAdvice(entry: RankedStep, candidates: StepCandidates, now: number): void {
+    #ensureAdvice(entry: RankedStep, match: Match, candidates: StepCandidates, now: number): void {
         const { step, queue, rank } = entry;
         const { advice } = step;
         if (queue.advice === undefined || advice.callId !== undefined || now < advice.retryAt) {
             return;
         }
-        if (this.#selectForAdvice(step, candidates).length === 0) {
+        let workers = this.#selectForAdvice(step, candidates);
+        if (workers.length === 0) {
             return;
         }
-        // One call for all of them costs little more than one for those that changed.
-        const all = this.#listCandidates(entry, this.#context.book.workers, now);
+        if (match === "changed") {
+            // One call for all of them costs little more than one for those that changed.
+            const all = this.#listCandidates(entry, this.#context.book.workers, now);
+            workers = this.#selectForAdvice(step, all);
+        }
         const call: AdviceCall = {
             id: this.#nextCall++,
             step: step.key,
             queue: queue.name,
             policy: queue.advice,
-            workers: this.#selectForAdvice(step, all),
+            workers,
             rank,
         };
         advice.callId = call.id;
--- a/dispatch/worker_book.ts
+++ b/dispatch/worker_book.ts
@@ -81,6 +81,7 @@
     readonly #workers = new Map<WorkerId, WorkerState>();
     /** Every worker, the one that got room last at the end. */
     readonly #byChange = new Set<WorkerState>();
+    #newestFirst: readonly WorkerState[] | undefined;
     #nextFence: number;
     /** Rises when a worker gets room or becomes usable: what did not fit before may fit now. */
     roomVersion = 0;
@@ -158,6 +159,7 @@
         if (worker !== undefined) {
             this.#workers.delete(id);
             this.#byChange.delete(worker);
+            this.#newestFirst = undefined;
         }
     }
 
@@ -171,6 +173,7 @@
         worker.roomVersion = this.roomVersion;
         this.#byChange.delete(worker);
         this.#byChange.add(worker);
+        this.#newestFirst = undefined;
     }
 
     /**
@@ -181,7 +184,7 @@
      */
     listChanged(version: number): WorkerState[] {
         const changed: WorkerState[] = [];
-        for (const worker of [...this.#byChange].reverse()) {
+        for (const worker of this.#listByChange()) {
             if (worker.roomVersion <= version) {
                 break;
             }
@@ -190,6 +193,12 @@
         return changed;
     }
 
+    /** Kept until a worker changes: a backlog of steps asks for it in one round of placing. */
+    #listByChange(): readonly WorkerState[] {
+        this.#newestFirst ??= [...this.#byChange].reverse();
+        return this.#newestFirst;
+    }
+
     /**
      * Gives a worker a higher fence. Once it took the fence, an order sent before that got no
      * answer can no longer be carried out, however late it arrives.
