--- a/bin/poplarhead_platform.ts
+++ b/bin/poplarhead_platform.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /**
- * A process on the users' platform: `poplarhead_platform front|control`.
+ * A process on the users' platform, from its sources: `poplarhead_platform front|control`. Deployed, the
+ * same daemon is started from its bundle by `poplarhead_start`.
  *
  * @module
  */
--- a/chart/chart.ts
+++ b/chart/chart.ts
@@ -13,8 +13,8 @@
  */
 
 import { readFileSync } from "node:fs";
-import { parse } from "yaml";
 import { z } from "zod";
+import { parseYaml } from "../settings/parse_yaml.ts";
 
 const chartSchema = z
     .object({
@@ -74,7 +74,7 @@
  * @throws {Error} When the file does not match the chart schema or names unknown states.
  */
 export function loadChart(url: URL): Chart {
-    const value = chartSchema.parse(parse(readFileSync(url, "utf8")));
+    const value = chartSchema.parse(parseYaml(readFileSync(url, "utf8")));
     const states = new Set(Object.keys(value.states));
     const edges = new Map<string, ChartEdge[]>();
     for (const transition of value.transitions) {
