Voters outlive a change of the settings' seeds; a restarted group elects sooner

Members with different seeds counted different quorums. Cause 3: a restarted member refused votes for one election timeout from when it had started up, and waited one to two timeouts after a pre-vote that found the others not up yet. Ruled out: the removed voter's higher term as the reason for the lost lead. Change: first voters are kept in the data folder; voters stay until a leader that has heard from everybody plans others; the lease before is kept from the process's start on; pre-votes are repeated after 0.3 to 0.6 timeouts. Tests: daemon_test other seeds (failed before: voter added, voter removed), storage_test, consensus_test.

--- a/control/_fixtures.ts
+++ b/control/_fixtures.ts
@@ -32,6 +32,8 @@
     readonly members: number;
     readonly workers: number;
     readonly taskMs?: number;
+    /** So many of the members are the seeds at first; all by default. */
+    readonly seeds?: number;
 }
 
 /** How often a stand-in worker looks for an end while a look waits, in ms. */
@@ -45,6 +47,8 @@
     readonly runs: string[] = [];
     readonly #dir = mkdtempSync(join(tmpdir(), "poplarhead-control-"));
     readonly #addresses: readonly string[];
+    /** What the settings files name; a test may exchange them. */
+    seeds: readonly string[];
     /** What all processes logged, as one text. */
     readonly logLines: string[] = [];
     readonly #options: ClusterOptions;
@@ -55,10 +59,11 @@
     private constructor(options: ClusterOptions, addresses: readonly string[]) {
         this.#options = options;
         this.#addresses = addresses.slice(0, options.members);
+        this.seeds = this.#addresses.slice(0, options.seeds);
         this.front = new FrontDaemon({
             address: addresses[options.members] ?? "",
             zone: "z",
-            listSeeds: () => this.#addresses,
+            listSeeds: () => this.seeds,
             adviceCalls: {
                 advise: (call) =>
                     Promise.resolve(call.workers.map((worker) => ({ worker, ticket: "t" }))),
@@ -88,7 +93,7 @@
             address,
             publicAddress: address,
             zone: "z",
-            listSeeds: () => this.#addresses,
+            listSeeds: () => this.seeds,
             bootstrap,
             dataDir: join(this.#dir, address.replace(":", "-")),
             tolerated: 1,
@@ -108,6 +113,11 @@
         }
     }
 
+    /** Every member's address, whether it runs or not. */
+    get addresses(): readonly string[] {
+        return this.#addresses;
+    }
+
     /** The address of the member that leads, once there is one. */
     async waitLeader(): Promise<string> {
         let found: string | undefined;
--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -77,6 +77,8 @@
     readonly tolerated: number;
     readonly workerCalls: WorkerCalls;
     readonly timings?: ConsensusTimings;
+    /** When this process started, in ms on the monotonic clock, if known. */
+    readonly startedAt?: number;
     readonly limits?: Partial<DispatchLimits>;
     readonly snapshotEvery?: number;
     readonly metrics?: ControlMetrics;
@@ -126,7 +128,8 @@
     #leadership: Leadership | undefined;
     #server: RpcServer | undefined;
     #greetings: Subscription | undefined;
-    #wantedVoters: readonly EntryId[];
+    /** Who should vote, once this instance leads and has heard from everybody. */
+    #plannedVoters: readonly EntryId[] | undefined;
     #leaderPublicAddress: string | undefined;
     #leadingSince = 0;
 
@@ -138,7 +141,6 @@
         this.#self = options.address as EntryId;
         this.#network = new PeerNetwork({ findAddress: (id) => id, timeoutMs: PEER_TIMEOUT_MS });
         this.#router = new LeaderRouter({ listSeeds: options.listSeeds });
-        this.#wantedVoters = [...options.listSeeds()].sort() as EntryId[];
         this.#guard = new ClockGuard(() => this.#member?.replica.distrustClock());
     }
 
@@ -192,6 +194,8 @@
             network: this.#network,
             dataDir,
             timings: this.#options.timings ?? selectTimings(this.#options.tolerated),
+            listContacts: () => this.#router.listMembers() as EntryId[],
+            startedAt: this.#options.startedAt,
             snapshotEvery: this.#options.snapshotEvery ?? DEFAULT_SNAPSHOT_EVERY,
             onLead: () => this.#startLeading(),
             onResign: () => this.#stopLeading(),
@@ -319,7 +323,7 @@
     }
 
     #createGroup(): GroupLayout {
-        const listVoters = () => this.#wantedVoters;
+        const listVoters = () => this.#listWantedVoters();
         return {
             id: GROUP,
             zones: [],
@@ -331,6 +335,25 @@
         };
     }
 
+    /**
+     * Those that vote stay the ones that should, until a leader that knows who is there plans otherwise. The
+     * seeds are no such plan: they may be old. A new leader that took them for one exchanged voters in the
+     * second after an outage, removed itself where it was not among them, and the outage began again.
+     */
+    #listWantedVoters(): readonly EntryId[] {
+        const current = this.#listVotingInstances();
+        return this.#plannedVoters ?? (current.length > 0 ? current : this.#listSeedInstances());
+    }
+
+    #listVotingInstances(): EntryId[] {
+        const voters = this.#member?.replica.voters ?? [];
+        return [...new Set(voters.map((voter) => parseEntryId(voter)))];
+    }
+
+    #listSeedInstances(): EntryId[] {
+        return [...this.#options.listSeeds()].sort() as EntryId[];
+    }
+
     async #runOrForward<T>(
         method: string,
         params: object,
@@ -406,6 +429,7 @@
         if (this.#leadership !== undefined) {
             this.#options.log.info("lead lost", { term: this.#member?.replica.term });
         }
+        this.#plannedVoters = undefined;
         this.#options.metrics?.leading.set(0);
         this.#leadership?.stop();
         this.#leadership = undefined;
@@ -439,9 +463,8 @@
     }
 
     #listMembers(): string[] {
-        const voters = this.#member?.replica.voters.map((voter) => parseEntryId(voter)) ?? [];
         const others = this.#members.listAddresses("control");
-        return [...new Set<string>([this.#self, ...voters, ...others])];
+        return [...new Set<string>([this.#self, ...this.#listVotingInstances(), ...others])];
     }
 
     async #sendHello(): Promise<void> {
@@ -465,7 +488,6 @@
             this.#signs.confirmLeader();
             this.#leaderPublicAddress = answer.publicAddress;
             this.#router.setMembers(answer.members);
-            this.#wantedVoters = answer.members as EntryId[];
         }
     }
 
@@ -479,9 +501,8 @@
             return;
         }
         const live = this.#members.getControlZones().set(this.#self, this.#options.zone);
-        const voters = this.#member?.replica.voters.map((voter) => parseEntryId(voter)) ?? [];
-        this.#wantedVoters = planVoters({
-            current: [...new Set(voters)],
+        this.#plannedVoters = planVoters({
+            current: this.#listVotingInstances(),
             live,
             target: 2 * this.#options.tolerated + 1,
         });
--- a/control/daemon_test.ts
+++ b/control/daemon_test.ts
@@ -116,3 +116,20 @@
     t.is((await daemon?.handleConfigure(invalid))?.type, "invalid");
     t.deepEqual(await daemon?.readConfiguration(), { version: 5 });
 });
+
+test.serial("a restart with other seeds in the settings exchanges no voter", async (t) => {
+    // The operator sees no second outage. All control instances lose power; meanwhile the settings name
+    // another three of the four as seeds. Whoever leads next keeps the voters: it would otherwise exchange
+    // one, remove itself where it is not among the seeds, and decide nothing until the next election.
+    const cluster = await ClusterFixture.start({ members: 4, workers: 1, seeds: 3 });
+    t.teardown(() => cluster.stop());
+    await cluster.waitLeader();
+    await Promise.all(cluster.addresses.map((address) => cluster.stopMember(address)));
+    cluster.seeds = cluster.addresses.slice(1);
+    cluster.logLines.length = 0;
+    await Promise.all(cluster.addresses.map((address) => cluster.startMember(address)));
+    const leader = await cluster.waitLeader();
+    await new Promise((resolve) => setTimeout(resolve, 2_500));
+    t.is(await cluster.waitLeader(), leader);
+    t.notRegex(cluster.logLines.join(""), /voter (added|removed)/);
+});
--- a/group/group_member.ts
+++ b/group/group_member.ts
@@ -37,6 +37,10 @@
     readonly network: PeerNetwork;
     readonly dataDir: string | undefined;
     readonly timings: ConsensusTimings;
+    /** Instances to ask for the log; those that should vote by default. */
+    readonly listContacts?: () => readonly EntryId[];
+    /** When this process started, in ms on the monotonic clock, if known. */
+    readonly startedAt?: number;
     readonly batchWindowMs?: number;
     readonly snapshotEvery?: number;
     readonly completeBatch?: (commands: readonly C[]) => readonly C[];
@@ -63,19 +67,23 @@
     constructor(options: GroupMemberOptions<C, R>) {
         this.#options = options;
         this.#member = createMemberId(options.self, options.incarnation);
+        const firstVoters = options.group.voters.map((id) => createMemberId(id));
         this.#replica = new Replica<C, R>({
             ...options,
             self: this.#member,
             storage:
                 options.dataDir === undefined
                     ? new MemoryStorage()
-                    : FileStorage.open({ dir: join(options.dataDir, options.group.id) }),
+                    : FileStorage.open({
+                          dir: join(options.dataDir, options.group.id),
+                          firstVoters,
+                      }),
             transport: options.network.createTransport(
                 options.group.id,
                 this.#member,
                 () => this.#replica,
             ),
-            initialVoters: options.group.voters.map((id) => createMemberId(id)),
+            initialVoters: firstVoters,
             onStorageError: (error) => {
                 options.log.error("storage refused a write; trying again", {
                     group: options.group.id,
@@ -237,7 +245,8 @@
         if (silentFor < 4 * this.#options.timings.heartbeatMs) {
             return;
         }
-        const others = this.#options.group.voters.filter((v) => v !== this.#options.self);
+        const contacts = this.#options.listContacts?.() ?? this.#options.group.voters;
+        const others = contacts.filter((id) => id !== this.#options.self);
         const target = others[this.#askNext++ % Math.max(1, others.length)];
         const client = target === undefined ? undefined : this.#options.network.getClient(target);
         const ask = { group: this.#options.group.id, member: this.#member };
--- a/log/consensus.ts
+++ b/log/consensus.ts
@@ -63,13 +63,18 @@
 export interface ConsensusOptions {
     readonly self: MemberId;
     readonly stored: StoredState;
-    /** The voters when the storage is empty and the group starts for the first time. */
+    /** The voters when the group starts for the first time, where the storage kept none. */
     readonly initialVoters?: readonly MemberId[];
     readonly timings?: ConsensusTimings;
     /** A source of numbers in [0, 1), for election timeouts. */
     readonly random: () => number;
     /** The time now, on a clock that never goes back, in ms. */
     readonly now: number;
+    /**
+     * When this member's process started, on the same clock; `now` by default. It answered no leader
+     * between the end of the process before and this time.
+     */
+    readonly startedAt?: number;
 }
 
 /** What the caller must do: persist, then confirm; send; apply. */
@@ -142,23 +147,25 @@
         this.#timings = options.timings ?? DEFAULT_TIMINGS;
         this.#random = options.random;
         this.#now = options.now;
-        const { hard, snapshot, entries } = options.stored;
+        const { firstVoters, hard, snapshot, entries } = options.stored;
         this.#term = hard.term;
         this.#votedFor = hard.votedFor;
-        const voters = snapshot?.voters ?? options.initialVoters ?? [];
+        const voters = snapshot?.voters ?? firstVoters ?? options.initialVoters ?? [];
         const { index, term } = snapshot ?? { index: 0, term: 0 };
         this.#log = new EntryLog({ index, term, voters, entries });
         this.#voters = voters;
         this.#votersIndex = index;
         this.#commitIndex = index;
         this.#persistedIndex = this.lastIndex;
-        // A restarted member may have answered a leader moments ago: it keeps that leader's lease
-        // by refusing votes for one election timeout, as if it had just heard from it.
+        // A restarted member may have answered a leader moments before its process ended: it keeps that
+        // leader's lease by refusing votes for one election timeout, as if it had heard from it when this
+        // process started. Counted from now, the time that the start took would lengthen each outage.
         if (hard.term > 0) {
-            this.#heardLeaderAt = options.now;
+            this.#heardLeaderAt = options.startedAt ?? options.now;
         }
         this.#updateVoters();
         this.#setElectionDeadline();
+        this.#scheduleFirstElection();
     }
 
     /** The role now. */
@@ -509,7 +516,7 @@
         this.#applyRoleEvent("election_timeout");
         this.#leader = undefined;
         this.#votes = new Set([this.#self]);
-        this.#setElectionDeadline();
+        this.#setPreVoteDeadline();
         this.#sendVoteRequests(true);
         this.#checkVotes(true);
     }
@@ -865,6 +872,26 @@
             : this.#now + this.#timings.electionMs * (1 + this.#random());
     }
 
+    /**
+     * Asks again soon whether this member would be elected. The pattern: all members come back from a loss of
+     * power within some 100 ms; the first to ask finds the others not up yet, or still keeping the lease of
+     * the leader before, and a whole election timeout more would be a part of the outage. A pre-vote disturbs
+     * nobody, because members that hear a leader refuse it.
+     */
+    #setPreVoteDeadline(): void {
+        const shortest = this.#timings.electionMs * PRE_VOTE_RETRY_SHARE;
+        this.#electionAt = this.#now + shortest * (1 + this.#random());
+    }
+
+    /** A restarted member heard no leader yet: it asks once the lease of the one before is over. */
+    #scheduleFirstElection(): void {
+        const leaseEndsAt = this.#heardLeaderAt + this.#timings.electionMs;
+        if (Number.isFinite(leaseEndsAt)) {
+            const spread = this.#timings.electionMs * PRE_VOTE_RETRY_SHARE * this.#random();
+            this.#electionAt = Math.max(this.#now, leaseEndsAt) + spread;
+        }
+    }
+
     #removeFrom(index: number): void {
         if (index > this.lastIndex) {
             return;
@@ -903,6 +930,12 @@
     }
 }
 
+/**
+ * A pre-vote that was not won is repeated after this share of the election timeout, up to twice that: longer
+ * than an answer takes from a process that just started (some 50 ms).
+ */
+const PRE_VOTE_RETRY_SHARE = 0.3;
+
 /** A leader trusts its lease for this share of the election timeout: clocks may run unevenly. */
 const LEASE_SHARE = 0.8;
 
--- a/log/consensus_test.ts
+++ b/log/consensus_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import fc from "fast-check";
 import { GroupFixture } from "./_fixtures.ts";
+import { Consensus, DEFAULT_TIMINGS } from "./consensus.ts";
 import type { MemberId } from "./types.ts";
 
 const RUNS = 400;
@@ -262,3 +263,56 @@
             return;
     }
 }
+
+test("after a loss of power of all members a leader is there within one election timeout", (t) => {
+    // Callers wait through an outage of all members. They come back some tens of ms apart, keep the lease of
+    // the leader before for one election timeout from their start, and ask again soon when the first to ask
+    // found the others not up yet. Waiting a whole timeout again would double the outage.
+    for (let seed = 1; seed <= 20; seed++) {
+        const group = new GroupFixture({ members: 3, seed });
+        group.runFor(4_000);
+        const [first, second, third] = group.ids as [MemberId, MemberId, MemberId];
+        group.ids.forEach((id) => group.stopMember(id));
+        const lostAt = group.now;
+        group.startMember(first);
+        group.runFor(100);
+        group.startMember(second);
+        group.runFor(100);
+        group.startMember(third);
+        while (group.leader === undefined && group.now - lostAt < 5_000) {
+            group.runFor(50);
+        }
+        // The last start (200 ms), one timeout (1,000), the spread and the votes.
+        t.true(group.now - lostAt <= 200 + 1_000 + 650, `seed ${seed}: ${group.now - lostAt} ms`);
+        t.deepEqual(group.violations, []);
+    }
+});
+
+test("a process that took long to start keeps the lease before it from its start on only", (t) => {
+    const voters = ["m1.0", "m2.0", "m3.0"] as MemberId[];
+    const stored = { hard: { term: 3, votedFor: undefined }, snapshot: undefined, entries: [] };
+    const build = (startedAt: number): Consensus =>
+        new Consensus({
+            self: "m1.0" as MemberId,
+            stored,
+            initialVoters: voters,
+            random: () => 0,
+            now: 10_000,
+            startedAt,
+        });
+    const ask = (node: Consensus): boolean => {
+        const message = {
+            type: "voteRequest" as const,
+            pre: false,
+            term: 4,
+            lastIndex: 0,
+            lastTerm: 0,
+            isTransfer: false,
+        };
+        node.receive("m2.0" as MemberId, message, 10_000);
+        const answer = node.takeReady().sendAfter[0]?.message;
+        return answer?.type === "voteResponse" && answer.granted;
+    };
+    t.true(ask(build(10_000 - DEFAULT_TIMINGS.electionMs)));
+    t.false(ask(build(10_000 - DEFAULT_TIMINGS.electionMs + 1)));
+});
--- a/log/replica.ts
+++ b/log/replica.ts
@@ -90,6 +90,8 @@
     readonly random?: () => number;
     /** A clock that never goes back, in ms. */
     readonly getNow?: () => number;
+    /** When this process started, on that clock, if known; see {@link Consensus}. */
+    readonly startedAt?: number;
 }
 
 /** Thrown when a command could not be proposed: it did not and will not happen. */
@@ -158,6 +160,7 @@
             timings: options.timings ?? DEFAULT_TIMINGS,
             random: options.random ?? Math.random,
             now: this.#getNow(),
+            startedAt: options.startedAt,
         });
         if (stored.snapshot !== undefined) {
             options.machine.restore(stored.snapshot.state);
--- a/log/storage.ts
+++ b/log/storage.ts
@@ -31,11 +31,19 @@
 import { join } from "node:path";
 import { promisify } from "node:util";
 import { crc32 } from "node:zlib";
-import type { HardState, LogEntry, Snapshot, Storage, StoredState } from "./types.ts";
+import type { HardState, LogEntry, MemberId, Snapshot, Storage, StoredState } from "./types.ts";
 
 const syncData = promisify(fdatasync);
 const LOG_FILE = "log.jsonl";
 const SNAPSHOT_FILE = "snapshot.json";
+const FIRST_VOTERS_FILE = "first_voters.json";
+
+/** Options of {@link FileStorage.open}. */
+export interface FileStorageOptions {
+    readonly dir: string;
+    /** The voters when the group begins; what an earlier start kept goes before it. */
+    readonly firstVoters?: readonly MemberId[];
+}
 
 /** One line of the log file. */
 type LogRecord = { readonly entry: LogEntry } | { readonly hard: HardState };
@@ -55,21 +63,33 @@
 /** A member's durable files. */
 export class FileStorage implements Storage {
     readonly #dir: string;
+    readonly #firstVoters: readonly MemberId[] | undefined;
     #log: { readonly fd: number; readonly size: number } | undefined;
 
-    private constructor(dir: string) {
+    private constructor(dir: string, firstVoters: readonly MemberId[] | undefined) {
         this.#dir = dir;
+        this.#firstVoters = firstVoters;
     }
 
     /**
-     * Opens (or creates) the folder.
+     * Opens (or creates) the folder. The first voters are kept: until a snapshot or an entry of the log names
+     * voters, a restarted member would otherwise take those that its settings name by then. Members with
+     * different lists count different quorums, and two of them could lead in one term.
      *
-     * @param options The folder.
+     * @param options The folder, the voters when the group begins.
      * @returns The storage; call {@link FileStorage.load} first.
      */
-    static open(options: { readonly dir: string }): FileStorage {
-        mkdirSync(options.dir, { recursive: true });
-        return new FileStorage(options.dir);
+    static open(options: FileStorageOptions): FileStorage {
+        const { dir, firstVoters } = options;
+        mkdirSync(dir, { recursive: true });
+        const file = join(dir, FIRST_VOTERS_FILE);
+        if (existsSync(file)) {
+            return new FileStorage(dir, JSON.parse(readFileSync(file, "utf8")) as MemberId[]);
+        }
+        if (firstVoters !== undefined) {
+            writeDurable(dir, FIRST_VOTERS_FILE, JSON.stringify(firstVoters));
+        }
+        return new FileStorage(dir, firstVoters);
     }
 
     /**
@@ -97,7 +117,7 @@
             entries.length = Math.min(entries.length, entry.index - base - 1);
             entries.push(entry);
         }
-        return { hard, snapshot, entries };
+        return { firstVoters: this.#firstVoters, hard, snapshot, entries };
     }
 
     /** See {@link Storage.append}. */
--- a/log/storage_test.ts
+++ b/log/storage_test.ts
@@ -1,5 +1,5 @@
 import { spawnSync } from "node:child_process";
-import { appendFileSync, mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import test from "ava";
@@ -110,3 +110,16 @@
     writeFileSync(join(dir, "log.jsonl"), fullLog);
     t.deepEqual(FileStorage.open({ dir }).load().entries, [buildEntry(4)]);
 });
+
+test("the voters of the first start stay, whatever later settings name", (t) => {
+    // The operator would see two leaders. A member restarts before its log or a snapshot names any voters,
+    // and its settings name other instances by then: with those it would count another quorum than
+    // the members that did not restart.
+    const dir = mkdtempSync(join(tmpdir(), "poplarhead-first-voters-"));
+    t.teardown(() => rmSync(dir, { recursive: true }));
+    const first = ["a#0", "b#0", "c#0"] as MemberId[];
+    const later = ["b#0", "c#0", "d#0"] as MemberId[];
+    FileStorage.open({ dir, firstVoters: first }).close();
+    t.deepEqual(FileStorage.open({ dir, firstVoters: later }).load().firstVoters, first);
+    t.deepEqual(FileStorage.open({ dir }).load().firstVoters, first);
+});
--- a/log/types.ts
+++ b/log/types.ts
@@ -123,6 +123,8 @@
 
 /** What a storage holds when it is opened. */
 export interface StoredState {
+    /** The voters when the group began; `undefined` where storage does not keep them. */
+    readonly firstVoters?: readonly MemberId[];
     readonly hard: HardState;
     readonly snapshot: Snapshot | undefined;
     /** The entries after the snapshot, in order. */
