--- /dev/null
+++ b/dispatch/contradiction.ts
@@ -0,0 +1,69 @@
+/**
+ * Heartbeats that cannot come from the worker whose id they bear. The pattern: another writer, or a damaged
+ * message, names a live worker with another address, pool or room, or with a number far ahead of its own.
+ * Taken over, it would send the worker's orders elsewhere, or make its own later heartbeats look old.
+ *
+ * @example
+ * ```ts
+ * import { isContradiction } from "./contradiction.ts";
+ * isContradiction(worker, record, { sequence: 7, isPoolNamed: () => true });
+ * ```
+ *
+ * @module
+ */
+
+import type { PoolName } from "../configuration/mod.ts";
+import type { WorkerRecord } from "../job/mod.ts";
+import type { WorkerState } from "./worker_book.ts";
+
+/**
+ * A heartbeat's number is at most this far ahead of the one before: with a heartbeat every second or two that
+ * is hours of lost ones, which the worker's silence would have ended long before.
+ */
+const MAX_SEQUENCE_STEP = 10_000;
+
+/** What a heartbeat is held against, beside the worker's record. */
+export interface ContradictionContext {
+    readonly sequence: number;
+    /** Whether the configuration names a pool. */
+    readonly isPoolNamed: (pool: PoolName) => boolean;
+}
+
+/**
+ * Tells whether a heartbeat contradicts what is known of its worker. Place, room and pool stay with one life
+ * of a worker. The record that is known may be the false one: it gives way when its pool is not named, or when
+ * orders to it fail and nothing runs there.
+ *
+ * @param known The worker.
+ * @param next What the heartbeat says.
+ * @param context Its number, the pools.
+ * @returns Whether it is to be dropped.
+ */
+export function isContradiction(
+    known: Pick<WorkerState, "record" | "heartbeat" | "isSuspect" | "members">,
+    next: WorkerRecord,
+    context: ContradictionContext,
+): boolean {
+    const isFarAhead =
+        known.heartbeat >= 0 && context.sequence - known.heartbeat > MAX_SEQUENCE_STEP;
+    if (isFarAhead) {
+        return true;
+    }
+    const { record } = known;
+    if (isSamePlace(record, next)) {
+        return false;
+    }
+    const isKnownDoubtful =
+        !context.isPoolNamed(record.pool) || (known.isSuspect && known.members.size === 0);
+    return !isKnownDoubtful || !context.isPoolNamed(next.pool);
+}
+
+function isSamePlace(a: WorkerRecord, b: WorkerRecord): boolean {
+    return (
+        a.address === b.address &&
+        a.pool === b.pool &&
+        a.capacity.cpu === b.capacity.cpu &&
+        a.capacity.memoryMb === b.capacity.memoryMb &&
+        a.capacity.gpu === b.capacity.gpu
+    );
+}
--- /dev/null
+++ b/dispatch/contradiction_test.ts
@@ -0,0 +1,91 @@
+import test from "ava";
+import fc from "fast-check";
+import type { PoolName } from "../configuration/mod.ts";
+import type { WorkerId, WorkerRecord } from "../job/mod.ts";
+import { buildSpec, FloorFixture, POOL } from "./_fixtures.ts";
+import { isContradiction } from "./contradiction.ts";
+
+const ID = "w1" as WorkerId;
+const OTHER_POOL = "elsewhere" as PoolName;
+
+function buildRecord(change: Partial<WorkerRecord> = {}): WorkerRecord {
+    return {
+        id: ID,
+        address: "10.0.0.1:80",
+        pool: POOL,
+        zone: "z",
+        capacity: { cpu: 16_000, memoryMb: 32_000, gpu: 0 },
+        labels: ["a", "r1"],
+        instance: "",
+        isDraining: false,
+        ...change,
+    };
+}
+
+function buildKnown(
+    change: Partial<WorkerRecord> = {},
+    isSuspect = false,
+): Parameters<typeof isContradiction>[0] {
+    return { record: buildRecord(change), heartbeat: 7, isSuspect, members: new Map() };
+}
+
+const context = { sequence: 8, isPoolNamed: (pool: PoolName) => pool === POOL };
+
+test("a worker that drains, or changes its labels, contradicts nothing", (t) => {
+    t.false(isContradiction(buildKnown(), buildRecord({ isDraining: true }), context));
+    t.false(isContradiction(buildKnown(), buildRecord({ labels: ["b"] }), context));
+});
+
+test("another address, pool or room under a live worker's id is not taken over", (t) => {
+    for (const change of [
+        { address: "10.9.9.9:80" },
+        { pool: OTHER_POOL },
+        { capacity: { cpu: 99_000, memoryMb: 32_000, gpu: 0 } },
+    ]) {
+        t.true(isContradiction(buildKnown(), buildRecord(change), context));
+    }
+    t.true(isContradiction(buildKnown(), buildRecord(), { ...context, sequence: 1e9 }));
+});
+
+test("a false first record gives way to the worker's own", (t) => {
+    t.false(isContradiction(buildKnown({ pool: OTHER_POOL }), buildRecord(), context));
+    t.false(isContradiction(buildKnown({ address: "10.9.9.9:80" }, true), buildRecord(), context));
+    t.true(isContradiction(buildKnown({}, true), buildRecord({ pool: OTHER_POOL }), context));
+});
+
+test("heartbeats of another writer neither lose a sound worker nor draw work away", (t) => {
+    // The caller's job completes. While it runs, another writer sends heartbeats in the name of its worker,
+    // with another address, pool, room or a huge number; orders go on to the worker's own address, and its
+    // own heartbeats go on to count.
+    fc.assert(
+        fc.property(
+            fc.array(
+                fc.record({
+                    address: fc.constantFrom("10.0.0.1:80", "10.9.9.9:80"),
+                    pool: fc.constantFrom(POOL, OTHER_POOL),
+                    cpu: fc.constantFrom(16_000, 1, 999_000),
+                    sequence: fc.constantFrom(1e12, 50_000, 20_000),
+                }),
+                { minLength: 1, maxLength: 6 },
+            ),
+            (damaged) => {
+                const floor = new FloorFixture({ workers: 1, taskMs: 300 });
+                floor.runFor(300);
+                for (const { address, pool, cpu, sequence } of damaged) {
+                    const capacity = { cpu, memoryMb: 32_000, gpu: 0 };
+                    floor.dispatcher.handleHeartbeat({
+                        record: buildRecord({ address, pool, capacity }),
+                        sequence,
+                        clockMs: undefined,
+                        leavesInMs: undefined,
+                    });
+                }
+                floor.submit("00000000000000a1", buildSpec({ count: 2 }));
+                floor.runFor(7_000);
+                t.is(floor.getState("00000000000000a1"), "complete");
+                t.deepEqual(floor.violations, []);
+            },
+        ),
+        { numRuns: 40 },
+    );
+});
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -19,6 +19,7 @@
 import type { Configuration, PoolName, QueueName } from "../configuration/mod.ts";
 import type { JobId, JobSpec, WorkerId, WorkerRecord } from "../job/mod.ts";
 import { checkFeasible } from "./admission.ts";
+import { isContradiction } from "./contradiction.ts";
 import { Attempts } from "./_attempts.ts";
 import { DispatchContext, type DispatchContextOptions } from "./_context.ts";
 import { Evacuator } from "./_evacuator.ts";
@@ -205,6 +206,15 @@
         // from before that must not bring new work to it.
         const isDraining = record.isDraining || (known?.isDraining ?? false);
         const next = { ...record, isDraining };
+        if (state !== undefined && this.#isContradiction(state, next, sequence)) {
+            this.#context.recordDecision("failure", "heartbeat contradicts its worker", {
+                worker: record.id,
+                address: record.address,
+                pool: record.pool,
+                sequence,
+            });
+            return;
+        }
         if (known === undefined || !isSameRecord(known, next)) {
             this.#context.record({ type: "workerSeen", worker: next });
             this.#context.recordDecision(
@@ -286,6 +296,14 @@
         this.#placer.placeWaiting();
     }
 
+    #isContradiction(state: WorkerState, next: WorkerRecord, sequence: number): boolean {
+        const pools = this.#context.ledger.configuration?.pools ?? [];
+        return isContradiction(state, next, {
+            sequence,
+            isPoolNamed: (pool) => pools.some(({ name }) => name === pool),
+        });
+    }
+
     #adoptWorkers(): void {
         const now = this.#context.clock.getNow();
         for (const record of this.#context.ledger.workers.values()) {
