A step's tasks share few availability zones; lasting tasks are spread over all

Cause: a job is done with its last task. Ruled out: shorter leases. A task of 1 s started again elsewhere after 3 s is late all the same, and all work would be lost with each outage of some seconds. Hypothesis: with a step's tasks in one zone where it has room, a cut takes a quarter of the jobs. Change: dispatch/zone_choice.ts, ranked after nearness and speed, before best fit: the zone with most tasks of the step, then the one with most room; for lasting tasks the one with fewest. Tests: zone_choice_test, with the load of a cut.

--- a/dispatch/_candidates.ts
+++ b/dispatch/_candidates.ts
@@ -92,6 +92,7 @@
         id: worker.record.id,
         free: { ...getFreeRoom(worker) },
         rack: worker.record.labels[1] ?? "",
+        zone: worker.record.zone,
         sameStep: step.spec.maxPerWorker > 0 ? countSameStep(step, worker) : 0,
         isNear: preferredRack !== undefined && worker.record.labels.includes(preferredRack),
         slowness: worker.speed.computeSlowness(now) + (step.failedOn.has(worker.record.id) ? 1 : 0),
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -22,6 +22,7 @@
 import type { StepWork } from "./step_board.ts";
 import type { Admission, AdviceCall } from "./types.ts";
 import type { WorkerState } from "./worker_book.ts";
+import { rankZones } from "./zone_choice.ts";
 
 /** A ticket is not used so shortly before its end: the commit and the order take time, in ms. */
 const TICKET_MARGIN_MS = 150;
@@ -172,20 +173,41 @@
     ): boolean {
         const needs = computeRoom(step.spec);
         const count = step.spec.isGang ? step.spec.count : 1;
-        const { maxPerWorker, isRackLocal } = step.spec;
+        const { maxPerWorker, isRackLocal, isPerpetual } = step.spec;
+        const tasksByZone = this.#countByZone(step);
         let hasPlaced = false;
         for (const unit of units) {
-            const chosen = placeUnit({ needs, count, candidates, maxPerWorker, isRackLocal });
+            const zoneRanks = rankZones(candidates, { tasksByZone, isSpread: isPerpetual });
+            const request = { needs, count, candidates, maxPerWorker, isRackLocal, zoneRanks };
+            const chosen = placeUnit(request);
             if (chosen === undefined) {
                 break;
             }
             hasPlaced = true;
             this.#startAttempt(step, unit, chosen);
             takeRoom(candidates, chosen, needs);
+            chosen.forEach((id) => this.#addToZone(tasksByZone, id));
         }
         return hasPlaced;
     }
 
+    /** Where tasks of the step run now, by zone. */
+    #countByZone(step: StepWork): Map<string, number> {
+        const counts = new Map<string, number>();
+        const units = step.job.occurrences.get(step.occurrence)?.steps[step.step] ?? [];
+        for (const { members } of units) {
+            members.forEach((worker) => this.#addToZone(counts, worker));
+        }
+        return counts;
+    }
+
+    #addToZone(counts: Map<string, number>, id: WorkerId): void {
+        const zone = this.#context.book.findWorker(id)?.record.zone;
+        if (zone !== undefined) {
+            counts.set(zone, (counts.get(zone) ?? 0) + 1);
+        }
+    }
+
     #listCandidates(
         entry: RankedStep,
         workers: Iterable<WorkerState>,
--- a/dispatch/placement.ts
+++ b/dispatch/placement.ts
@@ -18,6 +18,7 @@
     /** What it has left; a caller that places unit after unit takes from it. */
     readonly free: { -readonly [K in keyof Resources]: Resources[K] };
     readonly rack: string;
+    readonly zone: string;
     /** Tasks of the step that it runs already. */
     sameStep: number;
     /** It holds the step's data. */
@@ -38,6 +39,8 @@
     readonly maxPerWorker: number;
     /** The tasks should share a rack. */
     readonly isRackLocal: boolean;
+    /** Availability zones in the order in which they are to be filled; none goes before another by default. */
+    readonly zoneRanks?: ReadonlyMap<string, number>;
 }
 
 interface Slot {
@@ -85,10 +88,10 @@
         return undefined;
     }
     if (request.count === 1) {
-        const compare = (a: Slot, b: Slot): Slot => (compareSlots(b, a, request.needs) < 0 ? b : a);
+        const compare = (a: Slot, b: Slot): Slot => (compareSlots(b, a, request) < 0 ? b : a);
         return [slots.reduce(compare).candidate.id];
     }
-    slots.sort((a, b) => compareSlots(a, b, request.needs));
+    slots.sort((a, b) => compareSlots(a, b, request));
     const chosen: WorkerId[] = [];
     for (const { candidate, fits } of slots) {
         for (let i = 0; i < fits && chosen.length < request.count; i++) {
@@ -117,8 +120,8 @@
     return Math.max(0, Math.min(fits, request.count));
 }
 
-/** Fast and near first, then best fit, then the id so that equal workers keep their order. */
-function compareSlots(a: Slot, b: Slot, needs: Resources): number {
+/** Near and fast first, then by zone, then best fit, then the id so that equal workers keep their order. */
+function compareSlots(a: Slot, b: Slot, { needs, zoneRanks }: PlacementRequest): number {
     const near = Number(b.candidate.isNear) - Number(a.candidate.isNear);
     if (near !== 0) {
         return near;
@@ -127,6 +130,10 @@
     if (slow !== 0) {
         return slow;
     }
+    const zone = (zoneRanks?.get(a.candidate.zone) ?? 0) - (zoneRanks?.get(b.candidate.zone) ?? 0);
+    if (zone !== 0) {
+        return zone;
+    }
     const left = computeLeftOver(a, needs) - computeLeftOver(b, needs);
     return left !== 0 ? left : a.candidate.id < b.candidate.id ? -1 : 1;
 }
--- a/dispatch/placement_test.ts
+++ b/dispatch/placement_test.ts
@@ -8,6 +8,7 @@
         id: id as WorkerId,
         free: { cpu, memoryMb: 32_000, gpu: 0 },
         rack: "r1",
+        zone: "z1",
         sameStep: 0,
         isNear: false,
         slowness: 1,
--- a/dispatch/repetition_test.ts
+++ b/dispatch/repetition_test.ts
@@ -8,6 +8,7 @@
         id: id as WorkerId,
         free: { cpu: 1_000, memoryMb: 1_000, gpu: 0 },
         rack: "r1",
+        zone: "z1",
         sameStep: 0,
         isNear: false,
         slowness: 1,
--- /dev/null
+++ b/dispatch/zone_choice_test.ts
@@ -0,0 +1,79 @@
+import test from "ava";
+import type { WorkerId } from "../job/mod.ts";
+import { buildSpec, FloorFixture } from "./_fixtures.ts";
+import type { Candidate } from "./placement.ts";
+import { rankZones } from "./zone_choice.ts";
+
+const JOB = "00000000000000a1";
+const ZONES = ["z1", "z2", "z3", "z4"];
+
+function buildCandidate(zone: string, cpu: number): Candidate {
+    return {
+        id: `${zone}-${cpu}` as WorkerId,
+        free: { cpu, memoryMb: 1_000, gpu: 0 },
+        rack: "r1",
+        zone,
+        sameStep: 0,
+        isNear: false,
+        slowness: 1,
+        isDoubtful: false,
+    };
+}
+
+function startFloor(): FloorFixture {
+    const floor = new FloorFixture({
+        workers: 8,
+        taskMs: 3_000,
+        getRecord: (number) => ({ zone: ZONES[number % ZONES.length] as string }),
+    });
+    floor.runFor(300);
+    return floor;
+}
+
+/** The zones in which a job's tasks began, one entry a task. */
+function listZones(floor: FloorFixture, job: string): string[] {
+    return floor.runs
+        .filter((run) => run.task.startsWith(job))
+        .map((run) => floor.durable.workers.get(run.worker)?.zone ?? "");
+}
+
+test("the zone with tasks of the step goes first, then the one with most room", (t) => {
+    const candidates = [buildCandidate("z1", 9), buildCandidate("z2", 4), buildCandidate("z3", 20)];
+    const tasksByZone = new Map([["z2", 1]]);
+    const ranks = rankZones(candidates, { tasksByZone, isSpread: false });
+    t.deepEqual([...ranks.keys()], ["z2", "z3", "z1"]);
+    const spread = rankZones(candidates, { tasksByZone, isSpread: true });
+    t.deepEqual([...spread.keys()], ["z3", "z1", "z2"]);
+});
+
+test("a cut of one zone holds up only the jobs that run there", (t) => {
+    // The callers of most jobs notice nothing of a cut zone. While there is room, each job's tasks share
+    // one zone, and jobs take turns over the zones; spread over all, every job would wait for the cut's end.
+    const floor = startFloor();
+    const jobs = Array.from({ length: 4 }, (_, i) => `00000000000000b${i}`);
+    for (const job of jobs) {
+        floor.submit(job, buildSpec({ count: 6, needs: { cpu: 2_000, memoryMb: 100, gpu: 0 } }));
+        floor.runFor(200);
+    }
+    const zones = jobs.map((job) => new Set(listZones(floor, job)));
+    t.deepEqual(
+        zones.map((set) => set.size),
+        [1, 1, 1, 1],
+    );
+    t.is(new Set(zones.flatMap((set) => [...set])).size, 4);
+});
+
+test("a step wider than a zone's room takes what there is elsewhere at once", (t) => {
+    const floor = startFloor();
+    floor.submit(JOB, buildSpec({ count: 40, needs: { cpu: 2_000, memoryMb: 100, gpu: 0 } }));
+    floor.runFor(300);
+    t.is(listZones(floor, JOB).length, 40);
+});
+
+test("lasting tasks are spread, so that the loss of a zone takes few", (t) => {
+    const floor = startFloor();
+    floor.submit(JOB, buildSpec({ count: 8, isPerpetual: true }));
+    floor.runFor(300);
+    const zones = listZones(floor, JOB);
+    ZONES.forEach((zone) => t.is(zones.filter((other) => other === zone).length, 2));
+});
