--- /dev/null
+++ b/telemetry/causes.ts
@@ -0,0 +1,192 @@
+/**
+ * Tabulates what delayed the requests of an outage, or of a whole day, from the merged logs: how many were accepted in
+ * each span of time, how many ended late or not at all, and why.
+ *
+ * @example
+ * ```ts
+ * import { formatCauses, listCauseRows } from "./causes.ts";
+ * console.log(formatCauses(listCauseRows(events)));
+ * ```
+ *
+ * @module
+ */
+
+import type { TimelineEvent } from "./timeline.ts";
+
+/** Why a request took longer than its tasks did, or failed; the first that fits counts. */
+export type Cause =
+    /** A task failed as often as its queue allows. */
+    | "failed"
+    /** Its worker went away, or its lease ran out. */
+    | "worker lost"
+    /** A start got no answer, or was refused. */
+    | "order lost"
+    /** A task failed and ran again. */
+    | "repeated"
+    /** A step waited for a worker, or for advice. */
+    | "waited"
+    /** One task took twice as long as the others of its step: slow, or its end was seen late. */
+    | "straggler"
+    /** The leader changed meanwhile. */
+    | "leader"
+    /** None of these. */
+    | "other";
+
+/** Requests accepted in one span of time. */
+export interface CauseRow {
+    /** Start of the span, in ms since 1970. */
+    readonly since: number;
+    readonly accepted: number;
+    /** Delayed or failed, by cause. */
+    readonly causes: ReadonlyMap<Cause, number>;
+}
+
+/** Options of {@link listCauseRows}. */
+export interface CauseOptions {
+    /** Length of a span, in ms; 2 s by default. */
+    readonly spanMs?: number;
+}
+
+const DEFAULT_SPAN_MS = 2_000;
+/** A request is delayed by this share of its tasks' time, and by this many ms at least. */
+const DELAY_SHARE = 0.5;
+const DELAY_MS = 500;
+/** A step that waited longer than this waited, in ms: advice alone takes up to 0.8 s. */
+const LONG_WAIT_MS = 1_000;
+/** A task that took so many times the median of its step is a straggler. */
+const STRAGGLER_FACTOR = 2;
+/** The longest bar of the plot, in characters. */
+const BAR_LENGTH = 40;
+
+/**
+ * Counts the requests of each span, and why some were delayed.
+ *
+ * @param events The merged events of every process.
+ * @param options The spans.
+ * @returns One row a span with accepted requests, oldest first.
+ */
+export function listCauseRows(
+    events: readonly TimelineEvent[],
+    options: CauseOptions = {},
+): CauseRow[] {
+    const spanMs = options.spanMs ?? DEFAULT_SPAN_MS;
+    const changes = events.filter(({ message }) => message === "lead gained").map(({ t }) => t);
+    const rows = new Map<number, { accepted: number; causes: Map<Cause, number> }>();
+    for (const own of listByRequest(events).values()) {
+        const accepted = own.find(({ message }) => message === "job accepted");
+        if (accepted === undefined) {
+            continue;
+        }
+        const since = Math.floor(accepted.t / spanMs) * spanMs;
+        const row = rows.get(since) ?? { accepted: 0, causes: new Map<Cause, number>() };
+        rows.set(since, row);
+        row.accepted += 1;
+        const cause = findCause(own, accepted.t, changes);
+        if (cause !== undefined) {
+            row.causes.set(cause, (row.causes.get(cause) ?? 0) + 1);
+        }
+    }
+    return [...rows]
+        .sort(([a], [b]) => a - b)
+        .map(([since, { accepted, causes }]) => ({ since, accepted, causes }));
+}
+
+/**
+ * Formats the table with a bar for the delayed ones.
+ *
+ * @param rows The table.
+ * @returns Lines of text.
+ */
+export function formatCauses(rows: readonly CauseRow[]): string {
+    const first = rows[0]?.since ?? 0;
+    const most = Math.max(1, ...rows.map((row) => countDelayed(row)));
+    const lines = rows.map((row) => {
+        const delayed = countDelayed(row);
+        const bar = "#".repeat(Math.ceil((delayed * BAR_LENGTH) / most));
+        const causes = [...row.causes]
+            .sort(([, a], [, b]) => b - a)
+            .map(([cause, count]) => `${cause} ${count}`)
+            .join(", ");
+        const at = ((row.since - first) / 1_000).toFixed(1).padStart(7);
+        const counts = `${String(row.accepted).padStart(6)} ${String(delayed).padStart(7)}`;
+        return `${at} s ${counts}  ${bar.padEnd(BAR_LENGTH)}  ${causes}`.trimEnd();
+    });
+    return ["   from  accepted delayed", ...lines].join("\n");
+}
+
+function listByRequest(events: readonly TimelineEvent[]): Map<string, TimelineEvent[]> {
+    const byRequest = new Map<string, TimelineEvent[]>();
+    for (const event of events) {
+        if (event.request !== undefined) {
+            const own = byRequest.get(event.request) ?? [];
+            own.push(event);
+            byRequest.set(event.request, own);
+        }
+    }
+    return byRequest;
+}
+
+/** @returns The cause, or `undefined` for a request that was cancelled, is under way, or was in time. */
+function findCause(
+    own: readonly TimelineEvent[],
+    acceptedAt: number,
+    leaderChanges: readonly number[],
+): Cause | undefined {
+    const has = (message: string): boolean => own.some((event) => event.message === message);
+    if (has("job failed")) {
+        return "failed";
+    }
+    const endedAt = own.find(({ message }) => message === "job complete")?.t;
+    if (endedAt === undefined) {
+        return undefined;
+    }
+    const steps = listDoneTimes(own);
+    const workMs = steps.reduce((sum, times) => sum + computeMedian(times), 0);
+    if (endedAt - acceptedAt - workMs < Math.max(DELAY_MS, DELAY_SHARE * workMs)) {
+        return undefined;
+    }
+    const hasEnded = (...kinds: string[]): boolean =>
+        own.some(({ message, how }) => message === "task ended" && kinds.includes(String(how)));
+    if (hasEnded("lost", "lapsed")) {
+        return "worker lost";
+    }
+    if (has("start unanswered") || has("start refused")) {
+        return "order lost";
+    }
+    if (hasEnded("failed")) {
+        return "repeated";
+    }
+    if (own.some((event) => Number(event["waitedMs"]) > LONG_WAIT_MS)) {
+        return "waited";
+    }
+    if (steps.some((times) => isUneven(times))) {
+        return "straggler";
+    }
+    return leaderChanges.some((t) => t >= acceptedAt && t <= endedAt) ? "leader" : "other";
+}
+
+/** How long the tasks of each step took that were done, in ms. */
+function listDoneTimes(own: readonly TimelineEvent[]): number[][] {
+    const steps = new Map<string, number[]>();
+    for (const { message, how, task, tookMs } of own) {
+        if (message === "task ended" && how === "done") {
+            const name = String(task);
+            const step = name.slice(0, name.lastIndexOf("."));
+            steps.set(step, [...(steps.get(step) ?? []), Number(tookMs)]);
+        }
+    }
+    return [...steps.values()];
+}
+
+function isUneven(times: readonly number[]): boolean {
+    return Math.max(...times) > STRAGGLER_FACTOR * computeMedian(times);
+}
+
+function computeMedian(values: readonly number[]): number {
+    const sorted = [...values].sort((a, b) => a - b);
+    return sorted[Math.floor(sorted.length / 2)] ?? 0;
+}
+
+function countDelayed(row: CauseRow): number {
+    return [...row.causes.values()].reduce((sum, count) => sum + count, 0);
+}
--- /dev/null
+++ b/telemetry/causes_test.ts
@@ -0,0 +1,72 @@
+import test from "ava";
+import { formatCauses, listCauseRows } from "./causes.ts";
+import type { TimelineEvent } from "./timeline.ts";
+
+function buildEvent(t: number, message: string, fields: object = {}): TimelineEvent {
+    return { t, process: "core-1", zone: "z", message, ...fields };
+}
+
+/** A request of one step with tasks that took some time each. */
+function buildRequest(request: string, at: number, times: readonly number[]): TimelineEvent[] {
+    const ends = times.map((tookMs, i) =>
+        buildEvent(at + tookMs, "task ended", {
+            request,
+            task: `${request}.0.0.${i}`,
+            how: "done",
+            tookMs,
+        }),
+    );
+    const last = at + Math.max(...times);
+    return [
+        buildEvent(at, "job accepted", { request }),
+        ...ends,
+        buildEvent(last, "job complete", { request }),
+    ];
+}
+
+test("requests in time are counted without a cause, late ones with the first that fits", (t) => {
+    const events = [
+        ...buildRequest("a", 0, [800, 900, 1_000]),
+        ...buildRequest("b", 100, [800, 900, 4_000]),
+        buildEvent(150, "start unanswered", { request: "c" }),
+        ...buildRequest("c", 120, [800, 900, 4_000]),
+        buildEvent(2_100, "job accepted", { request: "d" }),
+        buildEvent(2_900, "job failed", { request: "d" }),
+    ];
+    const rows = listCauseRows(events);
+    t.deepEqual(
+        rows.map(({ since, accepted, causes }) => [since, accepted, [...causes]]),
+        [
+            [
+                0,
+                3,
+                [
+                    ["straggler", 1],
+                    ["order lost", 1],
+                ],
+            ],
+            [2_000, 1, [["failed", 1]]],
+        ],
+    );
+    t.regex(formatCauses(rows), /0\.0 s\s+3\s+2 {2}#+\s+straggler 1, order lost 1/);
+});
+
+test("a request that waited for a new leader is told so", (t) => {
+    const [accepted, , complete] = buildRequest("a", 0, [500]);
+    const events = [
+        accepted as TimelineEvent,
+        buildEvent(2_400, "lead gained"),
+        buildEvent(3_000, "task ended", {
+            request: "a",
+            task: "a.0.0.0",
+            how: "done",
+            tookMs: 500,
+        }),
+        { ...(complete as TimelineEvent), t: 3_000 },
+    ];
+    t.deepEqual([...(listCauseRows(events)[0]?.causes ?? [])], [["leader", 1]]);
+});
+
+test("a day without requests gives an empty table", (t) => {
+    t.deepEqual(listCauseRows([]), []);
+});
