A new leader of many workers serves callers while it takes over; it is not given up before another can lead

Ruled out: voters that change (no such line any more since voters outlive the seeds). Change: looks of a takeover leave 16 at a time, 25 ms apart, workers with tasks first; the silence after which an instance is given up is the election timeout and 100 ms (350 and 900 ms).

--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -59,7 +59,7 @@
 import { MemberTable } from "./member_table.ts";
 import { SignBox } from "./sign_box.ts";
 import { StateReader } from "./state_reader.ts";
-import { selectTimings } from "./timings.ts";
+import { selectSilenceMs, selectTimings } from "./timings.ts";
 
 /** Options of {@link ControlDaemon}. */
 export interface ControlDaemonOptions {
@@ -140,7 +140,10 @@
         this.#options = options;
         this.#self = options.address as EntryId;
         this.#network = new PeerNetwork({ findAddress: (id) => id, timeoutMs: PEER_TIMEOUT_MS });
-        this.#router = new LeaderRouter({ listSeeds: options.listSeeds });
+        this.#router = new LeaderRouter({
+            listSeeds: options.listSeeds,
+            silenceMs: selectSilenceMs(options.tolerated),
+        });
         this.#guard = new ClockGuard(() => this.#member?.replica.distrustClock());
     }
 
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -87,6 +87,12 @@
 const PLACING_PAUSE_MS = 5;
 /** Effects carried out in one turn of the event loop: below 20 ms also in a process that just started. */
 const EFFECTS_PER_TURN = 16;
+/**
+ * Pause between two turns of a new leader's looks at all workers, in ms. Hundreds of answers at once hold up
+ * callers, whose jobs take four turns of the event loop until they are agreed on: with 246 workers, the first
+ * jobs were accepted 0.8 s after the lead was gained. Paced, the last worker is looked at after 0.4 s.
+ */
+const TAKEOVER_PAUSE_MS = 25;
 /** When to come back with a job that no worker on record can run: larger workers come rarely, in ms. */
 const INFEASIBLE_RETRY_MS = 60_000;
 
@@ -127,7 +133,19 @@
             this.#dispatcher.tick();
             this.#flushSoon();
         });
-        this.#flushSoon();
+        void this.#runTakeover();
+    }
+
+    /** Looks at every worker, a few at a time; what is decided meanwhile goes its own way. */
+    async #runTakeover(): Promise<void> {
+        const { facts, effects } = this.#dispatcher.takeOutcome();
+        if (facts.length > 0) {
+            await this.#propose(facts).catch((error: Error) => {
+                this.#options.log.warn("decisions dropped", { error: error.message });
+            });
+        }
+        await this.#runEffects(effects, TAKEOVER_PAUSE_MS);
+        this.#schedulePlacing();
     }
 
     /** Decides nothing from now on. */
@@ -353,10 +371,10 @@
      * Carries effects out, with turns of the event loop between them. A new leader looks at every worker:
      * hundreds of calls prepared in one turn hold its heartbeats back for longer than an election takes.
      */
-    async #runEffects(effects: readonly Effect[]): Promise<void> {
+    async #runEffects(effects: readonly Effect[], pauseMs = 0): Promise<void> {
         for (const [i, effect] of effects.entries()) {
             if (i > 0 && i % EFFECTS_PER_TURN === 0) {
-                await new Promise((resolve) => setImmediate(resolve));
+                await waitTurn(pauseMs);
             }
             if (this.#isStopped) {
                 return;
@@ -464,5 +482,16 @@
     }
 }
 
+/** Waits for the next turn of the event loop, or for a pause. */
+function waitTurn(pauseMs: number): Promise<void> {
+    return new Promise((resolve) => {
+        if (pauseMs > 0) {
+            setTimeout(resolve, pauseMs);
+        } else {
+            setImmediate(resolve);
+        }
+    });
+}
+
 /** The way back from the service through the front, at most, in ms; the wait before is not age. */
 const ADVICE_AGE_CAP_MS = 50;
--- a/control/timings.ts
+++ b/control/timings.ts
@@ -39,3 +39,18 @@
 export function selectTimings(tolerated: number): ConsensusTimings {
     return tolerated >= LARGE_TOLERATED ? LARGE_TIMINGS : SMALL_TIMINGS;
 }
+
+/** How much longer than an election timeout a silent instance is waited for, in ms. */
+const SILENCE_EXTRA_MS = 100;
+
+/**
+ * Selects how long an instance may answer nothing before its callers go elsewhere. The pattern: a leader that has
+ * just taken over hundreds of workers is busy for half a second. Given up before anybody else can lead, it
+ * gets each call again, and the callers' deadlines pass in searching.
+ *
+ * @param tolerated How many instances may be lost at once.
+ * @returns Ms.
+ */
+export function selectSilenceMs(tolerated: number): number {
+    return selectTimings(tolerated).electionMs + SILENCE_EXTRA_MS;
+}
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -88,6 +88,7 @@
         this.#forgottenAt = this.#context.clock.getNow();
         this.#adoptWorkers();
         this.#attempts.adoptJobs();
+        this.#lookAtAll();
     }
 
     /**
@@ -312,10 +313,16 @@
             worker.inheritedLeaseEndsAt =
                 now + this.#context.limits.leaseMs * INHERITED_LEASE_FACTOR;
             worker.isSuspect = true;
-            this.#context.emit({ type: "look", worker: record.id });
         }
     }
 
+    /** Looks at every worker, those first on which jobs wait. */
+    #lookAtAll(): void {
+        const workers = [...this.#context.book.workers];
+        workers.sort((a, b) => b.members.size - a.members.size);
+        workers.forEach(({ record }) => this.#context.emit({ type: "look", worker: record.id }));
+    }
+
     /** Two live workers never share an address: one of them is an earlier incarnation. */
     #checkAddress(record: WorkerRecord): void {
         for (const other of this.#context.book.workers) {
--- a/dispatch/dispatcher_test.ts
+++ b/dispatch/dispatcher_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { Dispatcher } from "./dispatcher.ts";
 import type { LaneId } from "./types.ts";
 import type { WorkerId } from "../job/mod.ts";
 import { buildQueue, buildSpec, FloorFixture, QUEUE, type OrderFault } from "./_fixtures.ts";
@@ -312,3 +313,22 @@
     t.is(floor.getState(id), "complete");
     t.deepEqual(floor.violations, []);
 });
+
+test("a new leader looks first at the workers on which jobs wait", (t) => {
+    // The callers of running jobs wait for ends that came during the change of leaders; idle workers can wait.
+    const floor = new FloorFixture({ workers: 30, taskMs: 5_000 });
+    floor.runFor(300);
+    floor.submit(JOB, buildSpec({ count: 2 }));
+    floor.runFor(200);
+    const busy = new Set(floor.runs.map(({ worker }) => worker));
+    const next = new Dispatcher({
+        ledger: floor.durable.copy(),
+        clock: { getNow: () => floor.now, getWall: () => floor.now },
+        firstFence: 2_000_000,
+    });
+    const looks = next
+        .takeOutcome()
+        .effects.flatMap((effect) => (effect.type === "look" ? [effect.worker] : []));
+    t.is(looks.length, 30);
+    t.deepEqual(new Set(looks.slice(0, busy.size)), busy);
+});
--- a/dispatch/overdue_test.ts
+++ b/dispatch/overdue_test.ts
@@ -23,19 +23,20 @@
 });
 
 test("after a cut a worker's ends are seen within half a second", (t) => {
-    // The caller's job is done soon after the cut has healed. During the cut each look is lost; the last of
-    // them, that left just before the end of the cut, is not waited for, and does not count against
-    // the worker once a later one was answered.
-    const cut = { from: 1_000, to: 5_000 };
-    const floor: FloorFixture = new FloorFixture({
-        workers: 1,
-        taskMs: 1_500,
-        getFault: (): OrderFault =>
-            floor.now >= cut.from && floor.now < cut.to ? { type: "lost" } : { type: "none" },
-    });
-    floor.runFor(300);
-    floor.submit(JOB, buildSpec({ count: 2, estimateMs: 1_500 }));
-    floor.runFor(cut.to + 600 - 300);
-    t.is(floor.getState(JOB), "complete");
-    t.deepEqual(floor.violations, []);
+    // The caller's job is done soon after the cut has healed, whenever that is. During the cut each look is lost;
+    // the last of them, that left just before the end of the cut, is not waited for, and does not count
+    // against the worker once a later one was answered.
+    for (let to = 4_000; to <= 6_400; to += 200) {
+        const floor: FloorFixture = new FloorFixture({
+            workers: 1,
+            taskMs: 1_500,
+            getFault: (): OrderFault =>
+                floor.now >= 1_000 && floor.now < to ? { type: "lost" } : { type: "none" },
+        });
+        floor.runFor(300);
+        floor.submit(JOB, buildSpec({ count: 2, estimateMs: 1_500 }));
+        floor.runFor(to + 700 - 300);
+        t.is(floor.getState(JOB), "complete", `healed at ${to}`);
+        t.deepEqual(floor.violations, []);
+    }
 });
--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -28,6 +28,7 @@
     type ReachAnswer,
     type RelayCall,
 } from "../control/calls.ts";
+import { selectSilenceMs } from "../control/timings.ts";
 // Not the whole face of `job/`: a front needs no state charts.
 import { isJobId } from "../job/types.ts";
 import type { ControlMetrics } from "../telemetry/control_metrics.ts";
@@ -54,6 +55,8 @@
     readonly zone: string;
     /** RPC addresses of some control instances. */
     readonly listSeeds: () => readonly string[];
+    /** How many control instances may be lost at once; 1 by default. */
+    readonly tolerated?: number;
     readonly adviceCalls: AdviceCalls;
     readonly metrics?: ControlMetrics;
     readonly log: Logger;
@@ -127,7 +130,10 @@
      */
     constructor(options: FrontDaemonOptions) {
         this.#options = options;
-        this.#router = new LeaderRouter({ listSeeds: options.listSeeds });
+        this.#router = new LeaderRouter({
+            listSeeds: options.listSeeds,
+            silenceMs: selectSilenceMs(options.tolerated ?? 1),
+        });
         this.#reach = new Reach({
             zone: options.zone,
             probe: async (address) => {
