--- a/cli/operator_commands.ts
+++ b/cli/operator_commands.ts
@@ -16,7 +16,13 @@
 import { parse } from "yaml";
 import { createRpcClient } from "../rpc/mod.ts";
 import { FindingsError, formatFindings } from "../settings/findings.ts";
-import { explainRequest, formatEvent, mergeTimeline } from "../telemetry/mod.ts";
+import {
+    explainRequest,
+    formatCauses,
+    formatEvent,
+    mergeTimeline,
+    listCauseRows,
+} from "../telemetry/mod.ts";
 import { loadSettingsFiles } from "./files.ts";
 
 abstract class EntryClientCommand extends Command {
@@ -230,6 +236,28 @@
     }
 }
 
+/** `poplarhead logs causes`. */
+export class LogsCausesCommand extends Command {
+    static override paths = [["logs", "causes"]];
+    static override usage = Command.Usage({
+        description: "Tabulate what delayed requests, from the JSON logs of every process.",
+    });
+    span = Option.String("--span", "2", { description: "length of a span, in s" });
+    files = Option.Rest({ required: 1 });
+
+    /** @returns The exit code. */
+    async execute(): Promise<number> {
+        const spanMs = Number(this.span) * 1_000;
+        if (!(spanMs > 0)) {
+            throw new UsageError(`not a length of time: ${this.span}`);
+        }
+        const texts = this.files.map((file) => readFileSync(file, "utf8"));
+        const rows = listCauseRows(mergeTimeline(texts), { spanMs });
+        this.context.stdout.write(`${formatCauses(rows)}\n`);
+        return 0;
+    }
+}
+
 function parseTime(text: string | undefined, otherwise: number): number {
     if (text === undefined) {
         return otherwise;
--- a/telemetry/mod.ts
+++ b/telemetry/mod.ts
@@ -15,4 +15,5 @@
 export * from "./audit.ts";
 export * from "./control_metrics.ts";
 export * from "./log_sink.ts";
+export * from "./causes.ts";
 export * from "./explain.ts";
