The build runs the daemons for a moment and keeps what they compile

Cause: after a loss of power the leader's first half second ran cold code, charged in full: the compiled code that the bundle brought was of an idle start only.

--- a/bin/poplarhead_start.ts
+++ b/bin/poplarhead_start.ts
@@ -48,7 +48,8 @@
 const daemon = bundle.exports as DaemonBundle;
 void daemon.runPlatformProcess(role, process.env["POPLARHEAD_SETTINGS"] ?? "").then(() => {
     if (option === "--write-code-cache") {
-        writeFileSync(cacheFile, script.createCachedData());
+        const file = join(folder, `${role}.${process.pid}.code_cache`);
+        writeFileSync(file, script.createCachedData());
     }
     process.exit(0);
 });
--- a/tools/build_daemons.ts
+++ b/tools/build_daemons.ts
@@ -11,21 +11,24 @@
  */
 
 import { build, type BuildOptions } from "esbuild";
-import { spawn } from "node:child_process";
-import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
+import {
+    mkdirSync,
+    readdirSync,
+    readFileSync,
+    renameSync,
+    rmSync,
+    statSync,
+    writeFileSync,
+} from "node:fs";
 import { basename, join } from "node:path";
 import { parseYaml } from "../settings/parse_yaml.ts";
+import { runWarmUp, type DaemonRole } from "./warm_up.ts";
 
 const TARGET = "target";
 const DEPLOY_FILE = "deploy/system.toml";
 const CHARTS = ["log/role_chart.yaml", "job/job_chart.yaml"];
-/** A role serves for this long before its compiled code is kept, in ms: it has listened and greeted by then. */
-const WARM_UP_MS = 1_500;
-/** A role that has not ended by then is ended; its start then compiles as usual, in ms. */
-const WARM_UP_LIMIT_MS = 15_000;
-/** Ports of the warm-up on loopback, outside those that the tests take. */
-const WARM_UP_PORT = 27_700;
+/** Ends the names of the files in which daemons keep their compiled code. */
+const CACHE_SUFFIX = ".code_cache";
 
 const SHARED_OPTIONS: BuildOptions = {
     bundle: true,
@@ -67,7 +70,7 @@
 }
 
 /** The flags of the engine that a role is deployed with: compiled code is of use only under the same. */
-function listEngineFlags(role: string): string[] {
+function listEngineFlags(role: DaemonRole): string[] {
     const line = new RegExp(`^run = "node (.*) target/poplarhead_start.cjs ${role}"`, "m").exec(
         readFileSync(DEPLOY_FILE, "utf8"),
     );
@@ -77,53 +80,24 @@
     return line[1].split(" ");
 }
 
-/** Runs a role on loopback for a moment and has it keep its compiled code. */
-async function writeCodeCache(role: "front" | "control"): Promise<void> {
-    const dir = mkdtempSync(join(tmpdir(), "poplarhead-build-"));
-    const settingsFile = join(dir, "boot.yaml");
-    writeFileSync(settingsFile, JSON.stringify(createWarmUpSettings(role, dir)));
-    const child = spawn(
-        process.execPath,
-        [
-            ...listEngineFlags(role),
-            join(TARGET, "poplarhead_start.cjs"),
-            role,
-            "--write-code-cache",
-        ],
-        { stdio: "ignore", env: { ...process.env, POPLARHEAD_SETTINGS: settingsFile } },
-    );
-    const stop = setTimeout(() => child.kill("SIGTERM"), WARM_UP_MS);
-    const limit = setTimeout(() => child.kill("SIGKILL"), WARM_UP_LIMIT_MS);
-    await new Promise((resolve) => child.once("exit", resolve));
-    clearTimeout(stop);
-    clearTimeout(limit);
-    rmSync(dir, { recursive: true });
-}
-
-/** Settings of the first start of a system of one control instance, or of a front beside none. */
-function createWarmUpSettings(role: "front" | "control", dataDir: string): object {
-    const host = "127.0.0.1";
-    const port = WARM_UP_PORT + (role === "front" ? 0 : 20);
-    return {
-        Node: `build-${role}`,
-        Ip: host,
-        Zone: "build",
-        Listen:
-            role === "front"
-                ? { Front: `${host}:${port}`, Readiness: `${host}:${port + 1}` }
-                : { Control: `${host}:${port}` },
-        PortRange: [port + 2, port + 9],
-        Seeds: [`${host}:${WARM_UP_PORT + 20}`],
-        Bootstrap: true,
-        DataDir: role === "control" ? dataDir : null,
-        Tolerate: { Machines: 0 },
-        Bounds: { HoldMaxMs: 10_000, GraceS: 1, status_s: 1 },
-    };
+/** Keeps the compiled code of the daemon of each role that did most. */
+function selectCodeCaches(): void {
+    for (const role of ["front", "control"]) {
+        const caches = readdirSync(TARGET)
+            .filter((name) => name.startsWith(`${role}.`) && name.endsWith(CACHE_SUFFIX))
+            .map((name) => join(TARGET, name))
+            .sort((a, b) => statSync(b).size - statSync(a).size);
+        const [largest, ...others] = caches;
+        if (largest !== undefined) {
+            renameSync(largest, join(TARGET, `code_cache_${role}.bin`));
+        }
+        others.forEach((file) => rmSync(file));
+    }
 }
 
 rmSync(TARGET, { recursive: true, force: true });
 mkdirSync(TARGET, { recursive: true });
 writeCharts();
 await buildBundles();
-await writeCodeCache("front");
-await writeCodeCache("control");
+await runWarmUp({ starter: join(TARGET, "poplarhead_start.cjs"), listFlags: listEngineFlags });
+selectCodeCaches();
