Callers of a front that is cut off are sent where they are served

Cause: in a cut zone most late jobs were late for their callers only: jobs that were done could not be read, new ones not handed in. Callers' kept connections brought calls to the cut front for as long as the cut lasted (asked at 36.7, 37.6, 38.0, 39.3 s of a cut from 33.5 to 39.8 s), and each refusal said to come back in 1 s although the next try would have reached another zone at once.

--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -66,7 +66,7 @@
 export type FrontOutcome =
     | CallerAnswer
     /** No leader answered in time; whether the call was carried out is not known. */
-    | { readonly type: "unknown" }
+    | { readonly type: "unknown"; readonly retryAfterMs: number }
     /** No leader answered in time, and the call reached none. */
     | { readonly type: "unreached"; readonly retryAfterMs: number };
 
@@ -75,16 +75,21 @@
 /** A greeting is given up after this, in ms, so that a lost leader is noticed soon. */
 const HELLO_BUDGET_MS = 1_000;
 /**
- * Without a leader's answer for this long the front is not ready, in ms. The balancer moves callers
- * after two failed checks a second apart: an election (below 0.6 s) moves nobody, a zone that is
- * cut off sends its callers to others 1.7 to 2.7 s after the cut.
+ * Without a leader's answer for this long the front is not ready, in ms: a greeting's interval and what an answer
+ * takes. The balancer moves callers after two failed checks a second apart: an election (below 0.6 s)
+ * moves nobody, a zone that is cut off sends its callers to others 1.5 to 2.5 s after the cut.
  */
-const READY_SILENCE_MS = 700;
+const READY_SILENCE_MS = 600;
 /**
  * How long a call waits on a front that is cut off, in ms: a caller that is sent away at once has two or
  * three more tries within its deadline of some seconds; one that is held for 1.6 s has one at most.
  */
 const CUT_OFF_BUDGET_MS = 250;
+/**
+ * The balancer has moved callers this long after the leader was heard last, in ms: a second and a half on the way
+ * to its second check, in the mean, behind {@link READY_SILENCE_MS}.
+ */
+const MOVED_AFTER_MS = READY_SILENCE_MS + 1_500;
 /** Time between two questions to the other fronts while no leader is heard, in ms. */
 const REACH_MS = 100;
 /** A front that does not answer by then is not reached, in ms: the way takes some ms. */
@@ -152,6 +157,14 @@
         return !this.#isStopping && isServing;
     }
 
+    /**
+     * Whether this front can serve nobody, though others can. Its callers' idle connections are of no use then: kept
+     * open, they bring calls here for as long as the cut lasts, past a balancer that steers new ones.
+     */
+    get isCutOff(): boolean {
+        return this.#reach.state.type === "isolated";
+    }
+
     /** Limits in force for callers; `undefined` before the first greeting. */
     get limits(): HelloLimits | undefined {
         return this.#limits;
@@ -227,9 +240,8 @@
             this.#reach.state.type === "relay" &&
             performance.now() - startedAt < budgetMs - RELAY_PAUSE_MS
         );
-        return mayHaveHappened
-            ? { type: "unknown" }
-            : { type: "unreached", retryAfterMs: RETRY_AFTER_MS };
+        const retryAfterMs = this.isCutOff ? this.#computeMoveMs() : RETRY_AFTER_MS;
+        return { type: mayHaveHappened ? "unknown" : "unreached", retryAfterMs };
     }
 
     async #callLeader(call: CallerCall, budgetMs: number): Promise<CallerAnswer> {
@@ -325,10 +337,15 @@
             case "relay":
                 return 0;
             case "isolated":
-                return Math.min(budgetMs, CUT_OFF_BUDGET_MS);
+                return Math.min(budgetMs, CUT_OFF_BUDGET_MS, this.#computeMoveMs());
         }
     }
 
+    /** Time until a caller that comes back reaches another front, in ms; 0 once the balancer has moved it. */
+    #computeMoveMs(): number {
+        return Math.max(0, MOVED_AFTER_MS - this.#reach.silentMs);
+    }
+
     async #handleAdvise(call: AdviseCall): Promise<AdviseAnswer> {
         return { admissions: await this.#options.adviceCalls.advise(call) };
     }
