--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -30,7 +30,6 @@
     NOT_LEADER_CODE,
     OUTCOME_UNKNOWN_CODE,
     parseEntryId,
-    planVoters,
     type EntryId,
     type GroupLayout,
 } from "../membership/mod.ts";
@@ -60,6 +59,7 @@
 import { SignBox } from "./sign_box.ts";
 import { StateReader } from "./state_reader.ts";
 import { selectSilenceMs, selectTimings } from "./timings.ts";
+import { VoterRoster } from "./voter_roster.ts";
 
 /** Options of {@link ControlDaemon}. */
 export interface ControlDaemonOptions {
@@ -88,8 +88,6 @@
 const GROUP = "control" as GroupId;
 /** Time between two greetings to the leader, in ms. */
 const HELLO_MS = 500;
-/** A new leader hears everybody's greeting within this time, in ms. */
-const ACQUAINTANCE_MS = 3_000;
 /**
  * From this many workers on the other members take heartbeats and questions about states for the
  * leader: below, both are less than a tenth of its processor.
@@ -124,14 +122,12 @@
         send: (signs) => this.#router.call(METHODS.signs, { signs }, FORWARD_BUDGET_MS),
     });
     readonly #members = new MemberTable();
+    readonly #roster: VoterRoster;
     #member: GroupMember<FactBatch, void> | undefined;
     #leadership: Leadership | undefined;
     #server: RpcServer | undefined;
     #greetings: Subscription | undefined;
-    /** Who should vote, once this instance leads and has heard from everybody. */
-    #plannedVoters: readonly EntryId[] | undefined;
     #leaderPublicAddress: string | undefined;
-    #leadingSince = 0;
 
     /**
      * @param options Addresses, seeds, data folder; see {@link ControlDaemonOptions}.
@@ -144,6 +140,12 @@
             listSeeds: options.listSeeds,
             silenceMs: selectSilenceMs(options.tolerated),
         });
+        this.#roster = new VoterRoster({
+            self: this.#self,
+            zone: options.zone,
+            target: 2 * options.tolerated + 1,
+            listSeeds: options.listSeeds,
+        });
         this.#guard = new ClockGuard(() => this.#member?.replica.distrustClock());
     }
 
@@ -326,7 +328,7 @@
     }
 
     #createGroup(): GroupLayout {
-        const listVoters = () => this.#listWantedVoters();
+        const listVoters = () => this.#roster.listWanted(this.#listVotingInstances());
         return {
             id: GROUP,
             zones: [],
@@ -338,25 +340,11 @@
         };
     }
 
-    /**
-     * Those that vote stay the ones that should, until a leader that knows who is there plans otherwise. The
-     * seeds are no such plan: they may be old. A new leader that took them for one exchanged voters in the
-     * second after an outage, removed itself where it was not among them, and the outage began again.
-     */
-    #listWantedVoters(): readonly EntryId[] {
-        const current = this.#listVotingInstances();
-        return this.#plannedVoters ?? (current.length > 0 ? current : this.#listSeedInstances());
-    }
-
     #listVotingInstances(): EntryId[] {
         const voters = this.#member?.replica.voters ?? [];
         return [...new Set(voters.map((voter) => parseEntryId(voter)))];
     }
 
-    #listSeedInstances(): EntryId[] {
-        return [...this.#options.listSeeds()].sort() as EntryId[];
-    }
-
     async #runOrForward<T>(
         method: string,
         params: object,
@@ -402,7 +390,7 @@
             return;
         }
         this.#clock.start(this.#durable.at);
-        this.#leadingSince = performance.now();
+        this.#roster.startLeading(performance.now());
         this.#options.log.info("lead gained", {
             term: replica.term,
             jobs: this.#durable.jobs.size,
@@ -432,7 +420,7 @@
         if (this.#leadership !== undefined) {
             this.#options.log.info("lead lost", { term: this.#member?.replica.term });
         }
-        this.#plannedVoters = undefined;
+        this.#roster.stopLeading();
         this.#options.metrics?.leading.set(0);
         this.#leadership?.stop();
         this.#leadership = undefined;
@@ -499,16 +487,7 @@
         const now = performance.now();
         this.#members.removeSilent(now);
         this.#updateLanes();
-        // A new leader has not heard from everybody yet: it must not take the others for dead.
-        if (now - this.#leadingSince < ACQUAINTANCE_MS) {
-            return;
-        }
-        const live = this.#members.getControlZones().set(this.#self, this.#options.zone);
-        this.#plannedVoters = planVoters({
-            current: this.#listVotingInstances(),
-            live,
-            target: 2 * this.#options.tolerated + 1,
-        });
+        this.#roster.plan(now, this.#listVotingInstances(), this.#members.getControlZones());
     }
 
     #updateLanes(): void {
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -1,57 +1,38 @@
 /**
- * Orders to workers and what their answers mean: starts that get no answer, fences that settle
- * them, looks that tell what runs and what ended.
+ * Orders to workers and what their answers mean: starts that get no answer, and fences that settle them.
  *
  * @example
  * ```ts
  * import { Orders } from "./_orders.ts";
- * const orders = new Orders(context, attempts);
+ * const orders = new Orders(context, attempts, losses);
  * const order = orders.prepareStart(member);
  * ```
  *
  * @module
  */
 
-import type { WorkerId } from "../job/mod.ts";
-import { createUnitKey, MAX_START_TRIES, type Attempts } from "./_attempts.ts";
+import { MAX_START_TRIES, type Attempts } from "./_attempts.ts";
 import type { DispatchContext } from "./_context.ts";
-import { Pacer } from "./_pacer.ts";
+import type { WorkerLosses } from "./_worker_losses.ts";
 import { createStepKey } from "./step_board.ts";
-import type {
-    EndReport,
-    LookAnswer,
-    LookOrder,
-    MemberRun,
-    OrderAnswer,
-    PaceOrder,
-    RunningReport,
-    StartOrder,
-    StopOrder,
-} from "./types.ts";
+import type { MemberRun, OrderAnswer, PaceOrder, StartOrder, StopOrder } from "./types.ts";
 import type { WorkerState } from "./worker_book.ts";
 
-/** Ends listed in one answer at most; a full list may leave others out. */
-const MAX_ENDS_LISTED = 500;
-
-/** Progress is told in whole percent: over shorter times it says little, in ms. */
-const MIN_SPEED_SAMPLE_MS = 250;
-/** A task that shows no progress for this long after its start stands still, in ms. */
-const START_UP_MS = 1_000;
-
 /** The orders of one leader. */
 export class Orders {
     readonly #context: DispatchContext;
     readonly #attempts: Attempts;
-    readonly #pacer: Pacer;
+    readonly #losses: WorkerLosses;
 
     /**
      * @param context What the parts share.
      * @param attempts The attempts under way.
+     * @param losses Takes workers that are silent or gone.
      */
-    constructor(context: DispatchContext, attempts: Attempts) {
+    constructor(context: DispatchContext, attempts: Attempts, losses: WorkerLosses) {
         this.#context = context;
         this.#attempts = attempts;
-        this.#pacer = new Pacer(context);
+        this.#losses = losses;
     }
 
     /**
@@ -119,7 +100,7 @@
                 this.#handleRefusal(worker, member, answer.reason);
                 return;
             case "gone":
-                this.removeWorker(worker.record.id, "another incarnation answers");
+                this.#losses.removeWorker(worker.record.id, "another incarnation answers");
                 return;
             case "undelivered":
                 this.#handleUndelivered(worker, member, answer.cause);
@@ -192,105 +173,9 @@
                 this.#context.emit({ type: "look", worker: member.worker });
             }
         } else if (answer.type === "gone") {
-            this.removeWorker(worker.record.id, "another incarnation answers");
+            this.#losses.removeWorker(worker.record.id, "another incarnation answers");
         } else if (answer.type === "unanswered" || answer.type === "undelivered") {
-            this.#setSuspect(worker, answer.cause);
-        }
-    }
-
-    /**
-     * Gives the next look at a worker.
-     *
-     * @param id The worker.
-     * @param mayWait Whether the worker may hold its answer back until something ends.
-     * @returns The look, or `undefined` when nothing runs there and every end is acknowledged.
-     */
-    prepareLook(id: WorkerId, mayWait: boolean): LookOrder | undefined {
-        const worker = this.#context.book.findWorker(id);
-        if (worker === undefined) {
-            return undefined;
-        }
-        const hasUntold = worker.durableCursor > worker.toldCursor;
-        if (mayWait && worker.members.size === 0 && !hasUntold) {
-            return undefined;
-        }
-        return {
-            worker: id,
-            address: worker.record.address,
-            fence: worker.fence,
-            cursor: worker.durableCursor,
-            // A look that gets no answer may have been carried out. Renewing the lease with each
-            // try would keep a lost worker's tasks, and their callers, waiting for ever.
-            untilMs: worker.isSuspect
-                ? undefined
-                : this.#context.book.grantLease(worker, this.#context.clock.getNow()),
-            // A silent worker is asked for a sign of life, not for an end: a long call that left just before a
-            // cut healed would be given up two seconds later, and the worker's tasks wait as long.
-            waitMs:
-                mayWait && worker.members.size > 0 && !worker.isSuspect
-                    ? this.#context.limits.lookWaitMs
-                    : 0,
-        };
-    }
-
-    /**
-     * Takes a worker's answer to a look.
-     *
-     * @param order The look.
-     * @param sentAt When it was sent, in ms.
-     * @param answer The answer.
-     */
-    handleLook(order: LookOrder, sentAt: number, answer: LookAnswer): void {
-        const worker = this.#context.book.findWorker(order.worker);
-        if (worker === undefined) {
-            return;
-        }
-        if (answer.type === "gone") {
-            this.removeWorker(order.worker, "another incarnation answers");
-            return;
-        }
-        if (answer.type === "unanswered" || answer.type === "undelivered") {
-            // One that left later may have been answered meanwhile: then the worker is not silent.
-            if (worker.lookedAt < sentAt) {
-                this.#setSuspect(worker, answer.cause);
-            }
-            return;
-        }
-        if (answer.type === "refused") {
-            // A look that was overtaken by a higher fence of our own; the next one carries it.
-            return;
-        }
-        const now = this.#context.clock.getNow();
-        if (worker.isSuspect) {
-            this.#context.recordDecision("decision", "worker answers again", {
-                worker: order.worker,
-            });
-            this.#context.recordRoom(worker);
-        }
-        this.#context.book.recordAnswer(worker, answer.clockMs, now);
-        worker.lookedAt = now;
-        worker.toldCursor = Math.max(worker.toldCursor, order.cursor);
-        answer.ended.forEach((report) => this.#handleEnd(worker, report));
-        if (worker.readCursor > worker.durableCursor) {
-            const cursor = worker.readCursor;
-            this.#context.emit({ type: "acknowledge", worker: order.worker, cursor });
-        }
-        answer.running.forEach((report) => this.#handleRunning(worker, report));
-        this.#pacer.update(worker);
-        this.#settleMissing(worker, order, sentAt, answer);
-    }
-
-    /**
-     * Notes that ends are durable: a worker told to forget an end that only this leader knew would
-     * leave a later leader to start the task again.
-     *
-     * @param id The worker.
-     * @param cursor The newest durable end.
-     */
-    confirmEnds(id: WorkerId, cursor: number): void {
-        const worker = this.#context.book.findWorker(id);
-        if (worker !== undefined) {
-            worker.durableCursor = Math.max(worker.durableCursor, cursor);
+            this.#losses.setSuspect(worker, answer.cause);
         }
     }
 
@@ -336,7 +221,7 @@
      * a refused connection would have its lease renewed for ever while it is dead.
      */
     #handleUndelivered(worker: WorkerState, member: MemberRun, cause: string): void {
-        this.#setSuspect(worker, cause);
+        this.#losses.setSuspect(worker, cause);
         if (member.tries <= 1) {
             this.#attempts.endMember(member, "void", "");
         } else {
@@ -359,7 +244,7 @@
             this.#context.emit({ type: "start", member });
             return;
         }
-        this.#setSuspect(worker, cause);
+        this.#losses.setSuspect(worker, cause);
         this.#startBarrier(worker, member);
     }
 
@@ -374,116 +259,6 @@
         }
         this.#context.emit({ type: "look", worker: worker.record.id });
     }
-
-    #setSuspect(worker: WorkerState, cause: string): void {
-        if (!worker.isSuspect) {
-            worker.isSuspect = true;
-            this.#context.recordDecision("failure", "worker silent", {
-                worker: worker.record.id,
-                cause,
-            });
-        }
-    }
-
-    #handleEnd(worker: WorkerState, report: EndReport): void {
-        worker.readCursor = Math.max(worker.readCursor, report.number);
-        const member = worker.members.get(report.task as MemberRun["name"]);
-        if (member === undefined || member.attempt !== report.attempt) {
-            return;
-        }
-        if (report.how === "done") {
-            this.#context.book.recordDone(worker);
-        } else if (report.how === "failed") {
-            this.#recordFailure(worker, member);
-        }
-        this.#attempts.endMember(member, report.how, report.checkpoint);
-    }
-
-    /** A lasting task may fail at any time by its own fault: only one that fails at its start tells of its worker. */
-    #recordFailure(worker: WorkerState, member: MemberRun): void {
-        const now = this.#context.clock.getNow();
-        if (!member.isPerpetual || now - member.startedAt < START_UP_MS) {
-            this.#context.book.recordFailure(worker, createUnitKey(member.unit), now);
-        }
-        const step = this.#context.board.findStep(createStepKey(member.unit));
-        if (step !== undefined) {
-            step.failedOn.add(member.worker);
-            step.failedAt = now;
-        }
-    }
-
-    #handleRunning(worker: WorkerState, report: RunningReport): void {
-        const member = worker.members.get(report.task as MemberRun["name"]);
-        if (member === undefined || member.attempt !== report.attempt) {
-            return;
-        }
-        const now = this.#context.clock.getNow();
-        member.settledAt ??= now;
-        if (member.state === "ordered") {
-            member.state = "running";
-        }
-        member.load = report.load;
-        this.#recordProgress(worker, member, report.percent, now);
-    }
-
-    /** A worker's speed is what its tasks' progress shows against their estimates. */
-    #recordProgress(worker: WorkerState, member: MemberRun, percent: number, now: number): void {
-        const tookMs = now - member.reportedAt;
-        if (member.isPerpetual || member.state !== "running" || tookMs < MIN_SPEED_SAMPLE_MS) {
-            return;
-        }
-        const doneMs = ((percent - member.percent) / 100) * member.estimateMs;
-        // A gang's members stand still until the last one is there.
-        if (percent > 0 || now - member.startedAt > START_UP_MS) {
-            worker.speed.record(doneMs, tookMs, now);
-        }
-        member.percent = percent;
-        member.reportedAt = now;
-    }
-
-    /** Ends members that a worker's lists should hold and do not. */
-    #settleMissing(
-        worker: WorkerState,
-        order: LookOrder,
-        sentAt: number,
-        answer: Extract<LookAnswer, { type: "state" }>,
-    ): void {
-        if (answer.ended.length >= MAX_ENDS_LISTED) {
-            return;
-        }
-        const listed = new Set(answer.running.map((report) => `${report.task}#${report.attempt}`));
-        for (const member of [...worker.members.values()]) {
-            if (member.state === "planned" || listed.has(`${member.name}#${member.attempt}`)) {
-                continue;
-            }
-            const isFenced = member.fence < order.fence && member.settledAt === undefined;
-            const isSettled = member.settledAt !== undefined && member.settledAt < sentAt;
-            if (isFenced || isSettled) {
-                this.#attempts.endMember(member, "void", "");
-            }
-        }
-    }
-
-    /**
-     * Takes a worker for gone, with all that ran there.
-     *
-     * @param id The worker.
-     * @param why How it is known.
-     */
-    removeWorker(id: WorkerId, why: string): void {
-        const worker = this.#context.book.findWorker(id);
-        if (worker === undefined) {
-            return;
-        }
-        this.#context.recordDecision("failure", "worker gone", {
-            worker: id,
-            why,
-            members: worker.members.size,
-        });
-        this.#context.record({ type: "workerGone", worker: id });
-        this.#attempts.endMembers([...worker.members.values()]);
-        this.#context.book.removeWorker(id);
-    }
 }
 
 /** What every order about a task that is out says. */
--- /dev/null
+++ b/dispatch/_worker_losses.ts
@@ -0,0 +1,69 @@
+/**
+ * Workers that are silent, and those that are gone with all that ran there.
+ *
+ * @example
+ * ```ts
+ * import { WorkerLosses } from "./_worker_losses.ts";
+ * const losses = new WorkerLosses(context, attempts);
+ * losses.setSuspect(worker, "no answer within 400 ms");
+ * ```
+ *
+ * @module
+ */
+
+import type { WorkerId } from "../job/mod.ts";
+import type { Attempts } from "./_attempts.ts";
+import type { DispatchContext } from "./_context.ts";
+import type { WorkerState } from "./worker_book.ts";
+
+/** The losses of one leader. */
+export class WorkerLosses {
+    readonly #context: DispatchContext;
+    readonly #attempts: Attempts;
+
+    /**
+     * @param context What the parts share.
+     * @param attempts The attempts under way.
+     */
+    constructor(context: DispatchContext, attempts: Attempts) {
+        this.#context = context;
+        this.#attempts = attempts;
+    }
+
+    /**
+     * Gives a worker no new work until it answers a look.
+     *
+     * @param worker The worker.
+     * @param cause What it left unanswered.
+     */
+    setSuspect(worker: WorkerState, cause: string): void {
+        if (!worker.isSuspect) {
+            worker.isSuspect = true;
+            this.#context.recordDecision("failure", "worker silent", {
+                worker: worker.record.id,
+                cause,
+            });
+        }
+    }
+
+    /**
+     * Takes a worker for gone, with all that ran there.
+     *
+     * @param id The worker.
+     * @param why How it is known.
+     */
+    removeWorker(id: WorkerId, why: string): void {
+        const worker = this.#context.book.findWorker(id);
+        if (worker === undefined) {
+            return;
+        }
+        this.#context.recordDecision("failure", "worker gone", {
+            worker: id,
+            why,
+            members: worker.members.size,
+        });
+        this.#context.record({ type: "workerGone", worker: id });
+        this.#attempts.endMembers([...worker.members.values()]);
+        this.#context.book.removeWorker(id);
+    }
+}
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -23,9 +23,11 @@
 import { Attempts } from "./_attempts.ts";
 import { DispatchContext, type DispatchContextOptions } from "./_context.ts";
 import { Evacuator } from "./_evacuator.ts";
+import { Looks } from "./_looks.ts";
 import { Orders } from "./_orders.ts";
 import { hasOverdueTask } from "./overdue.ts";
 import { StepPlacer } from "./_placer.ts";
+import { WorkerLosses } from "./_worker_losses.ts";
 import type {
     Admission,
     AdviceCall,
@@ -68,7 +70,9 @@
 export class Dispatcher {
     readonly #context: DispatchContext;
     readonly #attempts: Attempts;
+    readonly #losses: WorkerLosses;
     readonly #orders: Orders;
+    readonly #looks: Looks;
     readonly #placer: StepPlacer;
     readonly #evacuator: Evacuator;
     #forgottenAt: number;
@@ -82,7 +86,9 @@
     constructor(options: DispatcherOptions) {
         this.#context = new DispatchContext(options);
         this.#attempts = new Attempts(this.#context);
-        this.#orders = new Orders(this.#context, this.#attempts);
+        this.#losses = new WorkerLosses(this.#context, this.#attempts);
+        this.#orders = new Orders(this.#context, this.#attempts, this.#losses);
+        this.#looks = new Looks(this.#context, this.#attempts, this.#losses);
         this.#placer = new StepPlacer(this.#context, this.#attempts);
         this.#evacuator = new Evacuator(this.#context, this.#attempts);
         this.#forgottenAt = this.#context.clock.getNow();
@@ -268,7 +274,7 @@
      */
     handleLeave(id: WorkerId): void {
         if (this.#context.book.findWorker(id) !== undefined) {
-            this.#orders.removeWorker(id, "left");
+            this.#losses.removeWorker(id, "left");
         }
     }
 
@@ -357,7 +363,7 @@
         }
         const isIdle = worker.members.size === 0;
         if (isIdle && now - worker.heardAt > FORGET_WORKER_MS && Number.isFinite(worker.heardAt)) {
-            this.#orders.removeWorker(worker.record.id, "silent");
+            this.#losses.removeWorker(worker.record.id, "silent");
         }
     }
 
@@ -403,17 +409,17 @@
 
     /** See {@link Orders.prepareLook}. */
     prepareLook(id: WorkerId, mayWait: boolean): LookOrder | undefined {
-        return this.#orders.prepareLook(id, mayWait);
+        return this.#looks.prepareLook(id, mayWait);
     }
 
     /** See {@link Orders.handleLook}. */
     handleLook(order: LookOrder, sentAt: number, answer: LookAnswer): void {
-        this.#orders.handleLook(order, sentAt, answer);
+        this.#looks.handleLook(order, sentAt, answer);
     }
 
     /** See {@link Orders.confirmEnds}. */
     confirmEnds(id: WorkerId, cursor: number): void {
-        this.#orders.confirmEnds(id, cursor);
+        this.#looks.confirmEnds(id, cursor);
     }
 
     /** See {@link StepPlacer.handleAdvice}. */
