A cut-off front tells callers to come back a second later until the balancer has moved them

The balancer moved them 3.3 s after, when the last front of the zone had failed two checks. Change: 1 s until 3.3 s after the last word, 0 from then on.

--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -86,10 +86,15 @@
  */
 const CUT_OFF_BUDGET_MS = 250;
 /**
- * The balancer has moved callers this long after the leader was heard last, in ms: a second and a half on the way
- * to its second check, in the mean, behind {@link READY_SILENCE_MS}.
+ * The balancer has moved callers this long after the leader was heard last, in ms: it moves them once the last front
+ * of the zone has failed two checks a second apart. Callers still came 2.7 s after {@link READY_SILENCE_MS}.
  */
-const MOVED_AFTER_MS = READY_SILENCE_MS + 1_500;
+const MOVED_AFTER_MS = READY_SILENCE_MS + 2_700;
+/**
+ * When a caller should come back before that, in ms. It has a few retries: sent back at once it spent four of them
+ * within half a second on the same front, and its job was refused for good; a second apart they outlast the move.
+ */
+const NOT_MOVED_RETRY_MS = 1_000;
 /** Time between two questions to the other fronts while no leader is heard, in ms. */
 const REACH_MS = 100;
 /** A front that does not answer by then is not reached, in ms: the way takes some ms. */
@@ -240,7 +245,7 @@
             this.#reach.state.type === "relay" &&
             performance.now() - startedAt < budgetMs - RELAY_PAUSE_MS
         );
-        const retryAfterMs = this.isCutOff ? this.#computeMoveMs() : RETRY_AFTER_MS;
+        const retryAfterMs = this.isCutOff ? this.#computeReturnMs() : RETRY_AFTER_MS;
         return { type: mayHaveHappened ? "unknown" : "unreached", retryAfterMs };
     }
 
@@ -337,13 +342,17 @@
             case "relay":
                 return 0;
             case "isolated":
-                return Math.min(budgetMs, CUT_OFF_BUDGET_MS, this.#computeMoveMs());
+                return this.#hasMovedCallers ? 0 : Math.min(budgetMs, CUT_OFF_BUDGET_MS);
         }
     }
 
-    /** Time until a caller that comes back reaches another front, in ms; 0 once the balancer has moved it. */
-    #computeMoveMs(): number {
-        return Math.max(0, MOVED_AFTER_MS - this.#reach.silentMs);
+    /** Whether a caller that comes back reaches another front. */
+    get #hasMovedCallers(): boolean {
+        return this.#reach.silentMs > MOVED_AFTER_MS;
+    }
+
+    #computeReturnMs(): number {
+        return this.#hasMovedCallers ? 0 : NOT_MOVED_RETRY_MS;
     }
 
     async #handleAdvise(call: AdviseCall): Promise<AdviseAnswer> {
--- a/front/daemon_test.ts
+++ b/front/daemon_test.ts
@@ -67,6 +67,9 @@
     };
 }
 
+/** By then a balancer has moved the callers of a front that is cut off, in ms. */
+const MOVED_MS = 3_400;
+
 function buildFront(zone: string, address: string, seed: string): FrontDaemon {
     const sink = new LogSink({ writeBytes: (_fd, bytes, done) => done(null, bytes.length) });
     return new FrontDaemon({
@@ -135,6 +138,11 @@
     t.is(answer.type, "unreached");
     t.true(performance.now() - startedAt < 700);
     t.false(fixture.front.isReady);
+    // The balancer has not moved the caller yet: at once it would come back here, and spend its retries.
+    t.is(answer.type === "unreached" ? answer.retryAfterMs : undefined, 1_000);
+    await wait(MOVED_MS);
+    const later = await fixture.front.handleCaller(CALL, DEADLINE_MS);
+    t.is(later.type === "unreached" ? later.retryAfterMs : undefined, 0);
 });
 
 test("a question about a queue is not held through an outage, one about a job is", async (t) => {
