--- a/tools/warm_up.ts
+++ b/tools/warm_up.ts
@@ -5,7 +5,8 @@
  * power, at the moment when all callers wait for it.
  *
  * What it buys, on eight simulated days that end with a loss of power or of all processes: the two worst spans of 2 s are
- * worth 0.780 instead of 0.761 of what was owed, beside compiled code of an idle start.
+ * worth 0.780 instead of 0.761 of what was owed, beside compiled code of an idle start (the interval of the
+ * difference holds 0).
  *
  * @example
  * ```ts
