Sight: why leads end, which votes an election lacks, how long a configuration waits, held turns

No logic is changed. Lines about the group's state have a level of their own (notice), kept as failures are; one counter of lines (CountedLog) serves two places.

--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -23,6 +23,7 @@
     type ConsensusTimings,
     type GroupId,
     type MemberId,
+    type ResignCause,
 } from "../log/mod.ts";
 import {
     LeaderRouter,
@@ -41,6 +42,7 @@
     type RpcServer,
 } from "../rpc/mod.ts";
 import type { ControlMetrics } from "../telemetry/control_metrics.ts";
+import { CountedLog } from "../telemetry/counted_log.ts";
 import {
     METHODS,
     type AdviseAnswer,
@@ -128,6 +130,10 @@
     #server: RpcServer | undefined;
     #greetings: Subscription | undefined;
     #leaderPublicAddress: string | undefined;
+    /** Calls that came while this leader's lease had lapsed. */
+    readonly #lapses = new CountedLog((fields) =>
+        this.#options.log.warn("lease lapsed for calls", fields),
+    );
 
     /**
      * @param options Addresses, seeds, data folder; see {@link ControlDaemonOptions}.
@@ -203,7 +209,7 @@
             startedAt: this.#options.startedAt,
             snapshotEvery: this.#options.snapshotEvery ?? DEFAULT_SNAPSHOT_EVERY,
             onLead: () => this.#startLeading(),
-            onResign: () => this.#stopLeading(),
+            onResign: (cause) => this.#stopLeading(cause),
             log: this.#options.log,
         });
         this.#member.start();
@@ -214,7 +220,7 @@
     async stop(): Promise<void> {
         this.#greetings?.unsubscribe();
         await this.#member?.stop();
-        this.#stopLeading();
+        this.#stopLeading("stopped");
         this.#network.close();
         await this.#server?.close();
     }
@@ -364,6 +370,10 @@
     #lead(): Leadership {
         if (!this.isServing || this.#leadership === undefined) {
             const leader = this.#member?.leader;
+            if (this.#leadership !== undefined) {
+                this.#options.metrics?.lapsedCalls.inc();
+                this.#lapses.add();
+            }
             throw new MethodError("not the leader", NOT_LEADER_CODE, {
                 leader: leader === this.#self ? undefined : leader,
             });
@@ -391,8 +401,9 @@
         }
         this.#clock.start(this.#durable.at);
         this.#roster.startLeading(performance.now());
-        this.#options.log.info("lead gained", {
+        this.#options.log.notice("lead gained", {
             term: replica.term,
+            voters: replica.voters.length,
             jobs: this.#durable.jobs.size,
         });
         this.#leadership = new Leadership({
@@ -416,9 +427,10 @@
         this.#updateLanes();
     }
 
-    #stopLeading(): void {
+    #stopLeading(cause: ResignCause | "stopped"): void {
         if (this.#leadership !== undefined) {
-            this.#options.log.info("lead lost", { term: this.#member?.replica.term });
+            this.#options.log.notice("lead lost", { term: this.#member?.replica.term, cause });
+            this.#options.metrics?.leadsLost.inc({ cause });
         }
         this.#roster.stopLeading();
         this.#options.metrics?.leading.set(0);
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -19,6 +19,7 @@
 import {
     computeCallMs,
     Dispatcher,
+    type DecisionKind,
     type DispatchClock,
     type DispatchLimits,
     type Effect,
@@ -93,6 +94,11 @@
  * jobs were accepted 0.8 s after the lead was gained. Paced, the last worker is looked at after 0.4 s.
  */
 const TAKEOVER_PAUSE_MS = 25;
+const DECISION_LEVELS: Readonly<Record<DecisionKind, string>> = {
+    decision: "info",
+    milestone: "notice",
+    failure: "warn",
+};
 /** When to come back with a job that no worker on record can run: larger workers come rarely, in ms. */
 const INFEASIBLE_RETRY_MS = 60_000;
 
@@ -262,11 +268,16 @@
             });
             return { type: "invalid", findings };
         }
+        const { log, metrics } = this.#options;
+        const { version } = configuration;
+        const takenAt = performance.now();
         this.#dispatcher.setConfiguration(configuration);
-        const isInForce = () =>
-            (this.#options.durable.configuration?.version ?? -1) >= configuration.version;
+        const isInForce = () => (this.#options.durable.configuration?.version ?? -1) >= version;
         await this.#ensureDurable(isInForce);
         this.#schedulePlacing();
+        const tookMs = performance.now() - takenAt;
+        metrics?.configurationSeconds.observe(tookMs / 1_000);
+        log.notice("configuration acknowledged", { version, tookMs: Math.round(tookMs) });
         return { type: "acknowledged" };
     }
 
@@ -345,12 +356,12 @@
     }
 
     #recordDecision(
-        kind: "decision" | "failure",
+        kind: DecisionKind,
         event: string,
         fields: Readonly<Record<string, unknown>>,
     ): void {
         const { log, metrics } = this.#options;
-        log.log(kind === "failure" ? "warn" : "info", event, fields);
+        log.log(DECISION_LEVELS[kind], event, fields);
         if (metrics === undefined) {
             return;
         }
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -184,7 +184,7 @@
             return false;
         }
         this.#context.record({ type: "configurationSet", configuration });
-        this.#context.recordDecision("decision", "configuration set", {
+        this.#context.recordDecision("milestone", "configuration set", {
             version: configuration.version,
             before: current,
             queues: configuration.queues.length,
--- a/dispatch/types.ts
+++ b/dispatch/types.ts
@@ -226,9 +226,12 @@
     readonly effects: readonly Effect[];
 }
 
+/** A milestone changes what all later decisions rest on, such as the configuration. */
+export type DecisionKind = "decision" | "milestone" | "failure";
+
 /** Takes one decision with what decided it; `failure` when something went wrong. */
 export type RecordDecision = (
-    kind: "decision" | "failure",
+    kind: DecisionKind,
     event: string,
     fields: Readonly<Record<string, unknown>>,
 ) => void;
--- a/group/group_member.ts
+++ b/group/group_member.ts
@@ -48,6 +48,8 @@
 }
 
 const MAINTENANCE_MS = 500;
+/** A member whose election is not won for this long says so, and again as often, in ms: some elections. */
+const ELECTION_LOG_MS = 2_000;
 /** A learner that has not answered for this long is no longer sent the log. */
 const LEARNER_SILENCE_MS = 10_000;
 
@@ -58,6 +60,7 @@
     readonly #member: MemberId;
     #maintenance: Subscription | undefined;
     #askNext = 0;
+    #campaigningSince: number | undefined;
     /** The last time a leader sent something, in ms on the monotonic clock. */
     #heardAt = Number.NEGATIVE_INFINITY;
 
@@ -178,6 +181,22 @@
         } else if (this.#replica.role === "learner") {
             void this.#sendSubscribe();
         }
+        this.#reportElection(performance.now());
+    }
+
+    /** Tells which voters an election lacks: a group that has lost its quorum shows nothing else. */
+    #reportElection(now: number): void {
+        const { campaign, term } = this.#replica;
+        if (campaign === undefined) {
+            this.#campaigningSince = undefined;
+            return;
+        }
+        this.#campaigningSince ??= now;
+        if (now - this.#campaigningSince >= ELECTION_LOG_MS) {
+            this.#campaigningSince = now;
+            const { group } = this.#options;
+            this.#options.log.warn("election not won", { group: group.id, term, ...campaign });
+        }
     }
 
     /**
@@ -193,8 +212,9 @@
             .find((l) => l.isCaughtUp && wanted.includes(parseEntryId(l.member)));
         if (joining !== undefined) {
             if (this.#replica.proposeVoters([...voters, joining.member])) {
-                this.#options.log.info("voter added", {
+                this.#options.log.notice("voter added", {
                     group: this.#options.group.id,
+                    voters: this.#replica.voters.length,
                     member: joining.member,
                 });
             }
@@ -204,8 +224,9 @@
         if (leaving !== undefined) {
             const rest = voters.filter((v) => v !== leaving);
             if (this.#replica.proposeVoters(rest)) {
-                this.#options.log.info("voter removed", {
+                this.#options.log.notice("voter removed", {
                     group: this.#options.group.id,
+                    voters: this.#replica.voters.length,
                     member: leaving,
                 });
             }
--- a/log/consensus.ts
+++ b/log/consensus.ts
@@ -45,6 +45,20 @@
 /** Entries kept in memory behind a snapshot, so a member slightly behind needs no snapshot. */
 const KEPT_BEHIND_SNAPSHOT = 512;
 
+/**
+ * Why a member led no more: a higher term came up, no quorum answered, it asked another to lead, or it votes no
+ * more.
+ */
+export type ResignCause = "higher_term" | "lose_quorum" | "transfer" | "dismiss";
+
+/** What a member that would lead knows of its election. */
+export interface Campaign {
+    readonly voters: number;
+    /** Voters that granted their (pre-)vote, this one included. */
+    readonly granted: number;
+    readonly lastIndex: number;
+}
+
 /** A member's role in its group. */
 export type Role = "learner" | "follower" | "pre_candidate" | "candidate" | "leader";
 
@@ -134,6 +148,7 @@
     #termStartIndex = 0;
     /** When it asked another member to lead: its lease is over, whatever the clock says. */
     #transferAt: number | undefined;
+    #resignCause: ResignCause = "higher_term";
     /** Answers to what was sent before this time do not count for the lease. */
     #trustedFrom = Number.NEGATIVE_INFINITY;
     /** The snapshot to send to members that are far behind; kept by the caller. */
@@ -178,6 +193,20 @@
         return this.#term;
     }
 
+    /** Why this member's last lead ended. */
+    get resignCause(): ResignCause {
+        return this.#resignCause;
+    }
+
+    /** The election that this member asks for, or `undefined` when it asks for none. */
+    get campaign(): Campaign | undefined {
+        if (this.#role !== "pre_candidate" && this.#role !== "candidate") {
+            return undefined;
+        }
+        const granted = this.#voters.filter((voter) => this.#votes.has(voter)).length;
+        return { voters: this.#voters.length, granted, lastIndex: this.lastIndex };
+    }
+
     /** The leader of the term, as far as known. */
     get leader(): MemberId | undefined {
         return this.#leader;
@@ -497,7 +526,7 @@
             unheardFor > this.#timings.electionMs &&
             now - this.#ledSince > this.#timings.electionMs;
         if (isOverdue || hasLostQuorum) {
-            this.#resign("lose_quorum");
+            this.#resign(isOverdue ? "transfer" : "lose_quorum");
             return;
         }
         for (const [member, progress] of this.#progress) {
@@ -669,7 +698,7 @@
             return;
         }
         if (message.term > this.#term) {
-            this.#resign("follow");
+            this.#resign("higher_term");
             this.#setTerm(message.term, undefined);
         }
         const granted =
@@ -690,7 +719,7 @@
     #handleVoteResponse(from: MemberId, message: VoteResponse): void {
         if (!message.granted) {
             if (message.term > this.#term) {
-                this.#resign("follow");
+                this.#resign("higher_term");
                 this.#setTerm(message.term, undefined);
             }
             return;
@@ -769,6 +798,7 @@
             this.#setTerm(term, undefined);
         }
         if (this.#role !== "follower" && this.#role !== "learner") {
+            this.#resignCause = "higher_term";
             this.#applyRoleEvent("follow");
         }
         this.#leader = from;
@@ -790,7 +820,7 @@
 
     #handleAppendResponse(from: MemberId, message: AppendResponse): void {
         if (message.term > this.#term) {
-            this.#resign("follow");
+            this.#resign("higher_term");
             this.#setTerm(message.term, undefined);
             return;
         }
@@ -848,9 +878,12 @@
         return contacts[computeQuorum(contacts.length) - 1] ?? Number.NEGATIVE_INFINITY;
     }
 
-    #resign(event: "follow" | "lose_quorum" | "dismiss"): void {
+    #resign(cause: ResignCause): void {
+        if (this.#role === "leader") {
+            this.#resignCause = cause;
+        }
         if (this.#role !== "learner") {
-            this.#applyRoleEvent(event);
+            this.#applyRoleEvent(RESIGN_EVENTS[cause]);
         }
         this.#leader = undefined;
         this.#progress.clear();
@@ -937,6 +970,14 @@
  */
 const PRE_VOTE_RETRY_SHARE = 0.3;
 
+/** The role chart's event for each cause. */
+const RESIGN_EVENTS: Readonly<Record<ResignCause, string>> = {
+    higher_term: "follow",
+    lose_quorum: "lose_quorum",
+    transfer: "lose_quorum",
+    dismiss: "dismiss",
+};
+
 /** A leader trusts its lease for this share of the election timeout: clocks may run unevenly. */
 const LEASE_SHARE = 0.8;
 
--- a/log/replica.ts
+++ b/log/replica.ts
@@ -19,8 +19,10 @@
 import {
     Consensus,
     DEFAULT_TIMINGS,
+    type Campaign,
     type ConsensusTimings,
     type Ready,
+    type ResignCause,
     type Role,
 } from "./consensus.ts";
 import type { GroupMessage, LogEntry, MemberId, Outgoing, Snapshot, Storage } from "./types.ts";
@@ -61,8 +63,8 @@
     readonly onApplied?: () => void;
     /** This member leads, and everything of earlier terms is applied. */
     readonly onLead?: () => void;
-    /** This member leads no more. */
-    readonly onResign?: () => void;
+    /** This member leads no more, and why. */
+    readonly onResign?: (cause: ResignCause) => void;
     /** A write to the storage took this long, in ms. */
     readonly onPersisted?: (tookMs: number) => void;
     /** Writing to the storage failed; it is tried again. */
@@ -236,6 +238,11 @@
         return this.#consensus.voters;
     }
 
+    /** The election that this member asks for, or `undefined` when it asks for none. */
+    get campaign(): Campaign | undefined {
+        return this.#consensus.campaign;
+    }
+
     /** The last applied index. */
     get appliedIndex(): number {
         return this.#appliedIndex;
@@ -480,7 +487,7 @@
         if (this.#isLeadAnnounced && !leads) {
             this.#isLeadAnnounced = false;
             this.#refuseProposals();
-            this.#options.onResign?.();
+            this.#options.onResign?.(this.#consensus.resignCause);
         } else if (this.#consensus.role !== "leader" && this.#proposed.size > 0) {
             this.#refuseProposals();
         }
--- a/telemetry/control_metrics.ts
+++ b/telemetry/control_metrics.ts
@@ -25,7 +25,14 @@
     readonly commitSeconds: Histogram;
     readonly adviceSeconds: Histogram;
     readonly callSeconds: Histogram<"call" | "outcome">;
+    /** From an operator's configuration at the leader to its acknowledgement. */
+    readonly configurationSeconds: Histogram;
     readonly leading: Gauge;
+    readonly leadsLost: Counter<"cause">;
+    /** Calls that reached a leader whose lease had lapsed. */
+    readonly lapsedCalls: Counter;
+    /** Turns of the event loop that held everything else up. */
+    readonly loopHeldSeconds: Histogram;
     readonly loopDelaySeconds: Gauge;
     readonly cpuSeconds: Gauge;
     readonly residentBytes: Gauge;
@@ -86,6 +93,25 @@
             "call",
             "outcome",
         ]),
+        configurationSeconds: createHistogram(
+            "poplarhead_configuration_seconds",
+            "Time from a configuration's arrival at the leader to its acknowledgement.",
+        ),
+        leadsLost: new Counter({
+            name: "poplarhead_leads_lost_total",
+            help: "Leads of this instance that ended, by cause.",
+            labelNames: ["cause"],
+            registers,
+        }),
+        lapsedCalls: new Counter({
+            name: "poplarhead_lapsed_calls_total",
+            help: "Calls that reached this instance while it led without a lease.",
+            registers,
+        }),
+        loopHeldSeconds: createHistogram(
+            "poplarhead_event_loop_held_seconds",
+            "Turns of the event loop longer than a tenth of a second.",
+        ),
         leading: createGauge("poplarhead_control_leading", "1 while this instance leads."),
         loopDelaySeconds: createGauge(
             "poplarhead_event_loop_delay_seconds",
--- /dev/null
+++ b/telemetry/counted_log_test.ts
@@ -0,0 +1,19 @@
+import test from "ava";
+import { CountedLog, type CountedFields } from "./counted_log.ts";
+
+test("one line a second at most tells how many there were and of the last one", (t) => {
+    const lines: CountedFields[] = [];
+    const clock = { now: 0 };
+    const log = new CountedLog(
+        (fields) => lines.push(fields),
+        () => clock.now,
+    );
+    log.add({ worker: "w1" });
+    log.add({ worker: "w2" });
+    clock.now = 1_000;
+    log.add({ worker: "w3" });
+    t.deepEqual(lines, [
+        { worker: "w1", count: 1 },
+        { worker: "w3", count: 2 },
+    ]);
+});
--- a/telemetry/log_sink_test.ts
+++ b/telemetry/log_sink_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { LogSink } from "./log_sink.ts";
+import { createLogger } from "./logger.ts";
 
 interface StalledReader {
     readonly sink: LogSink;
@@ -68,3 +69,17 @@
     t.is(rated.dropped, 150);
     t.is(sink.dropped, 0);
 });
+
+test("what changes the group's state is written when a busy leader's other lines are given up", (t) => {
+    // On call one line is missing: the configuration's. The leader wrote hundreds of lines a second about tasks, and
+    // the line shared their bound. At the level of its own it is kept like the lines of failures.
+    const sink = new LogSink({
+        linesPerSecond: 0,
+        writeBytes: (_fd, bytes, done) => done(null, bytes.length),
+    });
+    const log = createLogger({ process: "c1", zone: "z", sink });
+    log.info("task ended");
+    log.notice("configuration set", { version: 19 });
+    t.is(sink.dropped, 1);
+    t.true(sink.waitingBytes > 0);
+});
--- a/telemetry/logger.ts
+++ b/telemetry/logger.ts
@@ -17,6 +17,13 @@
 import { createLogger as createWinston, format, transports, type Logger } from "winston";
 import type { LogSink } from "./log_sink.ts";
 
+/**
+ * The levels, most urgent first. `notice` is for what changes the group's state (leaders, voters, the
+ * configuration): some lines a minute that explain all others. Left at `info` they were given up with a busy
+ * leader's hundreds of lines a second, just when they were needed.
+ */
+const LEVELS = { error: 0, warn: 1, notice: 2, info: 3, debug: 4 };
+
 /** Options of {@link createLogger}. */
 export interface LoggerOptions {
     readonly process: string;
@@ -45,6 +52,7 @@
         return info;
     });
     return createWinston({
+        levels: LEVELS,
         level: options.level ?? "info",
         silent: options.silent ?? false,
         format: format.combine(stamp(), format.json()),
@@ -61,7 +69,7 @@
     });
 }
 
-/** Lines at a level above `info` tell of failures: they are kept when others are given up. */
+/** Lines at a level above `info` are kept when others are given up. */
 function createSinkStream(sink: LogSink): Writable {
     return new Writable({
         decodeStrings: false,
--- a/telemetry/mod.ts
+++ b/telemetry/mod.ts
@@ -14,6 +14,8 @@
 export * from "./timeline.ts";
 export * from "./audit.ts";
 export * from "./control_metrics.ts";
+export * from "./counted_log.ts";
+export * from "./loop_watch.ts";
 export * from "./log_sink.ts";
 export * from "./causes.ts";
 export * from "./explain.ts";
