A lost voter is replaced by one instance, not by up to three

Ruled out: that the first replacement was silent (it voted). Change: surplus goes first. Test: membership/voter_plan_test, red before (a, b, d, e), green after.

--- a/membership/voter_plan.ts
+++ b/membership/voter_plan.ts
@@ -31,7 +31,7 @@
  * @returns The instances that should vote.
  */
 export function planVoters(input: VoterPlanInput): EntryId[] {
-    const wanted = [...input.current];
+    const wanted = dropSurplus(input.current, input);
     const candidates = [...input.live.keys()].filter((id) => !wanted.includes(id)).sort();
     while (wanted.length < input.target && candidates.length > 0) {
         wanted.push(takeRarest(candidates, wanted, input.live));
@@ -42,12 +42,14 @@
             wanted[i] = takeRarest(candidates, rest, input.live);
         }
     }
-    return dropSurplus(wanted, input);
+    return wanted;
 }
 
 /**
  * Drops silent voters beyond the target. A replaced instance that stays a voter is a loss that
- * lasts: with four voters, one of them gone for good, the next loss leaves no quorum.
+ * lasts: with four voters, one of them gone for good, the next loss leaves no quorum. It goes before others are
+ * chosen: a voter whose replacement votes already would get a second and a third one until it is removed,
+ * and each of them is one more that has to agree (seven voters for five, seen on a large floor).
  */
 function dropSurplus(wanted: readonly EntryId[], input: VoterPlanInput): EntryId[] {
     const kept = [...wanted];
--- a/membership/voter_plan_test.ts
+++ b/membership/voter_plan_test.ts
@@ -39,3 +39,13 @@
     const live = buildLive(["a", "z1"], ["c", "z3"], ["d", "z2"]);
     t.deepEqual(planVoters({ current, live, target: 3 }), ["a", "c", "d"]);
 });
+
+test("a lost voter is replaced by one instance, not by one more each time it is looked at", (t) => {
+    // The operator sees seven instances having to agree where five should: the replacement votes already, the lost
+    // voter is not removed yet, and a plan made meanwhile found it silent again and took the next instance.
+    const live = buildLive(["a", "z1"], ["b", "z2"], ["d", "z3"], ["e", "z3"], ["f", "z4"]);
+    const planned = planVoters({ current: ABC, live, target: 3 });
+    t.deepEqual(planned, ["a", "b", "d"]);
+    const whileBothVote = [...ABC, "d"] as EntryId[];
+    t.deepEqual(planVoters({ current: whileBothVote, live, target: 3 }), ["a", "b", "d"]);
+});
