A change of the voters waits until a quorum of the new voters answers

Change: the protocol itself refuses a change after which fewer than a quorum of the new voters answer.

--- a/log/consensus.ts
+++ b/log/consensus.ts
@@ -340,7 +340,9 @@
     /**
      * Changes the voters by at most one member, if this member leads. Two changes at once could
      * give two quorums that share no member, so a change waits until the one before it, and an
-     * entry of this term, are committed.
+     * entry of this term, are committed. It also waits until a quorum of the new voters answers: a leader that
+     * removed voters that were there, while others were lost for good, left a group that could never decide
+     * again. With this check each change can be agreed on by those who answer, and so can the one after it.
      *
      * @param voters The voters from now on.
      * @returns The entry's index, or `undefined` when the change is not possible now.
@@ -352,7 +354,8 @@
             this.#role !== "leader" ||
             added.length + removed.length !== 1 ||
             this.#votersIndex > this.#commitIndex ||
-            this.#commitIndex < this.#termStartIndex
+            this.#commitIndex < this.#termStartIndex ||
+            !this.#hasQuorumOf(voters)
         ) {
             return undefined;
         }
@@ -867,6 +870,15 @@
         }
     }
 
+    /** Whether a quorum of the given voters, this member included if it is one, answered within an election timeout. */
+    #hasQuorumOf(voters: readonly MemberId[]): boolean {
+        const since = this.#now - this.#timings.electionMs;
+        const answering = voters.filter(
+            (v) => v === this.#self || (this.#progress.get(v)?.ackedSentAt ?? -Infinity) >= since,
+        );
+        return answering.length >= computeQuorum(voters.length);
+    }
+
     #computeQuorumContact(now: number): number {
         const contacts = this.#voters
             .map((v) =>
