A leader whose lease lapsed in a long turn asks a quorum instead of sending callers on

Cause: a leader that decides in one turn for longer than its lease (0.2 or 0.32 s) answered what it read next with 'not the leader', though nobody else could be elected yet; the caller searched for 0.9 s and came back to the same. Change: Replica.waitServing, one round to a quorum shared by all that wait, in place of a look at the lease; used by callers, operators, greetings, orders and looks of the control instances, and by the calls of the entry instances, where the same look stood.

--- a/control/busy_leader_test.ts
+++ b/control/busy_leader_test.ts
@@ -1,7 +1,8 @@
 import test from "ava";
+import { buildSpec } from "../dispatch/_fixtures.ts";
 import { RpcClientPool } from "../rpc/mod.ts";
 import { buildConfiguration, ClusterFixture, waitUntil } from "./_fixtures.ts";
-import { METHODS } from "./calls.ts";
+import { METHODS, type CallerCall } from "./calls.ts";
 
 // The incident: on a floor of 246 workers under a burst an operator sent a valid configuration again and again for five
 // calm seconds, to one control instance after the other, and got no acknowledgement; callers were served as badly. There was
@@ -12,6 +13,10 @@
 
 /** Longer than the lease of the timings of large deployments (0.32 s), shorter than an election there (0.4 s). */
 const LONG_TURN_MS = 350;
+const JOBS = 6;
+const HOST = "studio.example";
+/** Lines are gathered for 50 ms before they are written. */
+const LOG_WRITTEN_MS = 200;
 
 async function startCluster(): Promise<ClusterFixture> {
     const cluster = await ClusterFixture.start({ members: 3, workers: 1, tolerated: 2 });
@@ -61,3 +66,29 @@
     runLongTurn(LONG_TURN_MS);
     t.deepEqual(await answer, { type: "acknowledged" });
 });
+
+test.serial(
+    "orders that a leader decides in a long turn are sent, and blame no worker",
+    async (t) => {
+        // Callers wait seconds for workers that are sound. The leader's lease had lapsed in a long turn, the orders of that turn
+        // were not sent, and counted as unanswered by their workers: these got nothing more until they were looked at.
+        const cluster = await startCluster();
+        t.teardown(() => cluster.stop());
+        const leader = await cluster.waitLeader();
+        const client = new RpcClientPool({ timeoutMs: 5_000 }).getClient(leader);
+        await waitUntil(() => cluster.front.isReady);
+        for (let i = 0; i < JOBS; i++) {
+            // A quorum has just answered: the lease lapses in the turn, and no election falls due.
+            await client.call(METHODS.readConfiguration, {});
+            const path = `/previews/${String(i).padStart(16, "0")}`;
+            const spec = buildSpec({ count: 2 });
+            const call: CallerCall = { type: "submit", host: HOST, path, spec, problem: "" };
+            const answer = client.call(METHODS.callers, call);
+            runLongTurn(LONG_TURN_MS);
+            t.deepEqual(await answer, { type: "accepted" });
+        }
+        await waitUntil(() => cluster.runs.length === 2 * JOBS);
+        await new Promise((resolve) => setTimeout(resolve, LOG_WRITTEN_MS));
+        t.notRegex(cluster.logLines.join(""), /"cause":"not serving"/);
+    },
+);
--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -14,7 +14,7 @@
 
 import { interval, type Subscription } from "rxjs";
 import type { Logger } from "winston";
-import { findQueue, type Configuration } from "../configuration/mod.ts";
+import { checkConfiguration, findQueue, type Configuration } from "../configuration/mod.ts";
 import { isSameRecord, type DispatchLimits, type LaneId } from "../dispatch/mod.ts";
 import { CellClock, GroupMember, PeerNetwork, type PeerEnvelope } from "../group/mod.ts";
 import { Ledger, type FactBatch, type JobId, type WorkerId } from "../job/mod.ts";
@@ -130,7 +130,7 @@
     #server: RpcServer | undefined;
     #greetings: Subscription | undefined;
     #leaderPublicAddress: string | undefined;
-    /** Calls that came while this leader's lease had lapsed. */
+    /** Calls and orders that came while this leader's lease had lapsed. */
     readonly #lapses = new CountedLog((fields) =>
         this.#options.log.warn("lease lapsed for calls", fields),
     );
@@ -182,15 +182,17 @@
                 "peer.group": (params) => this.#handlePeer(params as PeerEnvelope),
                 "peer.subscribe": (params) =>
                     this.#member?.addLearner((params as { member: MemberId }).member) ?? {},
-                [METHODS.callers]: (params) => this.#lead().handleCaller(params as CallerCall),
-                [METHODS.heartbeat]: (params) =>
-                    this.#lead().handleHeartbeat(params as HeartbeatCall),
-                [METHODS.signs]: (params) => this.#lead().handleSigns((params as SignsCall).signs),
+                [METHODS.callers]: async (params) =>
+                    (await this.#lead()).handleCaller(params as CallerCall),
+                [METHODS.heartbeat]: async (params) =>
+                    (await this.#lead()).handleHeartbeat(params as HeartbeatCall),
+                [METHODS.signs]: async (params) =>
+                    (await this.#lead()).handleSigns((params as SignsCall).signs),
                 [METHODS.readState]: (params) => this.#readState(params as CallerCall),
-                [METHODS.leave]: (params) =>
-                    this.#lead().handleLeave((params as { worker: WorkerId }).worker),
-                [METHODS.configure]: (params) =>
-                    this.#lead().handleConfigure(params as Configuration),
+                [METHODS.leave]: async (params) =>
+                    (await this.#lead()).handleLeave((params as { worker: WorkerId }).worker),
+                [METHODS.configure]: async (params) =>
+                    (await this.#lead()).handleConfigure(params as Configuration),
                 [METHODS.readConfiguration]: () => this.#readLocal(),
                 [METHODS.hello]: (params) => this.#handleHello(params as HelloCall),
             },
@@ -361,29 +363,39 @@
         params: object,
         run: (leadership: Leadership) => Promise<T>,
     ): Promise<T> {
-        if (this.isServing && this.#leadership !== undefined) {
+        const isServing = await this.#waitServing();
+        if (isServing && this.#leadership !== undefined) {
             return run(this.#leadership);
         }
         return this.#router.call<T>(method, params, FORWARD_BUDGET_MS);
     }
 
     async #readLocal(): Promise<{ document: unknown }> {
-        return { document: await this.#lead().readConfiguration() };
+        const leadership = await this.#lead();
+        return { document: await leadership.readConfiguration() };
     }
 
     /** Gives the leadership of this instance, or tells the caller who leads. */
-    #lead(): Leadership {
-        if (!this.isServing || this.#leadership === undefined) {
-            const leader = this.#member?.leader;
-            if (this.#leadership !== undefined) {
-                this.#options.metrics?.lapsedCalls.inc();
-                this.#lapses.add();
-            }
-            throw new MethodError("not the leader", NOT_LEADER_CODE, {
-                leader: leader === this.#self ? undefined : leader,
-            });
+    async #lead(): Promise<Leadership> {
+        const isServing = await this.#waitServing();
+        if (isServing && this.#leadership !== undefined) {
+            return this.#leadership;
+        }
+        const leader = this.#member?.leader;
+        throw new MethodError("not the leader", NOT_LEADER_CODE, {
+            leader: leader === this.#self ? undefined : leader,
+        });
+    }
+
+    /** As {@link GroupMember.waitServing}, with a look at the clocks before. */
+    async #waitServing(): Promise<boolean> {
+        if (this.isServing || this.#leadership === undefined) {
+            return this.isServing;
         }
-        return this.#leadership;
+        this.#options.metrics?.lapsedCalls.inc();
+        this.#lapses.add();
+        await this.#member?.waitServing();
+        return this.isServing;
     }
 
     /** Tells a caller whether to ask another instance, and whether its call may have happened. */
@@ -415,7 +427,7 @@
             durable: this.#durable,
             states: this.#states,
             propose: (batch) => replica.propose(batch).catch((error) => this.#refuseCall(error)),
-            isServing: () => this.isServing,
+            waitServing: () => this.#waitServing(),
             term: replica.term,
             clock: {
                 getNow: () => performance.now(),
@@ -449,8 +461,8 @@
             .call<AdviseAnswer>(METHODS.advise, call, call.timeoutMs + PEER_TIMEOUT_MS);
     }
 
-    #handleHello(call: HelloCall): HelloAnswer {
-        this.#lead();
+    async #handleHello(call: HelloCall): Promise<HelloAnswer> {
+        await this.#lead();
         if (this.#members.add(call, performance.now()) && call.kind === "front") {
             this.#updateLanes();
         }
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -15,7 +15,7 @@
 
 import { interval, type Subscription } from "rxjs";
 import type { Logger } from "winston";
-import { checkConfiguration, findQueue, type Configuration } from "../configuration/mod.ts";
+import { findQueue, type Configuration } from "../configuration/mod.ts";
 import {
     computeCallMs,
     Dispatcher,
@@ -57,8 +57,8 @@
     readonly states: StateReader;
     /** Has a batch agreed on; rejects when this process leads no more. */
     readonly propose: (batch: FactBatch) => Promise<void>;
-    /** Whether no other process can lead now. */
-    readonly isServing: () => boolean;
+    /** Waits until no other process can lead; false when this one leads no more. */
+    readonly waitServing: () => Promise<boolean>;
     /** The term of this leadership: above every earlier one. */
     readonly term: number;
     readonly clock: DispatchClock;
@@ -129,7 +129,7 @@
             dispatcher: this.#dispatcher,
             calls: options.workerCalls,
             flush: () => this.#flush(),
-            isServing: options.isServing,
+            waitServing: options.waitServing,
         });
     }
 
@@ -457,7 +457,8 @@
         tries: number,
         send: (timeoutMs: number) => Promise<OrderAnswer>,
     ): Promise<OrderAnswer> {
-        if (!this.#options.isServing()) {
+        const isServing = await this.#options.waitServing();
+        if (!isServing) {
             return { type: "unanswered", cause: "not serving" };
         }
         const sentAt = performance.now();
--- a/control/worker_watch.ts
+++ b/control/worker_watch.ts
@@ -23,7 +23,7 @@
     /** Agrees on what a look told, before the worker may forget it. */
     readonly flush: () => Promise<void>;
     /** Whether this process still leads; a look of one that does not must not renew a lease. */
-    readonly isServing: () => boolean;
+    readonly waitServing: () => Promise<boolean>;
 }
 
 /**
@@ -102,9 +102,9 @@
     }
 
     async #sendLook(order: LookOrder): Promise<LookAnswer> {
-        const { dispatcher, calls, flush, isServing } = this.#options;
-        if (!isServing()) {
-            // Most often a short gap without a quorum: the look is prepared again after a pause.
+        const { dispatcher, calls, flush, waitServing } = this.#options;
+        const isServing = await waitServing();
+        if (!isServing) {
             return { type: "unanswered", cause: "not serving" };
         }
         const sentAt = performance.now();
--- a/entry/call_router.ts
+++ b/entry/call_router.ts
@@ -20,7 +20,8 @@
 
 /** What the router needs of a local group member. */
 export interface LocalMember {
-    readonly isServing: boolean;
+    /** Waits until nobody else can lead; false when this member leads no more. */
+    readonly waitServing: () => Promise<boolean>;
     readonly leader: EntryId | undefined;
 }
 
@@ -67,7 +68,8 @@
      * @throws {MethodError} The leader's error, or that none is within reach.
      */
     async route(group: GroupLayout, method: string, params: unknown): Promise<unknown> {
-        if (this.#options.getMember(group.id)?.isServing === true) {
+        const isServing = await this.#options.getMember(group.id)?.waitServing();
+        if (isServing === true) {
             return this.#options.runLocal(group.id, method, params);
         }
         const tried = new Set<EntryId>([this.#options.self]);
@@ -101,9 +103,10 @@
      * @returns The result.
      * @throws {MethodError} The method's error, or that this instance does not lead.
      */
-    runForwarded(call: ForwardedCall): Promise<unknown> {
+    async runForwarded(call: ForwardedCall): Promise<unknown> {
         const member = this.#options.getMember(call.group);
-        if (member?.isServing !== true) {
+        const isServing = await member?.waitServing();
+        if (isServing !== true) {
             throw createNoLeaderError(call.group, "not_accepted", member?.leader);
         }
         return this.#options.runLocal(call.group, call.method, call.params);
--- a/entry/worker_api.ts
+++ b/entry/worker_api.ts
@@ -121,7 +121,8 @@
 
     async #runAsLeader<T>(group: GroupLayout, run: (zone: ZoneGroup) => Promise<T>): Promise<T> {
         const zone = this.#options.getZone(group.id);
-        if (zone?.isServing !== true) {
+        const isServing = await zone?.member.waitServing();
+        if (zone === undefined || isServing !== true) {
             const leader = zone?.member.leader ?? this.#options.findLeader(group.id);
             throw createNotLeaderError(group.id, leader);
         }
--- a/group/group_member.ts
+++ b/group/group_member.ts
@@ -122,6 +122,11 @@
         return this.#replica.isServing;
     }
 
+    /** See {@link Replica.waitServing}. */
+    waitServing(): Promise<boolean> {
+        return this.#replica.waitServing();
+    }
+
     /** When a leader last sent something, in ms on the monotonic clock. */
     get heardLeaderAt(): number {
         return this.#heardAt;
--- a/log/consensus.ts
+++ b/log/consensus.ts
@@ -328,9 +328,11 @@
      * Appends commands as one entry, if this member leads.
      *
      * @param commands The state machine's commands.
+     * @param now The time in ms; a quorum's answers count for the lease from then on.
      * @returns The entry's index, or `undefined` when this member does not lead.
      */
-    propose(commands: readonly unknown[]): number | undefined {
+    propose(commands: readonly unknown[], now = this.#now): number | undefined {
+        this.#now = now;
         if (this.#role !== "leader") {
             return undefined;
         }
--- a/log/replica.ts
+++ b/log/replica.ts
@@ -16,6 +16,7 @@
  */
 
 import { interval, type Subscription } from "rxjs";
+import { Barriers } from "./_barriers.ts";
 import {
     Consensus,
     DEFAULT_TIMINGS,
@@ -140,6 +141,8 @@
     #snapshotIndex = 0;
     #pending: Proposal<C, R>[] = [];
     readonly #proposed = new Map<number, readonly Proposal<C, R>[]>();
+    readonly #barriers = new Barriers();
+    #confirming: Promise<void> | undefined;
     readonly #replyWaiters = new Map<MemberId, ((message: GroupMessage | undefined) => void)[]>();
     #batchTimer: NodeJS.Timeout | undefined;
     #running: Promise<void> | undefined;
@@ -253,6 +256,36 @@
         return this.#isLeadAnnounced && this.#consensus.hasLease(this.#getNow());
     }
 
+    /**
+     * Waits until it is sure that nobody else leads, if this member does. A lease lapses in each turn of the event
+     * loop that is longer, while no other member could be elected yet. Sent on, a call would find no other leader
+     * and come back to the same; an order not sent would count as unanswered, and its worker as silent. One
+     * round to a quorum (10 to 20 ms, shared by all that wait) tells which it is: it ends with a valid lease, or
+     * with the lead.
+     *
+     * @returns Whether this member leads and nobody else can.
+     */
+    async waitServing(): Promise<boolean> {
+        if (this.isServing || !this.#isLeadAnnounced) {
+            return this.isServing;
+        }
+        this.#confirming ??= this.#confirmLead().finally(() => {
+            this.#confirming = undefined;
+        });
+        await this.#confirming;
+        return this.isServing;
+    }
+
+    async #confirmLead(): Promise<void> {
+        const index = this.#consensus.propose([], this.#getNow());
+        if (index === undefined) {
+            return;
+        }
+        const passed = this.#barriers.add(index);
+        void this.#runReady();
+        await passed;
+    }
+
     /**
      * Proposes a command.
      *
@@ -360,7 +393,7 @@
         }
         const commands = proposals.map((p) => p.command);
         const extra = this.#options.completeBatch?.(commands) ?? [];
-        const index = this.#consensus.propose([...commands, ...extra]);
+        const index = this.#consensus.propose([...commands, ...extra], this.#getNow());
         if (index === undefined) {
             const error = new NotLeaderError(this.#consensus.leader);
             proposals.forEach((p) => p.reject(error));
@@ -459,6 +492,7 @@
             this.#appliedIndex = entry.index;
         }
         if (entries.length > 0) {
+            this.#barriers.release(this.#appliedIndex);
             this.#options.onApplied?.();
         }
     }
@@ -501,6 +535,7 @@
             proposals.forEach((p) => p.reject(new OutcomeUnknownError()));
         }
         this.#proposed.clear();
+        this.#barriers.release(Number.POSITIVE_INFINITY);
     }
 
     #buildSnapshot(): Snapshot {
