A configuration that is agreed on is acknowledged by any instance

Ruled out: waiting behind the orders of the same flush (every turn that decides orders takes them; read in the code), elections. Change: a configuration no newer than what the asked replica holds as agreed on is acknowledged there; a check of validity goes before. Figures: control/busy_leader_test, first test: red before, green after.

--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -275,13 +275,28 @@
     }
 
     /**
-     * Takes an operator's configuration.
+     * Takes an operator's configuration. One that is not newer than what this replica knows to be agreed on
+     * is acknowledged here: an operator whose first try came through sends it again, and with a leader that
+     * answers later than the operator waits, no try would ever be acknowledged. What is agreed on stays
+     * agreed on, so no leader has to be asked.
      *
      * @param configuration The configuration.
      * @returns Whether it was taken.
      * @throws {NoLeaderError} When no leader took it in time.
      */
-    handleConfigure(configuration: Configuration): Promise<ConfigureAnswer> {
+    async handleConfigure(configuration: Configuration): Promise<ConfigureAnswer> {
+        const { log } = this.#options;
+        const { version } = configuration;
+        const findings = checkConfiguration(configuration);
+        if (findings.length > 0) {
+            log.info("configuration refused", { version, findings });
+            return { type: "invalid", findings };
+        }
+        const agreed = this.configurationVersion ?? -1;
+        if (version <= agreed) {
+            log.notice("configuration acknowledged", { version, agreed });
+            return { type: "acknowledged" };
+        }
         return this.#runOrForward(METHODS.configure, configuration, (leadership) =>
             leadership.handleConfigure(configuration),
         );
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -5,7 +5,7 @@
  * @example
  * ```ts
  * import { Leadership } from "./leadership.ts";
- * const leadership = new Leadership({ durable, propose, isServing, term, workerCalls, advise, log });
+ * const leadership = new Leadership({ durable, propose, waitServing, term, workerCalls, advise, log });
  * leadership.start();
  * const answer = await leadership.handleCaller(call);
  * ```
@@ -256,18 +256,10 @@
     /**
      * Takes an operator's configuration.
      *
-     * @param configuration The configuration.
-     * @returns Whether it is valid; a valid one is in force or overtaken once this resolves.
+     * @param configuration The configuration, found valid by the instance that the operator called.
+     * @returns Once it is in force or overtaken.
      */
     async handleConfigure(configuration: Configuration): Promise<ConfigureAnswer> {
-        const findings = checkConfiguration(configuration);
-        if (findings.length > 0) {
-            this.#options.log.info("configuration refused", {
-                version: configuration.version,
-                findings,
-            });
-            return { type: "invalid", findings };
-        }
         const { log, metrics } = this.#options;
         const { version } = configuration;
         const takenAt = performance.now();
