--- a/log/consensus.ts
+++ b/log/consensus.ts
@@ -876,7 +876,9 @@
     #hasQuorumOf(voters: readonly MemberId[]): boolean {
         const since = this.#now - this.#timings.electionMs;
         const answering = voters.filter(
-            (v) => v === this.#self || (this.#progress.get(v)?.ackedSentAt ?? -Infinity) >= since,
+            (v) =>
+                v === this.#self ||
+                (this.#progress.get(v)?.ackedSentAt ?? Number.NEGATIVE_INFINITY) >= since,
         );
         return answering.length >= computeQuorum(voters.length);
     }
