--- a/log/consensus.ts
+++ b/log/consensus.ts
@@ -16,6 +16,7 @@
  */
 
 import { applyChartEvent, loadChart } from "../chart/mod.ts";
+import { computeQuorum, Followers } from "./_followers.ts";
 import { EntryLog } from "./entry_log.ts";
 import type {
     AppendRequest,
@@ -105,21 +106,6 @@
     readonly sendAfter: readonly Outgoing[];
 }
 
-/** What the leader knows of one other member. */
-interface Progress {
-    nextIndex: number;
-    matchIndex: number;
-    /** When the newest message that this member answered was sent. */
-    ackedSentAt: number;
-    /** The index sent up to and not yet answered; avoids resending the same entries. */
-    inFlightUntil: number;
-    lastSentAt: number;
-    /** The commit index it was told last. */
-    toldCommit: number;
-    /** When a snapshot left that was not answered yet; 0 when none is on its way. */
-    snapshotSentAt: number;
-}
-
 /** One member's side of the agreement. */
 export class Consensus {
     readonly #self: MemberId;
@@ -144,7 +130,7 @@
     #heardLeaderAt = Number.NEGATIVE_INFINITY;
     #votes = new Set<MemberId>();
     #ledSince = 0;
-    readonly #progress = new Map<MemberId, Progress>();
+    readonly #followers: Followers;
     #termStartIndex = 0;
     /** When it asked another member to lead: its lease is over, whatever the clock says. */
     #transferAt: number | undefined;
@@ -159,6 +145,7 @@
      */
     constructor(options: ConsensusOptions) {
         this.#self = options.self;
+        this.#followers = new Followers(options.self);
         this.#timings = options.timings ?? DEFAULT_TIMINGS;
         this.#random = options.random;
         this.#now = options.now;
@@ -260,7 +247,8 @@
             this.#role === "leader" &&
             this.#transferAt === undefined &&
             this.#commitIndex >= this.#termStartIndex &&
-            now - this.#computeQuorumContact(now) < this.#timings.electionMs * LEASE_SHARE
+            now - this.#followers.computeQuorumContact(this.#voters, now) <
+                this.#timings.electionMs * LEASE_SHARE
         );
     }
 
@@ -273,9 +261,7 @@
      */
     distrustClock(now: number): void {
         this.#trustedFrom = now;
-        for (const progress of this.#progress.values()) {
-            progress.ackedSentAt = Number.NEGATIVE_INFINITY;
-        }
+        this.#followers.distrustAnswers();
         this.#ledSince = now;
     }
 
@@ -372,7 +358,7 @@
      */
     resignTo(): void {
         const target = this.#voters
-            .filter((v) => v !== this.#self && this.#progress.has(v))
+            .filter((v) => v !== this.#self && this.#followers.find(v) !== undefined)
             .sort((a, b) => (this.getMatchIndex(b) ?? 0) - (this.getMatchIndex(a) ?? 0))[0];
         if (this.#role !== "leader" || target === undefined) {
             return;
@@ -393,8 +379,7 @@
      * @param member The learner.
      */
     addLearner(member: MemberId): void {
-        if (this.#role === "leader" && member !== this.#self && !this.#progress.has(member)) {
-            this.#progress.set(member, this.#createProgress());
+        if (this.#role === "leader" && this.#followers.add(member, this.lastIndex + 1)) {
             this.#sendAppend(member);
         }
     }
@@ -406,7 +391,7 @@
      */
     removeLearner(member: MemberId): void {
         if (!this.#voters.includes(member)) {
-            this.#progress.delete(member);
+            this.#followers.remove(member);
         }
     }
 
@@ -417,7 +402,7 @@
      * @returns The index, or `undefined` when unknown (not leading, no such member).
      */
     getMatchIndex(member: MemberId): number | undefined {
-        return member === this.#self ? this.lastIndex : this.#progress.get(member)?.matchIndex;
+        return member === this.#self ? this.lastIndex : this.#followers.find(member)?.matchIndex;
     }
 
     /**
@@ -426,14 +411,14 @@
      * @returns Each learner and when it last answered.
      */
     listLearners(): { readonly member: MemberId; readonly ackedAt: number }[] {
-        return [...this.#progress]
+        return [...this.#followers.entries]
             .filter(([member]) => !this.#voters.includes(member))
             .map(([member, p]) => ({ member, ackedAt: p.ackedSentAt }));
     }
 
     /** Forgets outgoing messages that could not be delivered to a member, so they are resent. */
     handleUndelivered(member: MemberId): void {
-        const progress = this.#progress.get(member);
+        const progress = this.#followers.find(member);
         if (progress !== undefined) {
             progress.inFlightUntil = 0;
             progress.snapshotSentAt = 0;
@@ -523,7 +508,7 @@
     }
 
     #tickLeader(now: number): void {
-        const unheardFor = now - this.#computeQuorumContact(now);
+        const unheardFor = now - this.#followers.computeQuorumContact(this.#voters, now);
         // The request to lead may be lost or late. The lease cannot come back (the other may still
         // campaign on it), so this member follows, and somebody is elected the ordinary way.
         const isOverdue = now - (this.#transferAt ?? now) > this.#timings.electionMs;
@@ -534,7 +519,7 @@
             this.#resign(isOverdue ? "transfer" : "lose_quorum");
             return;
         }
-        for (const [member, progress] of this.#progress) {
+        for (const [member, progress] of this.#followers.entries) {
             const silentFor = now - progress.lastSentAt;
             const owesNotice = progress.toldCommit < this.#commitIndex;
             if (
@@ -597,29 +582,15 @@
         this.#leader = this.#self;
         this.#transferAt = undefined;
         this.#ledSince = this.#now;
-        this.#progress.clear();
+        this.#followers.clear();
         for (const voter of this.#voters) {
-            if (voter !== this.#self) {
-                this.#progress.set(voter, this.#createProgress());
-            }
+            this.#followers.add(voter, this.lastIndex + 1);
         }
         // An entry of an earlier term is committed only together with one of this term: counting
         // copies alone could commit an entry that a later leader still overwrites.
         this.#termStartIndex = this.#appendOwn({ type: "noop" });
     }
 
-    #createProgress(): Progress {
-        return {
-            nextIndex: this.lastIndex + 1,
-            matchIndex: 0,
-            ackedSentAt: Number.NEGATIVE_INFINITY,
-            inFlightUntil: 0,
-            lastSentAt: Number.NEGATIVE_INFINITY,
-            toldCommit: 0,
-            snapshotSentAt: 0,
-        };
-    }
-
     #appendOwn(
         body:
             | { type: "noop" }
@@ -629,7 +600,7 @@
         const entry: LogEntry = { index: this.lastIndex + 1, term: this.#term, ...body };
         this.#log.append(entry);
         this.#unpersisted.push(entry);
-        for (const [member, progress] of this.#progress) {
+        for (const [member, progress] of this.#followers.entries) {
             if (progress.inFlightUntil === 0) {
                 this.#sendAppend(member);
             }
@@ -638,7 +609,7 @@
     }
 
     #sendAppend(member: MemberId): void {
-        const progress = this.#progress.get(member);
+        const progress = this.#followers.find(member);
         if (progress === undefined) {
             return;
         }
@@ -829,7 +800,7 @@
             this.#setTerm(message.term, undefined);
             return;
         }
-        const progress = this.#progress.get(from);
+        const progress = this.#followers.find(from);
         if (this.#role !== "leader" || message.term !== this.#term || progress === undefined) {
             return;
         }
@@ -857,12 +828,7 @@
         if (this.#role !== "leader") {
             return;
         }
-        const matches = this.#voters
-            .map((v) =>
-                v === this.#self ? this.#persistedIndex : (this.#progress.get(v)?.matchIndex ?? 0),
-            )
-            .sort((a, b) => b - a);
-        const index = matches[computeQuorum(matches.length) - 1] ?? 0;
+        const index = this.#followers.computeQuorumIndex(this.#voters, this.#persistedIndex);
         if (index <= this.#commitIndex || this.#log.getTermAt(index) !== this.#term) {
             return;
         }
@@ -872,26 +838,10 @@
         }
     }
 
-    /** Whether a quorum of the given voters, this member included if it is one, answered within an election timeout. */
+    /** Whether a quorum of the given voters answered within an election timeout. */
     #hasQuorumOf(voters: readonly MemberId[]): boolean {
-        const since = this.#now - this.#timings.electionMs;
-        const answering = voters.filter(
-            (v) =>
-                v === this.#self ||
-                (this.#progress.get(v)?.ackedSentAt ?? Number.NEGATIVE_INFINITY) >= since,
-        );
-        return answering.length >= computeQuorum(voters.length);
-    }
-
-    #computeQuorumContact(now: number): number {
-        const contacts = this.#voters
-            .map((v) =>
-                v === this.#self
-                    ? now
-                    : (this.#progress.get(v)?.ackedSentAt ?? Number.NEGATIVE_INFINITY),
-            )
-            .sort((a, b) => b - a);
-        return contacts[computeQuorum(contacts.length) - 1] ?? Number.NEGATIVE_INFINITY;
+        const answeredAt = this.#followers.computeQuorumContact(voters, this.#now);
+        return this.#now - answeredAt <= this.#timings.electionMs;
     }
 
     #resign(cause: ResignCause): void {
@@ -902,7 +852,7 @@
             this.#applyRoleEvent(RESIGN_EVENTS[cause]);
         }
         this.#leader = undefined;
-        this.#progress.clear();
+        this.#followers.clear();
         this.#setElectionDeadline();
     }
 
@@ -958,8 +908,7 @@
         this.#votersIndex = index;
         if (this.#role === "leader") {
             for (const voter of this.#voters) {
-                if (voter !== this.#self && !this.#progress.has(voter)) {
-                    this.#progress.set(voter, this.#createProgress());
+                if (this.#followers.add(voter, this.lastIndex + 1)) {
                     this.#sendAppend(voter);
                 }
             }
@@ -996,13 +945,3 @@
 
 /** A leader trusts its lease for this share of the election timeout: clocks may run unevenly. */
 const LEASE_SHARE = 0.8;
-
-/**
- * Gives the size of a majority.
- *
- * @param voters How many voters there are.
- * @returns The smallest majority.
- */
-export function computeQuorum(voters: number): number {
-    return Math.floor(voters / 2) + 1;
-}
