--- /dev/null
+++ b/entry/call_router_test.ts
@@ -0,0 +1,39 @@
+import test from "ava";
+import type { PeerNetwork } from "../group/mod.ts";
+import type { GroupId } from "../log/mod.ts";
+import type { EntryId, Gossip, GroupLayout } from "../membership/mod.ts";
+import { CallRouter } from "./call_router.ts";
+
+const SELF = "entry-1" as EntryId;
+const GROUP = "hall-a" as GroupId;
+const LAYOUT: GroupLayout = { id: GROUP, zones: [], voters: [SELF], learners: [], quotaShare: 1 };
+
+/** A router on an instance that is the group's only voter; whoever it sends a call on to is not there. */
+function buildRouter(waitServing: () => Promise<boolean>): CallRouter {
+    return new CallRouter({
+        self: SELF,
+        network: { getClient: () => undefined } as unknown as PeerNetwork,
+        gossip: { findLeader: () => SELF, getStatus: () => "up" } as unknown as Gossip,
+        getMember: () => ({ waitServing, leader: SELF }),
+        runLocal: (_group, method) => Promise.resolve(`${method} done`),
+    });
+}
+
+test("a call that comes while the leader's lease has lapsed is served once it is back", async (t) => {
+    // The caller is told that no leader is within reach, by the leader. Its lease had lapsed in a long turn, the call was to be
+    // sent on, and the only instance to send it to was this one.
+    const router = buildRouter(async () => {
+        await new Promise((resolve) => setImmediate(resolve));
+        return true;
+    });
+    t.is(await router.route(LAYOUT, "submit", {}), "submit done");
+    const forwarded = { group: GROUP, method: "submit", params: {} };
+    t.is(await router.runForwarded(forwarded), "submit done");
+});
+
+test("an instance that leads no more says so", async (t) => {
+    const router = buildRouter(() => Promise.resolve(false));
+    await t.throwsAsync(router.route(LAYOUT, "submit", {}), { message: /leader/ });
+    const forwarded = { group: GROUP, method: "submit", params: {} };
+    await t.throwsAsync(router.runForwarded(forwarded), { message: /leader/ });
+});
