--- a/group/group_member.ts
+++ b/group/group_member.ts
@@ -215,14 +215,12 @@
         const joining = this.#replica
             .listLearners()
             .find((l) => l.isCaughtUp && wanted.includes(parseEntryId(l.member)));
-        if (joining !== undefined) {
-            if (this.#replica.proposeVoters([...voters, joining.member])) {
-                this.#options.log.notice("voter added", {
-                    group: this.#options.group.id,
-                    voters: this.#replica.voters.length,
-                    member: joining.member,
-                });
-            }
+        if (joining !== undefined && this.#replica.proposeVoters([...voters, joining.member])) {
+            this.#options.log.notice("voter added", {
+                group: this.#options.group.id,
+                voters: this.#replica.voters.length,
+                member: joining.member,
+            });
             return;
         }
         const leaving = voters.find((voter) => this.#isReplaced(voter, voters));
--- a/log/consensus.ts
+++ b/log/consensus.ts
@@ -180,6 +180,11 @@
         return this.#term;
     }
 
+    /** Whether this member asked another one to lead: its lease cannot come back. */
+    get isHandingOver(): boolean {
+        return this.#transferAt !== undefined;
+    }
+
     /** Why this member's last lead ended. */
     get resignCause(): ResignCause {
         return this.#resignCause;
--- a/log/replica.ts
+++ b/log/replica.ts
@@ -266,7 +266,9 @@
      * @returns Whether this member leads and nobody else can.
      */
     async waitServing(): Promise<boolean> {
-        if (this.isServing || !this.#isLeadAnnounced) {
+        const canComeBack =
+            this.#isLeadAnnounced && !this.#stopped && !this.#consensus.isHandingOver;
+        if (this.isServing || !canComeBack) {
             return this.isServing;
         }
         this.#confirming ??= this.#confirmLead().finally(() => {
