--- a/control/_fixtures.ts
+++ b/control/_fixtures.ts
@@ -19,10 +19,10 @@
 import type { Logger } from "winston";
 import { createLogger, LogSink } from "../telemetry/mod.ts";
 import type { Configuration } from "../configuration/mod.ts";
-import { buildQueue, POOL } from "../dispatch/_fixtures.ts";
+import { buildQueue, buildWorkerRecord, POOL } from "../dispatch/_fixtures.ts";
 import type { LookAnswer, LookOrder, OrderAnswer } from "../dispatch/mod.ts";
 import { FrontDaemon } from "../front/mod.ts";
-import { Ledger, type WorkerId, type WorkerRecord } from "../job/mod.ts";
+import { Ledger, type WorkerId } from "../job/mod.ts";
 import type { ConsensusTimings } from "../log/mod.ts";
 import { TaskWorker } from "../standin/task_worker.ts";
 import type { WorkerCalls } from "./calls.ts";
@@ -158,7 +158,7 @@
         this.#sequence += 1;
         const daemon = [...this.daemons.values()][0];
         for (const [id, worker] of this.workers) {
-            const record = buildWorkerRecord(id);
+            const record = buildWorkerRecord({ id, address: `worker:${id}` });
             // No leader yet, or none any more: the next heartbeat tries again.
             await daemon
                 ?.handleHeartbeat({
@@ -210,7 +210,7 @@
 } {
     const durable = new Ledger();
     const configuration = { ...buildConfiguration(1), queues: [buildQueue()] };
-    const worker = buildWorkerRecord("w1" as WorkerId);
+    const worker = buildWorkerRecord();
     durable.apply({
         at: 0,
         facts: [
@@ -254,20 +254,6 @@
     };
 }
 
-/** Builds what a usual worker tells of itself. */
-function buildWorkerRecord(id: WorkerId): WorkerRecord {
-    return {
-        id,
-        address: `worker:${id}`,
-        pool: POOL,
-        zone: "z",
-        capacity: { cpu: 16_000, memoryMb: 32_000, gpu: 0 },
-        labels: ["a", "r1"],
-        instance: "",
-        isDraining: false,
-    };
-}
-
 /** Builds a configuration with one urgent queue, with advice. */
 export function buildConfiguration(version: number): Configuration {
     return {
--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -563,3 +563,23 @@
         periodMs: 0,
     };
 }
+
+/**
+ * Builds what a usual worker tells of itself.
+ *
+ * @param overrides What differs from it.
+ * @returns The record.
+ */
+export function buildWorkerRecord(overrides: Partial<WorkerRecord> = {}): WorkerRecord {
+    return {
+        id: "w1" as WorkerId,
+        address: "10.0.0.1:80",
+        pool: POOL,
+        zone: "z",
+        capacity: { cpu: 16_000, memoryMb: 32_000, gpu: 0 },
+        labels: ["a", "r1"],
+        instance: "",
+        isDraining: false,
+        ...overrides,
+    };
+}
--- a/dispatch/admission_test.ts
+++ b/dispatch/admission_test.ts
@@ -1,23 +1,8 @@
 import test from "ava";
-import type { WorkerId, WorkerRecord } from "../job/mod.ts";
-import { buildSpec, FloorFixture, POOL } from "./_fixtures.ts";
+import { buildSpec, buildWorkerRecord, FloorFixture } from "./_fixtures.ts";
 import { checkFeasible } from "./admission.ts";
 
-function buildWorker(overrides: Partial<WorkerRecord> = {}): WorkerRecord {
-    return {
-        id: "w" as WorkerId,
-        address: "10.0.0.1:80",
-        pool: POOL,
-        zone: "hall-a",
-        capacity: { cpu: 16_000, memoryMb: 32_000, gpu: 0 },
-        labels: ["a", "r1"],
-        instance: "",
-        isDraining: false,
-        ...overrides,
-    };
-}
-
-const FLOOR = [buildWorker(), buildWorker()];
+const FLOOR = [buildWorkerRecord(), buildWorkerRecord()];
 
 test("a job that some empty worker could run is accepted", (t) => {
     const needs = { cpu: 16_000, memoryMb: 32_000, gpu: 0 };
--- a/dispatch/contradiction_test.ts
+++ b/dispatch/contradiction_test.ts
@@ -1,39 +1,24 @@
 import test from "ava";
 import fc from "fast-check";
 import type { PoolName } from "../configuration/mod.ts";
-import type { WorkerId, WorkerRecord } from "../job/mod.ts";
-import { buildSpec, FloorFixture, POOL } from "./_fixtures.ts";
+import type { WorkerRecord } from "../job/mod.ts";
+import { buildSpec, buildWorkerRecord, FloorFixture, POOL } from "./_fixtures.ts";
 import { isContradiction } from "./contradiction.ts";
 
-const ID = "w1" as WorkerId;
 const OTHER_POOL = "elsewhere" as PoolName;
 
-function buildRecord(change: Partial<WorkerRecord> = {}): WorkerRecord {
-    return {
-        id: ID,
-        address: "10.0.0.1:80",
-        pool: POOL,
-        zone: "z",
-        capacity: { cpu: 16_000, memoryMb: 32_000, gpu: 0 },
-        labels: ["a", "r1"],
-        instance: "",
-        isDraining: false,
-        ...change,
-    };
-}
-
 function buildKnown(
     change: Partial<WorkerRecord> = {},
     isSuspect = false,
 ): Parameters<typeof isContradiction>[0] {
-    return { record: buildRecord(change), heartbeat: 7, isSuspect, members: new Map() };
+    return { record: buildWorkerRecord(change), heartbeat: 7, isSuspect, members: new Map() };
 }
 
 const context = { sequence: 8, isPoolNamed: (pool: PoolName) => pool === POOL };
 
 test("a worker that drains, or changes its labels, contradicts nothing", (t) => {
-    t.false(isContradiction(buildKnown(), buildRecord({ isDraining: true }), context));
-    t.false(isContradiction(buildKnown(), buildRecord({ labels: ["b"] }), context));
+    t.false(isContradiction(buildKnown(), buildWorkerRecord({ isDraining: true }), context));
+    t.false(isContradiction(buildKnown(), buildWorkerRecord({ labels: ["b"] }), context));
 });
 
 test("another address, pool or room under a live worker's id is not taken over", (t) => {
@@ -42,15 +27,17 @@
         { pool: OTHER_POOL },
         { capacity: { cpu: 99_000, memoryMb: 32_000, gpu: 0 } },
     ]) {
-        t.true(isContradiction(buildKnown(), buildRecord(change), context));
+        t.true(isContradiction(buildKnown(), buildWorkerRecord(change), context));
     }
-    t.true(isContradiction(buildKnown(), buildRecord(), { ...context, sequence: 1e9 }));
+    t.true(isContradiction(buildKnown(), buildWorkerRecord(), { ...context, sequence: 1e9 }));
 });
 
 test("a false first record gives way to the worker's own", (t) => {
-    t.false(isContradiction(buildKnown({ pool: OTHER_POOL }), buildRecord(), context));
-    t.false(isContradiction(buildKnown({ address: "10.9.9.9:80" }, true), buildRecord(), context));
-    t.true(isContradiction(buildKnown({}, true), buildRecord({ pool: OTHER_POOL }), context));
+    t.false(isContradiction(buildKnown({ pool: OTHER_POOL }), buildWorkerRecord(), context));
+    t.false(
+        isContradiction(buildKnown({ address: "10.9.9.9:80" }, true), buildWorkerRecord(), context),
+    );
+    t.true(isContradiction(buildKnown({}, true), buildWorkerRecord({ pool: OTHER_POOL }), context));
 });
 
 test("heartbeats of another writer neither lose a sound worker nor draw work away", (t) => {
@@ -74,7 +61,7 @@
                 for (const { address, pool, cpu, sequence } of damaged) {
                     const capacity = { cpu, memoryMb: 32_000, gpu: 0 };
                     floor.dispatcher.handleHeartbeat({
-                        record: buildRecord({ address, pool, capacity }),
+                        record: buildWorkerRecord({ address, pool, capacity }),
                         sequence,
                         clockMs: undefined,
                         leavesInMs: undefined,
