Sight at size: a step's starts and ends in one line, whole requests sampled, logs stages

Change: starts and usual ends of a step are gathered into one line (0.4 s, or until the job ends) that the logs commands read as single events again; beyond the leader's limit (400 a second and one a worker) whole requests are left out by a hash of their id, failures never; advice received tells how long a call waited for a lane; logs stages tabulates accepted, asked, advised, placed, all placed, running, complete for each queue with p50, p95, p99.

--- a/cli/operator_commands.ts
+++ b/cli/operator_commands.ts
@@ -20,8 +20,10 @@
     explainRequest,
     formatCauses,
     formatEvent,
-    mergeTimeline,
+    formatStages,
     listCauseRows,
+    listStageRows,
+    mergeTimeline,
 } from "../telemetry/mod.ts";
 import { loadSettingsFiles } from "./files.ts";
 
@@ -247,10 +249,7 @@
 
     /** @returns The exit code. */
     async execute(): Promise<number> {
-        const spanMs = Number(this.span) * 1_000;
-        if (!(spanMs > 0)) {
-            throw new UsageError(`not a length of time: ${this.span}`);
-        }
+        const spanMs = parseSpan(this.span);
         const texts = this.files.map((file) => readFileSync(file, "utf8"));
         const rows = listCauseRows(mergeTimeline(texts), { spanMs });
         this.context.stdout.write(`${formatCauses(rows)}\n`);
@@ -258,6 +257,35 @@
     }
 }
 
+/** `poplarhead logs stages`. */
+export class LogsStagesCommand extends Command {
+    static override paths = [["logs", "stages"]];
+    static override usage = Command.Usage({
+        description: "Tabulate which stages the jobs of each queue waited in, from the JSON logs.",
+    });
+    span = Option.String("--span", {
+        description: "length of a span, in s; all in one by default",
+    });
+    files = Option.Rest({ required: 1 });
+
+    /** @returns The exit code. */
+    async execute(): Promise<number> {
+        const spanMs = this.span === undefined ? undefined : parseSpan(this.span);
+        const texts = this.files.map((file) => readFileSync(file, "utf8"));
+        const rows = listStageRows(mergeTimeline(texts), { spanMs });
+        this.context.stdout.write(`${formatStages(rows)}\n`);
+        return 0;
+    }
+}
+
+function parseSpan(text: string): number {
+    const spanMs = Number(text) * 1_000;
+    if (!(spanMs > 0)) {
+        throw new UsageError(`not a length of time: ${text}`);
+    }
+    return spanMs;
+}
+
 function parseTime(text: string | undefined, otherwise: number): number {
     if (text === undefined) {
         return otherwise;
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -36,6 +36,7 @@
     type WorkerId,
 } from "../job/mod.ts";
 import type { ControlMetrics } from "../telemetry/control_metrics.ts";
+import { DecisionLog } from "../telemetry/decision_log.ts";
 import type {
     AdviseAnswer,
     AdviseCall,
@@ -94,11 +95,9 @@
  * jobs were accepted 0.8 s after the lead was gained. Paced, the last worker is looked at after 0.4 s.
  */
 const TAKEOVER_PAUSE_MS = 25;
-const DECISION_LEVELS: Readonly<Record<DecisionKind, string>> = {
-    decision: "info",
-    milestone: "notice",
-    failure: "warn",
-};
+/** Lines a second that a leader's log takes, and as many more for each worker: a task there starts and ends. */
+const LINES_PER_SECOND = 400;
+const LINES_PER_SECOND_AND_WORKER = 1;
 /** When to come back with a job that no worker on record can run: larger workers come rarely, in ms. */
 const INFEASIBLE_RETRY_MS = 60_000;
 
@@ -107,6 +106,7 @@
     readonly #options: LeadershipOptions;
     readonly #dispatcher: Dispatcher;
     readonly #watch: WorkerWatch;
+    readonly #decisions: DecisionLog;
     #ticks: Subscription | undefined;
     #isScheduled = false;
     #placedAt = Number.NEGATIVE_INFINITY;
@@ -118,6 +118,11 @@
      */
     constructor(options: LeadershipOptions) {
         this.#options = options;
+        this.#decisions = new DecisionLog({
+            log: options.log,
+            computeLinesPerSecond: () =>
+                LINES_PER_SECOND + LINES_PER_SECOND_AND_WORKER * options.durable.workers.size,
+        });
         this.#dispatcher = new Dispatcher({
             ledger: options.durable.copy(),
             clock: options.clock,
@@ -159,6 +164,7 @@
         this.#isStopped = true;
         this.#ticks?.unsubscribe();
         this.#watch.stop();
+        this.#decisions.flush();
     }
 
     /**
@@ -352,8 +358,8 @@
         event: string,
         fields: Readonly<Record<string, unknown>>,
     ): void {
-        const { log, metrics } = this.#options;
-        log.log(DECISION_LEVELS[kind], event, fields);
+        const { metrics } = this.#options;
+        this.#decisions.record(kind, event, fields);
         if (metrics === undefined) {
             return;
         }
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -306,7 +306,7 @@
         ageMs: number,
     ): void {
         const now = this.#context.clock.getNow();
-        this.#context.desk.endCall(call.id, admissions !== undefined, now);
+        const times = this.#context.desk.endCall(call.id, admissions !== undefined, now);
         this.#context.isDirty = true;
         const step = this.#context.board.findStep(call.step);
         if (step === undefined || step.advice.callId !== call.id) {
@@ -331,6 +331,7 @@
             asked: call.workers.length,
             good: admissions.length,
             ageMs: Math.round(ageMs),
+            ...times,
         });
     }
 }
--- a/dispatch/advice_desk.ts
+++ b/dispatch/advice_desk.ts
@@ -47,15 +47,28 @@
     priority: number;
 }
 
-interface StartedCall {
+interface WaitingCall {
     readonly call: AdviceCall;
+    readonly addedAt: number;
+}
+
+interface StartedCall extends WaitingCall {
     readonly lane: Lane;
+    readonly startedAt: number;
+}
+
+/** What a call's time went to. */
+export interface CallTimes {
+    /** Time until a lane was free, in ms. */
+    readonly queuedMs: number;
+    /** Time from there to the answer, in ms. */
+    readonly tookMs: number;
 }
 
 /** Calls that wait and calls under way. */
 export class AdviceDesk {
     readonly #lanes = new Map<LaneId, Lane>();
-    readonly #waiting = new Map<StepKey, AdviceCall>();
+    readonly #waiting = new Map<StepKey, WaitingCall>();
     readonly #started = new Map<number, StartedCall>();
     readonly #loads = new Map<QueueName, QueueLoad>();
     #plan = new Map<QueueName, LaneId[]>();
@@ -89,7 +102,7 @@
      * @param now Our clock, in ms.
      */
     addCall(call: AdviceCall, priority: number, now: number): void {
-        this.#waiting.set(call.step, call);
+        this.#waiting.set(call.step, { call, addedAt: now });
         const load = this.#loads.get(call.queue) ?? { sumMs: 0, at: now, callMs: 0, priority };
         load.callMs = computeCallMs(call);
         load.sumMs = decayLoad(load, now) + load.callMs;
@@ -121,14 +134,14 @@
             return [];
         }
         this.#updatePlan(now);
-        const calls = [...this.#waiting.values()].sort((a, b) => a.rank - b.rank);
+        const waiting = [...this.#waiting.values()].sort((a, b) => a.call.rank - b.call.rank);
         const started: { lane: LaneId; call: AdviceCall }[] = [];
-        for (const call of calls) {
+        for (const { call, addedAt } of waiting) {
             const lane = this.#findLane(call, now);
             if (lane !== undefined) {
                 this.#waiting.delete(call.step);
                 lane.calls.add(call.id);
-                this.#started.set(call.id, { call, lane });
+                this.#started.set(call.id, { call, addedAt, lane, startedAt: now });
                 started.push({ lane: lane.id, call });
             }
         }
@@ -141,14 +154,22 @@
      * @param id The call.
      * @param hasAnswer Whether the service answered; otherwise the lane is left alone for a while.
      * @param now Our clock, in ms.
+     * @returns Where its time went; `undefined` when it was not under way.
      */
-    endCall(id: number, hasAnswer: boolean, now: number): void {
+    endCall(id: number, hasAnswer: boolean, now: number): CallTimes | undefined {
         const started = this.#started.get(id);
+        if (started === undefined) {
+            return undefined;
+        }
         this.#started.delete(id);
-        started?.lane.calls.delete(id);
-        if (started !== undefined && !hasAnswer) {
+        started.lane.calls.delete(id);
+        if (!hasAnswer) {
             started.lane.pausedUntil = now + FAILED_LANE_PAUSE_MS;
         }
+        return {
+            queuedMs: Math.round(started.startedAt - started.addedAt),
+            tookMs: Math.round(now - started.startedAt),
+        };
     }
 
     #findLane(call: AdviceCall, now: number): Lane | undefined {
--- a/telemetry/causes.ts
+++ b/telemetry/causes.ts
@@ -11,7 +11,7 @@
  * @module
  */
 
-import type { TimelineEvent } from "./timeline.ts";
+import { listByRequest, type TimelineEvent } from "./timeline.ts";
 
 /** Why a request took longer than its tasks did, or failed; the first that fits counts. */
 export type Cause =
@@ -114,18 +114,6 @@
     return ["   from  accepted delayed", ...lines].join("\n");
 }
 
-function listByRequest(events: readonly TimelineEvent[]): Map<string, TimelineEvent[]> {
-    const byRequest = new Map<string, TimelineEvent[]>();
-    for (const event of events) {
-        if (event.request !== undefined) {
-            const own = byRequest.get(event.request) ?? [];
-            own.push(event);
-            byRequest.set(event.request, own);
-        }
-    }
-    return byRequest;
-}
-
 /** @returns The cause, or `undefined` for a request that was cancelled, is under way, or was in time. */
 function findCause(
     own: readonly TimelineEvent[],
--- /dev/null
+++ b/telemetry/decision_log_test.ts
@@ -0,0 +1,147 @@
+import test from "ava";
+import { DecisionLog } from "./decision_log.ts";
+import { explainRequest } from "./explain.ts";
+import { mergeTimeline } from "./timeline.ts";
+
+interface Written {
+    readonly decisions: DecisionLog;
+    readonly clock: { now: number };
+    readonly lines: { level: string; message: string; fields: Record<string, unknown> }[];
+    /** The lines as a process writes them. */
+    readonly formatLines: () => string;
+}
+
+function buildLog(linesPerSecond = 1_000_000): Written {
+    const clock = { now: 0 };
+    const lines: Written["lines"] = [];
+    const stamps: number[] = [];
+    const decisions = new DecisionLog({
+        log: {
+            log: (level: string, message: string, fields: Record<string, unknown>) => {
+                lines.push({ level, message, fields });
+                stamps.push(clock.now);
+            },
+        } as never,
+        computeLinesPerSecond: () => linesPerSecond,
+        getNow: () => clock.now,
+    });
+    const formatLines = (): string =>
+        lines
+            .map(({ level, message, fields }, i) =>
+                JSON.stringify({
+                    t: stamps[i],
+                    process: "c",
+                    zone: "z",
+                    level,
+                    message,
+                    ...fields,
+                }),
+            )
+            .join("\n");
+    return { decisions, clock, lines, formatLines };
+}
+
+/** The decisions of a job of one step, from its acceptance to its end. */
+function runJob({ decisions, clock }: Written, request: string, tasks: number): void {
+    const step = `${request}.0.0`;
+    decisions.record("decision", "job accepted", { request, queue: "q", steps: 1 });
+    for (let unit = 0; unit < tasks; unit++) {
+        decisions.record("decision", "attempt placed", {
+            request,
+            step,
+            unit,
+            attempt: 1,
+            workers: [`w${unit}`],
+            waitedMs: 10,
+        });
+    }
+    clock.now += 50;
+    for (let unit = 0; unit < tasks; unit++) {
+        decisions.record("decision", "task ended", {
+            request,
+            task: `${step}.${unit}`,
+            attempt: 1,
+            worker: `w${unit}`,
+            how: "done",
+            tookMs: 40,
+        });
+    }
+    decisions.record("decision", "job complete", { request });
+}
+
+test("forty events of a step of twenty tasks are one line, and merge into forty events again", (t) => {
+    const log = buildLog();
+    runJob(log, "a", 20);
+    t.deepEqual(
+        log.lines.map(({ message }) => message),
+        ["job accepted", "job complete", "step progress"],
+    );
+    const { events } = explainRequest(mergeTimeline([log.formatLines()]), "a");
+    const count = (message: string): number => events.filter((e) => e.message === message).length;
+    t.is(count("attempt placed"), 20);
+    t.is(count("task ended"), 20);
+    t.is(events.find(({ message }) => message === "attempt placed")?.t, 0);
+    t.is(events.find(({ message }) => message === "task ended")?.t, 50);
+});
+
+test("a run that failed is told at once, and so is what a stopping leader has gathered", (t) => {
+    // On call one looks for failures first. The leader is stopped half way: what it decided by then is in
+    // its log, because a later leader can't tell it.
+    const { decisions, lines } = buildLog();
+    decisions.record("decision", "attempt placed", {
+        request: "a",
+        step: "a.0.0",
+        unit: 0,
+        attempt: 1,
+        workers: ["w0"],
+        waitedMs: 0,
+    });
+    decisions.record("failure", "task ended", { request: "a", task: "a.0.0.0", how: "failed" });
+    t.deepEqual(
+        lines.map(({ level, message }) => [level, message]),
+        [["warn", "task ended"]],
+    );
+    decisions.flush();
+    t.is(lines.at(-1)?.message, "step progress");
+});
+
+test("beyond the log's limit whole requests are left out; the others' stories have no gap", (t) => {
+    // A busy leader decides five times what its log takes. Line by line given up, nearly every request would
+    // miss some of its lines; here each request has all of its lines or none.
+    const log = buildLog(12);
+    const jobs = 5_000;
+    for (let i = 0; i < jobs; i++) {
+        log.clock.now = Math.max(log.clock.now, i * 2);
+        runJob(log, `job-${i}`, 3);
+    }
+    const events = mergeTimeline([log.formatLines()]);
+    const counts = new Map<string, number>();
+    for (const { request } of events) {
+        if (request !== undefined) {
+            counts.set(request, (counts.get(request) ?? 0) + 1);
+        }
+    }
+    const whole = 8;
+    t.deepEqual([...new Set(counts.values())], [whole]);
+    t.true(counts.size > 100 && counts.size < jobs / 2, `${counts.size} requests told`);
+    t.true(log.lines.some(({ message }) => message === "requests sampled"));
+});
+
+test("a request that was left out is told of once it meets a failure", (t) => {
+    const { decisions, lines, clock } = buildLog(1);
+    for (let i = 0; i < 50_000; i++) {
+        clock.now += 1;
+        decisions.record("decision", "job accepted", { request: `job-${i}` });
+    }
+    const before = lines.length;
+    const left = Array.from({ length: 100 }, (_none, i) => `late-${i}`);
+    left.forEach((request) => decisions.record("decision", "job accepted", { request }));
+    const told = new Set(lines.slice(before).map(({ fields }) => fields["request"]));
+    const request = left.find((id) => !told.has(id)) as string;
+    decisions.record("failure", "start refused", { request, reason: "ticket" });
+    decisions.record("decision", "job complete", { request });
+    t.deepEqual(
+        lines.filter(({ fields }) => fields["request"] === request).map(({ message }) => message),
+        ["start refused", "job complete"],
+    );
+});
--- a/telemetry/log_sink.ts
+++ b/telemetry/log_sink.ts
@@ -35,11 +35,11 @@
     readonly getNow?: () => number;
 }
 
-/** 16 s of a busy leader's lines (300 a second of 205 bytes, measured under outages and bursts). */
+/** Some seconds of a busy leader's lines, while the reader stalls. */
 const DEFAULT_MAX_WAITING_BYTES = 1_000_000;
 const DEFAULT_RESERVED_BYTES = 250_000;
-/** Twice a busy leader's mean, its busiest second; 0.12 MB/s at the most. */
-const DEFAULT_LINES_PER_SECOND = 600;
+/** A last resort above what a leader's own sampling lets through; 0.4 MB/s at the most. */
+const DEFAULT_LINES_PER_SECOND = 2_000;
 /** Lines that may come at once after a quiet time, in seconds of the long-run rate. */
 const BURST_SECONDS = 4;
 /** Lines are gathered for this long, in ms: one write for many lines. */
--- a/telemetry/mod.ts
+++ b/telemetry/mod.ts
@@ -19,3 +19,6 @@
 export * from "./log_sink.ts";
 export * from "./causes.ts";
 export * from "./explain.ts";
+export * from "./decision_log.ts";
+export * from "./request_sampler.ts";
+export * from "./stages.ts";
--- /dev/null
+++ b/telemetry/request_sampler.ts
@@ -0,0 +1,134 @@
+/**
+ * Which requests are told of in the log when there are more lines than the log takes. Lines given up one
+ * by one leave a gap in nearly every request's story, so that none can be explained; whole requests are
+ * left out instead, and the others stay complete. One that meets a failure is told of from then on.
+ *
+ * @example
+ * ```ts
+ * import { RequestSampler } from "./request_sampler.ts";
+ * const sampler = new RequestSampler({ computeLinesPerSecond: () => 600 });
+ * sampler.open("5c0e7a21d94b36f8");
+ * if (sampler.isTold("5c0e7a21d94b36f8")) {
+ *     sampler.recordLine();
+ * }
+ * ```
+ *
+ * @module
+ */
+
+/** Options of {@link RequestSampler}. */
+export interface RequestSamplerOptions {
+    /** Lines a second that the log takes; asked once a second, so it may follow the size of the floor. */
+    readonly computeLinesPerSecond: () => number;
+    /** Told when another share of the requests is logged from now on. */
+    readonly onChange?: (share: number) => void;
+    readonly getNow?: () => number;
+}
+
+/** Time over which lines are counted, in ms. */
+const WINDOW_MS = 1_000;
+/** The share is doubled again only when twice the lines of the last window would still fit with room to spare. */
+const RAISE_BELOW = 0.4;
+/** One request of a thousand is told of at the least. */
+const MAX_HALVINGS = 10;
+
+/** Chooses requests. */
+export class RequestSampler {
+    readonly #options: RequestSamplerOptions;
+    readonly #getNow: () => number;
+    /** Requests under way whose lot is cast. */
+    readonly #told = new Map<string, boolean>();
+    #halvings = 0;
+    #lines = 0;
+    #windowAt: number;
+
+    /**
+     * @param options The limit; see {@link RequestSamplerOptions}.
+     */
+    constructor(options: RequestSamplerOptions) {
+        this.#options = options;
+        this.#getNow = options.getNow ?? (() => performance.now());
+        this.#windowAt = this.#getNow();
+    }
+
+    /** The share of new requests that is told of, from 0 to 1. */
+    get share(): number {
+        return 1 / 2 ** this.#halvings;
+    }
+
+    /**
+     * Casts a request's lot, by its id, so that it falls alike in every process.
+     *
+     * @param request The request's id.
+     */
+    open(request: string): void {
+        this.#told.set(request, this.#isDrawn(request));
+    }
+
+    /**
+     * Tells whether a request's lines go out.
+     *
+     * @param request The request's id.
+     * @returns True for one that was drawn, or had a failure.
+     */
+    isTold(request: string): boolean {
+        return this.#told.get(request) ?? this.#isDrawn(request);
+    }
+
+    /**
+     * Has a request told of from now on: it met a failure that somebody may ask about.
+     *
+     * @param request The request's id.
+     */
+    adopt(request: string): void {
+        this.#told.set(request, true);
+    }
+
+    /**
+     * Forgets a request that has ended.
+     *
+     * @param request The request's id.
+     */
+    close(request: string): void {
+        this.#told.delete(request);
+    }
+
+    /** Counts a line that goes out. */
+    recordLine(): void {
+        this.#lines += 1;
+        const now = this.#getNow();
+        if (now - this.#windowAt < WINDOW_MS) {
+            return;
+        }
+        const perSecond = (this.#lines * 1_000) / (now - this.#windowAt);
+        this.#windowAt = now;
+        this.#lines = 0;
+        this.#updateShare(perSecond, this.#options.computeLinesPerSecond());
+    }
+
+    #updateShare(perSecond: number, limit: number): void {
+        const before = this.#halvings;
+        if (perSecond > limit) {
+            this.#halvings = Math.min(MAX_HALVINGS, before + 1);
+        } else if (perSecond < RAISE_BELOW * limit) {
+            this.#halvings = Math.max(0, before - 1);
+        }
+        if (this.#halvings !== before) {
+            this.#options.onChange?.(this.share);
+        }
+    }
+
+    #isDrawn(request: string): boolean {
+        return this.#halvings === 0 || computeHash(request) % 2 ** this.#halvings === 0;
+    }
+}
+
+/** FNV-1a with 32 bits: even over ids that differ in few characters. */
+function computeHash(text: string): number {
+    let hash = 0x811c9dc5;
+    for (let i = 0; i < text.length; i++) {
+        hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193) >>> 0;
+    }
+    // The low bits of FNV-1a alone follow the last character.
+    return (hash ^ (hash >>> 15)) >>> 0;
+}
--- a/telemetry/timeline.ts
+++ b/telemetry/timeline.ts
@@ -20,6 +20,39 @@
     readonly [field: string]: unknown;
 }
 
+/** The message of a line that gathers starts and ends of one step's tasks. */
+export const STEP_PROGRESS = "step progress";
+
+/** A unit that was placed. */
+export interface PlacedRow {
+    readonly unit: number;
+    readonly attempt: number;
+    /** Time since the step's turn came, in ms. */
+    readonly waitedMs: number;
+    readonly workers: readonly string[];
+}
+
+/** A task that was done. */
+export interface EndedRow {
+    readonly task: string;
+    readonly attempt: number;
+    readonly worker: string;
+    /** Time since its worker took the order, in ms. */
+    readonly tookMs: number;
+}
+
+/** How long before its line something happened. */
+interface AgedRow {
+    readonly agoMs: number;
+}
+
+/** A line of {@link STEP_PROGRESS}. */
+interface StepProgress extends TimelineEvent {
+    readonly step: string;
+    readonly placed?: readonly (PlacedRow & AgedRow)[];
+    readonly ended?: readonly (EndedRow & AgedRow)[];
+}
+
 /** Options of {@link mergeTimeline}. */
 export interface MergeOptions {
     /** Keep only events of this request. */
@@ -45,13 +78,31 @@
                 event !== undefined &&
                 (options.request === undefined || event.request === options.request)
             ) {
-                events.push(event);
+                events.push(...listGathered(event));
             }
         }
     }
     return events.sort((a, b) => a.t - b.t);
 }
 
+/**
+ * Gathers the events of each request.
+ *
+ * @param events The merged events.
+ * @returns Each request's events, in their order.
+ */
+export function listByRequest(events: readonly TimelineEvent[]): Map<string, TimelineEvent[]> {
+    const byRequest = new Map<string, TimelineEvent[]>();
+    for (const event of events) {
+        if (event.request !== undefined) {
+            const own = byRequest.get(event.request) ?? [];
+            own.push(event);
+            byRequest.set(event.request, own);
+        }
+    }
+    return byRequest;
+}
+
 /**
  * Formats an event as one readable line.
  *
@@ -67,6 +118,31 @@
     return `${new Date(t).toISOString()} ${process} ${zone}${request === undefined ? "" : ` [${request}]`} ${message} ${fields}`.trimEnd();
 }
 
+/** Gives what a gathered line tells as events of their own, each at its own time. */
+function listGathered(event: TimelineEvent): TimelineEvent[] {
+    if (event.message !== STEP_PROGRESS) {
+        return [event];
+    }
+    const { placed = [], ended = [], ...shared } = event as StepProgress;
+    const { step, ...common } = shared;
+    return [
+        ...placed.map(({ agoMs, ...row }) => ({
+            ...common,
+            ...row,
+            step,
+            t: event.t - agoMs,
+            message: "attempt placed",
+        })),
+        ...ended.map(({ agoMs, ...row }) => ({
+            ...common,
+            ...row,
+            how: "done",
+            t: event.t - agoMs,
+            message: "task ended",
+        })),
+    ];
+}
+
 function parseEvent(line: string): TimelineEvent | undefined {
     // What collects the lines may put a time or a name before each.
     const start = line.indexOf("{");
