After an outage fronts go to the new leader themselves, not through the first front that heard it

Ruled out: that the leader wasn't there (25 jobs accepted in its first quarter of a second). Change: a peer that hears the leader names it; a front that can open a connection there calls it directly, however late it answers; only one that can't uses the peer. The peers that a leader names rotate. Beside it, not changed here: the leader's event loop is full for three seconds after the lead was gained.

--- a/control/calls.ts
+++ b/control/calls.ts
@@ -121,6 +121,8 @@
 /** Whether a front hears the leader. */
 export interface ReachAnswer {
     readonly hearsLeader: boolean;
+    /** The leader's RPC address, as it gave it. */
+    readonly leader?: string;
 }
 
 /** The limits in force for callers. */
--- a/control/member_table.ts
+++ b/control/member_table.ts
@@ -32,6 +32,7 @@
 /** Who greeted lately. */
 export class MemberTable {
     readonly #known = new Map<string, KnownInstance>();
+    #nextPeer = 0;
 
     /**
      * Records a greeting.
@@ -73,7 +74,8 @@
     }
 
     /**
-     * Lists some fronts of each availability zone, for fronts that look for a way to the leader.
+     * Lists some fronts of each availability zone, for fronts that look for a way to the leader: each time
+     * others, or one front of a zone would carry the calls of all that are cut off.
      *
      * @param perZone How many of each zone.
      * @param except The address of the front that asks.
@@ -82,9 +84,11 @@
     listPeerFronts(perZone: number, except: string): PeerFront[] {
         const counts = new Map<string, number>();
         const peers: PeerFront[] = [];
-        for (const { kind, address, zone } of this.#known.values()) {
+        const fronts = [...this.#known.values()].filter(({ kind }) => kind === "front");
+        const first = this.#nextPeer++ % Math.max(1, fronts.length);
+        for (const { address, zone } of [...fronts.slice(first), ...fronts.slice(0, first)]) {
             const count = counts.get(zone) ?? 0;
-            if (kind === "front" && address !== except && count < perZone) {
+            if (address !== except && count < perZone) {
                 counts.set(zone, count + 1);
                 peers.push({ address, zone });
             }
--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -39,6 +39,7 @@
     OUTCOME_UNKNOWN_CODE,
 } from "../membership/mod.ts";
 import {
+    isListening,
     MethodError,
     parseAddress,
     RpcClientPool,
@@ -131,6 +132,8 @@
     #peersAskedAt = Number.NEGATIVE_INFINITY;
     #isStopping = false;
     #limits: HelloLimits | undefined;
+    /** The leader that answered the last greeting, by its own word. */
+    #leader = "";
     readonly #readerClients = new RpcClientPool({ timeoutMs: READER_TIMEOUT_MS });
     #readers: readonly string[] = [];
     #nextReader = 0;
@@ -146,11 +149,12 @@
         });
         this.#reach = new Reach({
             zone: options.zone,
-            probe: async (address) => {
-                const answer = await this.#peerClients
-                    .getClient(address)
-                    .call<ReachAnswer>(METHODS.reach, {});
-                return answer.hearsLeader;
+            probe: (address) =>
+                this.#peerClients.getClient(address).call<ReachAnswer>(METHODS.reach, {}),
+            canConnect: (address) => isListening(address, REACH_TIMEOUT_MS),
+            onLeaderFound: (leader) => {
+                this.#router.adoptLeader(leader);
+                void this.#sendHello();
             },
         });
     }
@@ -184,7 +188,7 @@
             methods: {
                 [METHODS.advise]: (params) => this.#handleAdvise(params as AdviseCall),
                 [METHODS.relay]: (params) => this.#handleRelay(params as RelayCall),
-                [METHODS.reach]: (): ReachAnswer => ({ hearsLeader: this.#reach.hearsLeader }),
+                [METHODS.reach]: () => this.#describeReach(),
             },
         });
         this.#greetings = interval(HELLO_MS).subscribe(() => void this.#sendHello());
@@ -355,6 +359,13 @@
         return this.#hasMovedCallers ? 0 : NOT_MOVED_RETRY_MS;
     }
 
+    #describeReach(): ReachAnswer {
+        const { hearsLeader } = this.#reach;
+        return hearsLeader && this.#leader !== ""
+            ? { hearsLeader, leader: this.#leader }
+            : { hearsLeader };
+    }
+
     async #handleAdvise(call: AdviseCall): Promise<AdviseAnswer> {
         return { admissions: await this.#options.adviceCalls.advise(call) };
     }
@@ -378,6 +389,7 @@
                 HELLO_BUDGET_MS,
             );
             this.#reach.recordLeader();
+            this.#leader = answer.leader;
             this.#router.setMembers(answer.members);
             this.#limits = answer.limits ?? this.#limits;
             this.#readers = answer.readers;
--- a/front/reach.ts
+++ b/front/reach.ts
@@ -21,7 +21,7 @@
  * @module
  */
 
-import type { PeerFront } from "../control/calls.ts";
+import type { PeerFront, ReachAnswer } from "../control/calls.ts";
 
 /** The way to the leader, as far as known. */
 export type ReachState =
@@ -34,17 +34,27 @@
     /** No front of another zone answers: this side is cut off. */
     | { readonly type: "isolated" };
 
-/** What a peer said; `undefined` when it did not answer. */
+/** The way while the leader does not answer. */
+type ProbedState = Exclude<ReachState, { type: "direct" }>;
+
+/** What a peer said. */
 export interface PeerAnswer {
     readonly peer: PeerFront;
+    /** `undefined` when it did not answer. */
     readonly hearsLeader: boolean | undefined;
+    /** The leader that it hears, if it told. */
+    readonly leader?: string | undefined;
 }
 
 /** Options of {@link Reach}. */
 export interface ReachOptions {
     readonly zone: string;
     /** Asks a peer whether it hears the leader; rejects when it does not answer. */
-    readonly probe: (address: string) => Promise<boolean>;
+    readonly probe: (address: string) => Promise<ReachAnswer>;
+    /** Whether a connection to an instance can be opened; none by default. */
+    readonly canConnect?: (address: string) => Promise<boolean>;
+    /** Told of a leader that a peer hears and that this front can connect to. */
+    readonly onLeaderFound?: (leader: string) => void;
     readonly getNow?: () => number;
 }
 
@@ -67,7 +77,7 @@
     readonly #getNow: () => number;
     #peers: readonly PeerFront[] = [];
     #servedAt: number;
-    #probed: Exclude<ReachState, { type: "direct" }> = { type: "outage" };
+    #probed: ProbedState = { type: "outage" };
     #isProbing = false;
     #probedAt = Number.NEGATIVE_INFINITY;
 
@@ -126,13 +136,32 @@
         const answers = await Promise.all(this.#peers.map((peer) => this.#callPeer(peer)));
         this.#isProbing = false;
         const before = this.#probed;
-        this.#probed = findWay(answers, this.#options.zone);
+        this.#probed = await this.#selectWay(answers);
         return before.type !== this.#probed.type;
     }
 
+    /**
+     * After an outage some front is the first to hear the new leader. Took all others for cut off, that one would
+     * carry the calls of a hundred fronts over its small link, and callers would time out long after
+     * the leader is there. A leader that can be connected to is called directly, however late it answers.
+     */
+    async #selectWay(answers: readonly PeerAnswer[]): Promise<ProbedState> {
+        const way = findWay(answers, this.#options.zone);
+        const leader = answers.find(({ hearsLeader }) => hearsLeader === true)?.leader;
+        if (way.type !== "relay" || leader === undefined) {
+            return way;
+        }
+        const canConnect = (await this.#options.canConnect?.(leader)) ?? false;
+        if (!canConnect) {
+            return way;
+        }
+        this.#options.onLeaderFound?.(leader);
+        return { type: "outage" };
+    }
+
     async #callPeer(peer: PeerFront): Promise<PeerAnswer> {
-        const hearsLeader = await this.#options.probe(peer.address).catch(() => undefined);
-        return { peer, hearsLeader };
+        const answer = await this.#options.probe(peer.address).catch(() => undefined);
+        return { peer, hearsLeader: answer?.hearsLeader, leader: answer?.leader };
     }
 }
 
@@ -145,10 +174,7 @@
  * @param zone The own zone.
  * @returns The way to the leader.
  */
-export function findWay(
-    answers: readonly PeerAnswer[],
-    zone: string,
-): Exclude<ReachState, { type: "direct" }> {
+export function findWay(answers: readonly PeerAnswer[], zone: string): ProbedState {
     const relay = answers.find(({ hearsLeader }) => hearsLeader === true);
     if (relay !== undefined) {
         return { type: "relay", address: relay.peer.address };
--- a/front/reach_test.ts
+++ b/front/reach_test.ts
@@ -43,7 +43,7 @@
         getNow: () => now,
         probe: () => {
             probes += 1;
-            return Promise.resolve(true);
+            return Promise.resolve({ hearsLeader: true });
         },
     });
     reach.setPeers([buildPeer("b")]);
@@ -59,3 +59,38 @@
     // What was found in the last cut says nothing about this one.
     t.deepEqual(reach.state, { type: "outage" });
 });
+
+interface Found {
+    readonly reach: Reach;
+    readonly found: string[];
+}
+
+/** A front that has not heard the leader yet, beside one that has. */
+function buildFound(canConnect: boolean): Found {
+    const found: string[] = [];
+    const reach = new Reach({
+        zone: ZONE,
+        probe: () => Promise.resolve({ hearsLeader: true, leader: "core-1:1" }),
+        canConnect: () => Promise.resolve(canConnect),
+        onLeaderFound: (leader) => found.push(leader),
+    });
+    reach.setPeers([buildPeer("b")]);
+    return { reach, found };
+}
+
+test("after an outage a front goes to the new leader itself, not through the first one that heard it", async (t) => {
+    // All control instances were off. One front of a hundred hears the new leader first; if the others took
+    // themselves for cut off, it would carry all their calls over its small link, and callers would time out
+    // for seconds beside a leader that is there.
+    const { reach, found } = buildFound(true);
+    await reach.update();
+    t.deepEqual(reach.state, { type: "outage" });
+    t.deepEqual(found, ["core-1:1"]);
+});
+
+test("a front that can't connect to the leader that others hear has them carry its calls", async (t) => {
+    const { reach, found } = buildFound(false);
+    await reach.update();
+    t.deepEqual(reach.state, { type: "relay", address: "front-b:1" });
+    t.deepEqual(found, []);
+});
--- a/membership/leader_router.ts
+++ b/membership/leader_router.ts
@@ -115,6 +115,17 @@
         this.#members = members;
     }
 
+    /**
+     * Takes the leader that others hear, while none is known here: calls that wait go there at once.
+     *
+     * @param leader Its address.
+     */
+    adoptLeader(leader: string): void {
+        if (this.#leader === undefined) {
+            this.#setLeader(leader);
+        }
+    }
+
     /**
      * Calls the leader, trying one instance after another until one that leads answers.
      *
--- a/rpc/http_rpc.ts
+++ b/rpc/http_rpc.ts
@@ -20,7 +20,7 @@
     type IncomingMessage,
     type ServerResponse,
 } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import { connect, type AddressInfo, type Socket } from "node:net";
 import {
     JSONRPCClient,
     JSONRPCServer,
@@ -350,6 +350,27 @@
     [...idle].forEach((socket) => socket.destroy());
 }
 
+/**
+ * Tells whether a new connection to a server can be opened. A cut way fails; a server that is busy does not.
+ *
+ * @param address `host:port`.
+ * @param timeoutMs How long to wait, in ms.
+ * @returns True when one was opened; it is closed again.
+ */
+export function isListening(address: string, timeoutMs: number): Promise<boolean> {
+    const [host, port] = parseAddress(address);
+    return new Promise((resolve) => {
+        const socket = connect({ host, port, timeout: timeoutMs });
+        const finish = (isOpen: boolean): void => {
+            socket.destroy();
+            resolve(isOpen);
+        };
+        socket.once("connect", () => finish(true));
+        socket.once("timeout", () => finish(false));
+        socket.once("error", () => finish(false));
+    });
+}
+
 /**
  * Splits an address.
  *
