Log lines leave in blocks that a pipe takes whole

Change: blocks of at most 4,096 bytes (PIPE_BUF), cut between lines. Test: telemetry/log_sink_test (a burst of lines), failed before.

--- a/telemetry/log_sink.ts
+++ b/telemetry/log_sink.ts
@@ -44,6 +44,8 @@
 const BURST_SECONDS = 4;
 /** Lines are gathered for this long, in ms: one write for many lines. */
 const GATHER_MS = 50;
+/** Linux's PIPE_BUF: a write of so many bytes reaches a pipe in one piece. */
+const BLOCK_BYTES = 4_096;
 
 /** Queued lines on their way out. */
 export class LogSink {
@@ -146,24 +148,51 @@
             this.#waiting.push(`${JSON.stringify(note)}\n`);
             this.#dropped = 0;
         }
-        const bytes = Buffer.from(this.#waiting.join(""));
+        const blocks = formatBlocks(this.#waiting);
         this.#waiting = [];
         this.#waitingBytes = 0;
         this.#isWriting = true;
-        this.#send(bytes);
+        this.#sendBlocks(blocks);
     }
 
-    /** A pipe may take a part only; the rest follows. An error ends this batch: there is no reader. */
-    #send(bytes: Buffer): void {
-        this.#writeBytes(this.#fd, bytes, (error, written) => {
-            if (error === null && written < bytes.length) {
-                this.#send(bytes.subarray(written));
-                return;
-            }
+    #sendBlocks(blocks: readonly Buffer[]): void {
+        const [first, ...rest] = blocks;
+        if (first === undefined) {
             this.#isWriting = false;
             if (this.#waiting.length > 0) {
                 this.#scheduleFlush();
             }
+            return;
+        }
+        this.#send(first, () => this.#sendBlocks(rest));
+    }
+
+    /** A pipe may take a part only; the rest follows. An error ends this block: there is no reader. */
+    #send(bytes: Buffer, onSent: () => void): void {
+        this.#writeBytes(this.#fd, bytes, (error, written) => {
+            if (error === null && written < bytes.length) {
+                this.#send(bytes.subarray(written), onSent);
+                return;
+            }
+            onSent();
         });
     }
 }
+
+/**
+ * Joins lines into blocks that a pipe takes whole: a longer write may be cut apart among those of other
+ * processes, and a collector that reads a block at a time loses the rest of it.
+ */
+function formatBlocks(lines: readonly string[]): Buffer[] {
+    const blocks: Buffer[] = [];
+    let text = "";
+    for (const line of lines) {
+        if (text !== "" && text.length + line.length > BLOCK_BYTES) {
+            blocks.push(Buffer.from(text));
+            text = "";
+        }
+        text += line;
+    }
+    blocks.push(Buffer.from(text));
+    return blocks;
+}
--- a/telemetry/log_sink_test.ts
+++ b/telemetry/log_sink_test.ts
@@ -83,3 +83,22 @@
     t.is(sink.dropped, 1);
     t.true(sink.waitingBytes > 0);
 });
+
+test("a burst of lines goes out in blocks that a pipe takes whole", async (t) => {
+    // A leader writes hundreds of lines at once. In one long write, what a collector reads of it ends in the
+    // middle of a line, and the lines behind are lost without being counted.
+    const blocks: Buffer[] = [];
+    const sink = new LogSink({
+        writeBytes: (_fd, bytes, done) => {
+            blocks.push(bytes);
+            setImmediate(() => done(null, bytes.length));
+        },
+    });
+    for (let i = 0; i < 200; i++) {
+        sink.write(LINE, false);
+    }
+    await sink.close(1_000);
+    t.true(blocks.length > 1);
+    t.true(blocks.every((bytes) => bytes.length <= 4_096 && bytes.at(-1) === 10));
+    t.is(Buffer.concat(blocks).toString(), LINE.repeat(200));
+});
