A leader's orders leave a few at a time, urgent ones first, and nothing is decided while many wait

Each flush ran its own loop of 16 orders a turn, so several times 16 left in each turn, and the calls that the leader read took four such turns of 60 to 100 ms; fronts gave it up after 0.5 s and came again. Ruled out: single long turns (none of 100 ms), calls behind the effects of their own flush (it has none). Change: one queue of effects for a lead, 16 orders a turn, the most urgent queue and calls for advice first, looks at workers 16 in 25 ms beside them; with 128 orders waiting nothing more is placed until 32 are left. Tests: control/effect_queue_test.

--- /dev/null
+++ b/control/effect_queue_test.ts
@@ -0,0 +1,113 @@
+import test from "ava";
+import type { Effect, MemberRun } from "../dispatch/mod.ts";
+import type { WorkerId } from "../job/mod.ts";
+import { EffectQueue } from "./effect_queue.ts";
+
+interface Fixture {
+    readonly queue: EffectQueue;
+    readonly ran: Effect[];
+    /** Lets one turn of the event loop pass; returns how many effects it carried out. */
+    readonly runTurn: () => number;
+    readonly countDrained: () => number;
+    readonly clock: { now: number };
+}
+
+function buildQueue(): Fixture {
+    const ran: Effect[] = [];
+    const tasks: (() => void)[] = [];
+    const clock = { now: 0 };
+    let drained = 0;
+    const queue = new EffectQueue({
+        run: (effect) => ran.push(effect),
+        onDrained: () => {
+            drained += 1;
+        },
+        schedule: (task, pauseMs) => {
+            tasks.push(() => {
+                clock.now += pauseMs;
+                task();
+            });
+        },
+        getNow: () => clock.now,
+    });
+    const runTurn = (): number => {
+        const before = ran.length;
+        tasks.shift()?.();
+        return ran.length - before;
+    };
+    return { queue, ran, runTurn, countDrained: () => drained, clock };
+}
+
+function buildStart(priority: number): Effect {
+    return { type: "start", member: { priority } as MemberRun };
+}
+
+function buildLook(number: number): Effect {
+    return { type: "look", worker: `w${number}` as WorkerId };
+}
+
+function buildMany(count: number, build: (i: number) => Effect): Effect[] {
+    return Array.from({ length: count }, (_none, i) => build(i));
+}
+
+test("a backlog of orders leaves in small turns, so that callers are read between them", (t) => {
+    // All power was lost; a thousand tasks find room at once. Sent in one turn their orders and answers hold the
+    // event loop for a second, callers' calls wait behind, time out and come again.
+    const { queue, runTurn } = buildQueue();
+    queue.add(buildMany(1_000, () => buildStart(1)));
+    const turns: number[] = [];
+    while (queue.size > 0) {
+        turns.push(runTurn());
+    }
+    t.true(turns.every((count) => count <= 16));
+    t.is(
+        turns.reduce((sum, count) => sum + count, 0),
+        1_000,
+    );
+});
+
+test("the most urgent queue's tasks and calls for advice go before a backlog of others", (t) => {
+    const { queue, ran, runTurn } = buildQueue();
+    queue.add([...buildMany(100, () => buildStart(2)), ...buildMany(100, buildLook)]);
+    const urgent = buildStart(0);
+    queue.add([urgent]);
+    runTurn();
+    t.is(ran[0], urgent);
+});
+
+test("looks at hundreds of workers go on beside a backlog of orders, some at a time", (t) => {
+    // A new leader knows no worker until it has answered a look. Looks behind the orders would leave it with a
+    // few workers for as long as the backlog lasts; all at once their answers would fill the event loop.
+    const { queue, ran, runTurn, clock } = buildQueue();
+    queue.add([...buildMany(2_000, () => buildStart(1)), ...buildMany(380, buildLook)]);
+    const countLooks = (): number => ran.filter(({ type }) => type === "look").length;
+    runTurn();
+    t.is(countLooks(), 16);
+    runTurn();
+    t.is(countLooks(), 16);
+    clock.now += 25;
+    runTurn();
+    t.is(countLooks(), 32);
+});
+
+test("while many orders wait nothing more is decided, and then it is told once", (t) => {
+    const { queue, runTurn, countDrained } = buildQueue();
+    queue.add(buildMany(20, () => buildStart(1)));
+    t.false(queue.isFull());
+    queue.add(buildMany(200, () => buildStart(1)));
+    t.true(queue.isFull());
+    while (queue.size > 0) {
+        runTurn();
+    }
+    t.is(countDrained(), 1);
+    t.false(queue.isFull());
+});
+
+test("nothing is carried out after the lead has ended", (t) => {
+    const { queue, ran, runTurn } = buildQueue();
+    queue.add(buildMany(40, () => buildStart(1)));
+    runTurn();
+    queue.stop();
+    runTurn();
+    t.is(ran.length, 16);
+});
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -46,6 +46,7 @@
     LifeSign,
     WorkerCalls,
 } from "./calls.ts";
+import { EffectQueue } from "./effect_queue.ts";
 import type { StateReader } from "./state_reader.ts";
 import { RoundTrips } from "./round_trips.ts";
 import { WorkerWatch } from "./worker_watch.ts";
@@ -87,14 +88,6 @@
  * cost of less than a commit.
  */
 const PLACING_PAUSE_MS = 5;
-/** Effects carried out in one turn of the event loop: below 20 ms also in a process that just started. */
-const EFFECTS_PER_TURN = 16;
-/**
- * Pause between two turns of a new leader's looks at all workers, in ms. Hundreds of answers at once hold up
- * callers, whose jobs take four turns of the event loop until they are agreed on: with 246 workers, the first
- * jobs were accepted 0.8 s after the lead was gained. Paced, the last worker is looked at after 0.4 s.
- */
-const TAKEOVER_PAUSE_MS = 25;
 /** Lines a second that a leader's log takes, and as many more for each worker: a task there starts and ends. */
 const LINES_PER_SECOND = 400;
 const LINES_PER_SECOND_AND_WORKER = 1;
@@ -107,6 +100,10 @@
     readonly #dispatcher: Dispatcher;
     readonly #watch: WorkerWatch;
     readonly #decisions: DecisionLog;
+    readonly #effects = new EffectQueue({
+        run: (effect) => this.#runEffect(effect),
+        onDrained: () => this.#schedulePlacing(),
+    });
     #ticks: Subscription | undefined;
     #isScheduled = false;
     #placedAt = Number.NEGATIVE_INFINITY;
@@ -141,22 +138,10 @@
     /** Starts deciding. */
     start(): void {
         this.#ticks = interval(TICK_MS).subscribe(() => {
-            this.#dispatcher.tick();
+            this.#dispatcher.tick(!this.#effects.isFull());
             this.#flushSoon();
         });
-        void this.#runTakeover();
-    }
-
-    /** Looks at every worker, a few at a time; what is decided meanwhile goes its own way. */
-    async #runTakeover(): Promise<void> {
-        const { facts, effects } = this.#dispatcher.takeOutcome();
-        if (facts.length > 0) {
-            await this.#propose(facts).catch((error: Error) => {
-                this.#options.log.warn("decisions dropped", { error: error.message });
-            });
-        }
-        await this.#runEffects(effects, TAKEOVER_PAUSE_MS);
-        this.#schedulePlacing();
+        this.#flushSoon();
     }
 
     /** Decides nothing from now on. */
@@ -164,6 +149,7 @@
         this.#isStopped = true;
         this.#ticks?.unsubscribe();
         this.#watch.stop();
+        this.#effects.stop();
         this.#decisions.flush();
     }
 
@@ -308,7 +294,7 @@
     }
 
     #schedulePlacing(): void {
-        if (this.#isScheduled || this.#isStopped) {
+        if (this.#isScheduled || this.#isStopped || this.#effects.isFull()) {
             return;
         }
         this.#isScheduled = true;
@@ -341,7 +327,7 @@
         if (facts.length > 0) {
             await this.#propose(facts);
         }
-        await this.#runEffects(effects);
+        this.#effects.add(effects);
         if (facts.length + effects.length > 0) {
             this.#schedulePlacing();
         }
@@ -376,22 +362,6 @@
         }
     }
 
-    /**
-     * Carries effects out, with turns of the event loop between them. A new leader looks at every worker:
-     * hundreds of calls prepared in one turn hold its heartbeats back for longer than an election takes.
-     */
-    async #runEffects(effects: readonly Effect[], pauseMs = 0): Promise<void> {
-        for (const [i, effect] of effects.entries()) {
-            if (i > 0 && i % EFFECTS_PER_TURN === 0) {
-                await waitTurn(pauseMs);
-            }
-            if (this.#isStopped) {
-                return;
-            }
-            this.#runEffect(effect);
-        }
-    }
-
     #runEffect(effect: Effect): void {
         switch (effect.type) {
             case "start":
@@ -492,16 +462,5 @@
     }
 }
 
-/** Waits for the next turn of the event loop, or for a pause. */
-function waitTurn(pauseMs: number): Promise<void> {
-    return new Promise((resolve) => {
-        if (pauseMs > 0) {
-            setTimeout(resolve, pauseMs);
-        } else {
-            setImmediate(resolve);
-        }
-    });
-}
-
 /** The way back from the service through the front, at most, in ms; the wait before is not age. */
 const ADVICE_AGE_CAP_MS = 50;
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -288,8 +288,12 @@
         this.#context.isDirty = true;
     }
 
-    /** Does what is due by the clock, then places what waits. */
-    tick(): void {
+    /**
+     * Does what is due by the clock, then places what waits.
+     *
+     * @param mayPlace False while earlier decisions wait to be carried out.
+     */
+    tick(mayPlace = true): void {
         const now = this.#context.clock.getNow();
         this.#context.isDirty = this.#context.board.openDue() || this.#context.isDirty;
         for (const worker of this.#context.book.workers) {
@@ -301,7 +305,9 @@
             this.#forgetEnded();
         }
         this.#context.isDirty = true;
-        this.#placer.placeWaiting();
+        if (mayPlace) {
+            this.#placer.placeWaiting();
+        }
     }
 
     #isContradiction(state: WorkerState, next: WorkerRecord, sequence: number): boolean {
