A step asks about as many workers as it needs, in calls at the same time

Hypothesis: on a floor of 380 workers gangs wait for tickets that are never valid together. Change: dispatch/advice_plan.ts. A step names workers until four times its tasks are expected to find room, by the share its queue's policy has admitted so far, 30 names at the least; a call has no more names than take as long as its fixed part, and up to four calls are under way together. countPlaces stands once (placement, reservation). Tests: dispatch/advice_plan_test (a gang wider than one call's answers), failed before.

--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -218,7 +218,7 @@
         if (unit?.isDone === true) {
             this.#context.board
                 .updateAfterDone(ref)
-                .forEach((key) => this.#context.desk.removeCall(key));
+                .forEach((key) => this.#context.desk.removeCalls(key));
             return;
         }
         const isPerpetual = job.spec?.steps[ref.step]?.isPerpetual ?? false;
@@ -242,7 +242,7 @@
      * @param job The job.
      */
     closeJob(job: Job): void {
-        this.#context.board.closeJob(job.id).forEach((key) => this.#context.desk.removeCall(key));
+        this.#context.board.closeJob(job.id).forEach((key) => this.#context.desk.removeCalls(key));
         for (const [number, occurrence] of job.occurrences) {
             occurrence.steps.forEach((units, step) =>
                 units.forEach((unit, i) => {
--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -15,6 +15,7 @@
 import type { QueueConfig, QueueName } from "../configuration/mod.ts";
 import type { Fact, Ledger } from "../job/mod.ts";
 import { AdviceDesk } from "./advice_desk.ts";
+import { GoodShares } from "./advice_plan.ts";
 import { StepBoard } from "./step_board.ts";
 import type { DispatchClock, DispatchLimits, Effect, Outcome, RecordDecision } from "./types.ts";
 import { WorkerBook, type WorkerState } from "./worker_book.ts";
@@ -51,6 +52,7 @@
     readonly book: WorkerBook;
     readonly board: StepBoard;
     readonly desk = new AdviceDesk();
+    readonly goodShares = new GoodShares();
     readonly recordDecision: RecordDecision;
     /** Something changed that may let a waiting unit be placed. */
     isDirty = true;
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -11,12 +11,14 @@
  * @module
  */
 
+import type { QueueConfig } from "../configuration/mod.ts";
 import type { UnitRef, WorkerId } from "../job/mod.ts";
 import { computeRoom, type Attempts } from "./_attempts.ts";
+import { planAdvice, type AskedWorker } from "./advice_plan.ts";
 import { listCandidates, takeRoom, type StepCandidates } from "./_candidates.ts";
 import type { DispatchContext } from "./_context.ts";
 import { GangHolds, type RankedStep } from "./_holds.ts";
-import { placeUnit, type Candidate } from "./placement.ts";
+import { countPlaces, placeUnit, type Candidate } from "./placement.ts";
 import { rankStep } from "./ranking.ts";
 import { selectForRepetition } from "./repetition.ts";
 import type { StepWork } from "./step_board.ts";
@@ -28,8 +30,6 @@
 const TICKET_MARGIN_MS = 150;
 /** Pause before asking again when nothing new can be learned, in ms. */
 const ADVICE_RETRY_MS = 500;
-/** The most workers named in one call (the service's limit). */
-const MAX_ADVICE_WORKERS = 100;
 /**
  * A waiting step is matched with every worker at least this often, in ms: tickets run out by the
  * clock alone. In between it is matched with those that got room since its last try.
@@ -106,9 +106,7 @@
      */
     #selectMatch({ step, queue }: RankedStep, gangsSoFar: number, now: number): Match {
         const awaitsAdvice =
-            queue.advice !== undefined &&
-            step.advice.callId !== undefined &&
-            step.advice.good.size === 0;
+            queue.advice !== undefined && step.advice.calls.size > 0 && step.advice.good.size === 0;
         if (awaitsAdvice) {
             return "none";
         }
@@ -246,51 +244,52 @@
     #ensureAdvice(entry: RankedStep, match: Match, candidates: StepCandidates, now: number): void {
         const { step, queue, rank } = entry;
         const { advice } = step;
-        if (queue.advice === undefined || advice.callId !== undefined || now < advice.retryAt) {
+        if (queue.advice === undefined || advice.calls.size > 0 || now < advice.retryAt) {
             return;
         }
-        let workers = this.#selectForAdvice(step, candidates);
-        if (workers.length === 0) {
+        const policy = queue.advice;
+        let groups = this.#planAdvice(step, queue, candidates);
+        if (groups.length === 0) {
             return;
         }
         if (match === "changed") {
             // One call for all of them costs little more than one for those that changed.
             const all = this.#listCandidates(entry, this.#context.book.workers, now);
-            workers = this.#selectForAdvice(step, all);
+            groups = this.#planAdvice(step, queue, all);
+        }
+        for (const workers of groups) {
+            const call: AdviceCall = {
+                id: this.#nextCall++,
+                step: step.key,
+                queue: queue.name,
+                policy,
+                workers,
+                rank,
+            };
+            advice.calls.add(call.id);
+            this.#context.desk.addCall(call, queue.priority, now);
         }
-        const call: AdviceCall = {
-            id: this.#nextCall++,
-            step: step.key,
-            queue: queue.name,
-            policy: queue.advice,
-            workers,
-            rank,
-        };
-        advice.callId = call.id;
-        this.#context.desk.addCall(call, queue.priority, now);
     }
 
-    #selectForAdvice(step: StepWork, candidates: StepCandidates): WorkerId[] {
-        const isFirst = step.advice.asked.size === 0;
+    /** @returns The workers to name, call by call. */
+    #planAdvice(step: StepWork, queue: QueueConfig, candidates: StepCandidates): WorkerId[][] {
+        const { advice: policy } = queue;
+        if (policy === undefined) {
+            return [];
+        }
+        const tasks = step.spec.isGang ? step.spec.count : step.waiting.size;
+        if (candidates.unasked.length > 0) {
+            const workers = rankForAdvice(step, candidates.unasked);
+            const goodShare = this.#context.goodShares.get(queue.name);
+            return planAdvice({ workers, tasks, goodShare, policy });
+        }
+        const known = [...candidates.expired, ...candidates.admitted];
         // A gang that holds workers asks while they are cleared, so that its tickets are fresh then.
         const isHolding = step.held.size > 0 && candidates.admitted.length === 0;
-        if (!isFirst && !isHolding && candidates.unasked.length === 0) {
-            const possible = [...candidates.admitted, ...candidates.expired];
-            const fits = placeUnit({
-                needs: computeRoom(step.spec),
-                count: step.spec.isGang ? step.spec.count : 1,
-                candidates: possible,
-                maxPerWorker: step.spec.maxPerWorker,
-                isRackLocal: false,
-            });
-            if (fits === undefined) {
-                return [];
-            }
+        if (!isHolding && !hasRoomForUnit(step, known)) {
+            return [];
         }
-        return [...candidates.expired, ...candidates.admitted, ...candidates.unasked]
-            .sort((a, b) => b.free.cpu - a.free.cpu)
-            .slice(0, MAX_ADVICE_WORKERS)
-            .map((candidate) => candidate.id);
+        return planAdvice({ workers: rankForAdvice(step, known), tasks, goodShare: 1, policy });
     }
 
     /**
@@ -309,20 +308,20 @@
         const times = this.#context.desk.endCall(call.id, admissions !== undefined, now);
         this.#context.isDirty = true;
         const step = this.#context.board.findStep(call.step);
-        if (step === undefined || step.advice.callId !== call.id) {
+        if (step === undefined || !step.advice.calls.delete(call.id)) {
             return;
         }
         step.triedVersion = undefined;
-        step.advice.callId = undefined;
         if (admissions === undefined) {
             return;
         }
+        this.#recordShare(step, call, admissions);
         call.workers.forEach((worker) => step.advice.asked.add(worker));
         const validUntil = now - ageMs + call.policy.validMs - TICKET_MARGIN_MS;
         for (const { worker, ticket } of admissions) {
             step.advice.good.set(worker, { ticket, validUntil });
         }
-        if (admissions.length === 0) {
+        if (admissions.length === 0 && step.advice.calls.size === 0) {
             step.advice.retryAt = now + ADVICE_RETRY_MS;
         }
         this.#context.recordDecision("decision", "advice received", {
@@ -334,6 +333,29 @@
             ...times,
         });
     }
+
+    #recordShare(step: StepWork, call: AdviceCall, admissions: readonly Admission[]): void {
+        const isNew = (worker: WorkerId): boolean => !step.advice.asked.has(worker);
+        const asked = call.workers.filter((worker) => isNew(worker)).length;
+        const good = admissions.filter(({ worker }) => isNew(worker)).length;
+        this.#context.goodShares.record(call.queue, asked, good);
+    }
+}
+
+/** Whether a unit of a step fits, with any ticket. */
+function hasRoomForUnit(step: StepWork, candidates: readonly Candidate[]): boolean {
+    const { count, isGang, maxPerWorker } = step.spec;
+    const needs = computeRoom(step.spec);
+    const request = { needs, count: isGang ? count : 1, candidates, maxPerWorker };
+    return placeUnit({ ...request, isRackLocal: false }) !== undefined;
+}
+
+/** The workers with most room first: an answer about them is most likely to start something. */
+function rankForAdvice(step: StepWork, candidates: readonly Candidate[]): AskedWorker[] {
+    const needs = computeRoom(step.spec);
+    return [...candidates]
+        .sort((a, b) => b.free.cpu - a.free.cpu)
+        .map(({ id, free }) => ({ id, places: countPlaces(free, needs) }));
 }
 
 function createUnitRef(step: StepWork, unit: number): UnitRef {
--- a/dispatch/advice_desk.ts
+++ b/dispatch/advice_desk.ts
@@ -68,7 +68,7 @@
 /** Calls that wait and calls under way. */
 export class AdviceDesk {
     readonly #lanes = new Map<LaneId, Lane>();
-    readonly #waiting = new Map<StepKey, WaitingCall>();
+    readonly #waiting = new Map<number, WaitingCall>();
     readonly #started = new Map<number, StartedCall>();
     readonly #loads = new Map<QueueName, QueueLoad>();
     #plan = new Map<QueueName, LaneId[]>();
@@ -95,14 +95,14 @@
     }
 
     /**
-     * Adds a call; one that still waits for the same step is replaced.
+     * Adds a call.
      *
      * @param call The call.
      * @param priority Its queue's priority.
      * @param now Our clock, in ms.
      */
     addCall(call: AdviceCall, priority: number, now: number): void {
-        this.#waiting.set(call.step, { call, addedAt: now });
+        this.#waiting.set(call.id, { call, addedAt: now });
         const load = this.#loads.get(call.queue) ?? { sumMs: 0, at: now, callMs: 0, priority };
         load.callMs = computeCallMs(call);
         load.sumMs = decayLoad(load, now) + load.callMs;
@@ -115,12 +115,16 @@
     }
 
     /**
-     * Withdraws a step's call that still waits.
+     * Withdraws a step's calls that still wait.
      *
      * @param step The step.
      */
-    removeCall(step: StepKey): void {
-        this.#waiting.delete(step);
+    removeCalls(step: StepKey): void {
+        for (const [id, { call }] of this.#waiting) {
+            if (call.step === step) {
+                this.#waiting.delete(id);
+            }
+        }
     }
 
     /**
@@ -139,7 +143,7 @@
         for (const { call, addedAt } of waiting) {
             const lane = this.#findLane(call, now);
             if (lane !== undefined) {
-                this.#waiting.delete(call.step);
+                this.#waiting.delete(call.id);
                 lane.calls.add(call.id);
                 this.#started.set(call.id, { call, addedAt, lane, startedAt: now });
                 started.push({ lane: lane.id, call });
--- a/dispatch/placement.ts
+++ b/dispatch/placement.ts
@@ -102,22 +102,28 @@
 }
 
 function countFitting(request: PlacementRequest, candidate: Candidate): number {
-    const { needs } = request;
-    const { free } = candidate;
-    let fits = Number.MAX_SAFE_INTEGER;
-    if (needs.cpu > 0) {
-        fits = Math.min(fits, Math.floor(free.cpu / needs.cpu));
-    }
-    if (needs.memoryMb > 0) {
-        fits = Math.min(fits, Math.floor(free.memoryMb / needs.memoryMb));
-    }
-    if (needs.gpu > 0) {
-        fits = Math.min(fits, Math.floor(free.gpu / needs.gpu));
-    }
-    if (request.maxPerWorker > 0) {
-        fits = Math.min(fits, request.maxPerWorker - candidate.sameStep);
-    }
-    return Math.max(0, Math.min(fits, request.count));
+    const places = countPlaces(candidate.free, request.needs);
+    const allowed =
+        request.maxPerWorker > 0 ? request.maxPerWorker - candidate.sameStep : request.count;
+    return Math.max(0, Math.min(places, allowed, request.count));
+}
+
+/**
+ * Counts how many tasks a room takes.
+ *
+ * @param room What is there.
+ * @param needs What each task takes.
+ * @returns Tasks; without a bound when they need nothing.
+ */
+export function countPlaces(room: Resources, needs: Resources): number {
+    const divide = (has: number, takes: number): number =>
+        takes > 0 ? Math.floor(has / takes) : Number.MAX_SAFE_INTEGER;
+    const places = Math.min(
+        divide(room.cpu, needs.cpu),
+        divide(room.memoryMb, needs.memoryMb),
+        divide(room.gpu, needs.gpu),
+    );
+    return Math.max(0, places);
 }
 
 /** Near and fast first, then by zone, then best fit, then the id so that equal workers keep their order. */
--- a/dispatch/reservation.ts
+++ b/dispatch/reservation.ts
@@ -17,6 +17,7 @@
  */
 
 import type { Resources, WorkerId } from "../job/mod.ts";
+import { countPlaces } from "./placement.ts";
 import type { MemberRun } from "./types.ts";
 
 /** A worker that the gang may run on. */
@@ -40,7 +41,10 @@
 ): Map<WorkerId, number> {
     const held = new Map<WorkerId, number>();
     const places = candidates
-        .map((candidate) => ({ id: candidate.id, count: countPlaces(candidate, gang.needs) }))
+        .map((candidate) => ({
+            id: candidate.id,
+            count: countPlaces(candidate.attainable, gang.needs),
+        }))
         .sort((a, b) => b.count - a.count);
     let missing = gang.count;
     for (const { id, count } of places) {
@@ -91,14 +95,3 @@
     }
     return missing > 0 ? [] : victims;
 }
-
-function countPlaces(candidate: HoldCandidate, needs: Resources): number {
-    const { attainable } = candidate;
-    const byCpu = needs.cpu > 0 ? Math.floor(attainable.cpu / needs.cpu) : Number.MAX_SAFE_INTEGER;
-    const byMemory =
-        needs.memoryMb > 0
-            ? Math.floor(attainable.memoryMb / needs.memoryMb)
-            : Number.MAX_SAFE_INTEGER;
-    const byGpu = needs.gpu > 0 ? Math.floor(attainable.gpu / needs.gpu) : Number.MAX_SAFE_INTEGER;
-    return Math.max(0, Math.min(byCpu, byMemory, byGpu));
-}
--- a/dispatch/step_board.ts
+++ b/dispatch/step_board.ts
@@ -31,8 +31,8 @@
     readonly asked: Set<WorkerId>;
     /** Workers that may run the step, with their newest ticket. */
     readonly good: Map<WorkerId, { readonly ticket: string; readonly validUntil: number }>;
-    /** The call under way or waiting. */
-    callId: number | undefined;
+    /** The calls under way or waiting. */
+    readonly calls: Set<number>;
     /** No further call before this time. */
     retryAt: number;
 }
@@ -236,7 +236,7 @@
             queue: step.job.queue,
             waiting,
             readyAt: this.#clock.getWall(),
-            advice: { asked: new Set(), good: new Map(), callId: undefined, retryAt: 0 },
+            advice: { asked: new Set(), good: new Map(), calls: new Set(), retryAt: 0 },
             triedVersion: undefined,
             triedAllAt: Number.NEGATIVE_INFINITY,
             held: new Map(),
