Tasks make way for a gang only where all of its workers come free by it

Hypothesis: on a large floor several gangs are always blocked; each had tasks with checkpoints stopped on single workers of those it held, also where another held worker stayed taken or its ticket had run out. Change: the tasks to stop are listed for all held workers at once, with valid tickets on each, or none is stopped.

--- a/dispatch/_holds.ts
+++ b/dispatch/_holds.ts
@@ -18,6 +18,7 @@
 import { computeRoom, type Attempts } from "./_attempts.ts";
 import type { StepCandidates } from "./_candidates.ts";
 import type { DispatchContext } from "./_context.ts";
+import type { MemberRun } from "./types.ts";
 import { selectHeld, selectVictims } from "./reservation.ts";
 import type { StepWork } from "./step_board.ts";
 import { getFreeRoom } from "./worker_book.ts";
@@ -96,7 +97,7 @@
      * @param now Our clock, in ms.
      */
     updateHold(entry: RankedStep, candidates: StepCandidates, now: number): void {
-        const { step, queue } = entry;
+        const { step } = entry;
         const before = step.held;
         step.held =
             step.spec.isGang && step.waiting.size > 0
@@ -107,10 +108,44 @@
         if (step.held.size === 0 || !mayClear || this.#holders.length >= MAX_HOLDERS) {
             return;
         }
+        const victims = this.#listVictims(entry, candidates);
+        if (victims === undefined) {
+            return;
+        }
         step.clearedAt = now;
+        for (const victim of victims) {
+            this.#context.recordDecision("decision", "task makes way", {
+                request: victim.unit.job,
+                task: victim.name,
+                worker: victim.worker,
+                for: step.key,
+            });
+            this.#attempts.stopMember(victim);
+        }
+    }
+
+    /**
+     * Lists the tasks that make way, on every held worker at once or not at all. Stopped where another held
+     * worker stays taken, or where the gang's ticket has run out, they would lose their place and the gang
+     * would start no sooner; on a floor of hundreds of workers that happened to most of them.
+     */
+    #listVictims({ step, queue }: RankedStep, candidates: StepCandidates): MemberRun[] | undefined {
+        const admitted = new Set(candidates.admitted.map(({ id }) => id));
+        const needs = computeRoom(step.spec);
+        const victims: MemberRun[] = [];
         for (const [id, count] of step.held) {
-            this.#clearWorker(id, count * computeRoom(step.spec).cpu, { step, queue });
+            const worker = this.#context.book.findWorker(id);
+            if (worker === undefined || !admitted.has(id)) {
+                return undefined;
+            }
+            const missingCpu = count * needs.cpu - getFreeRoom(worker).cpu;
+            const own = selectVictims(worker.members.values(), missingCpu, queue.priority);
+            if (missingCpu > 0 && own.length === 0) {
+                return undefined;
+            }
+            victims.push(...own);
         }
+        return victims;
     }
 
     #selectHeld({ step, queue }: RankedStep, candidates: StepCandidates): Map<WorkerId, number> {
@@ -134,28 +169,6 @@
         }
     }
 
-    #clearWorker(
-        id: WorkerId,
-        neededCpu: number,
-        { step, queue }: Pick<RankedStep, "step" | "queue">,
-    ): void {
-        const worker = this.#context.book.findWorker(id);
-        if (worker === undefined) {
-            return;
-        }
-        const missingCpu = neededCpu - getFreeRoom(worker).cpu;
-        const victims = selectVictims(worker.members.values(), missingCpu, queue.priority);
-        for (const victim of victims) {
-            this.#context.recordDecision("decision", "task makes way", {
-                request: victim.unit.job,
-                task: victim.name,
-                worker: id,
-                for: step.key,
-            });
-            this.#attempts.stopMember(victim);
-        }
-    }
-
     /** What a worker has left once work less urgent than a priority has gone. */
     #computeAttainable(id: WorkerId, priority: number): Resources {
         const worker = this.#context.book.findWorker(id);
--- a/dispatch/reservation_test.ts
+++ b/dispatch/reservation_test.ts
@@ -58,3 +58,29 @@
     t.true([...floor.durable.jobs.values()].every((job) => job.state === "complete"));
     t.deepEqual(floor.violations, []);
 });
+
+test("tasks make way for a gang only where all of its workers come free by it", (t) => {
+    // Two workers: one full of tasks that resume from checkpoints, one of long tasks that don't. A gang needs
+    // both. Stopped for it, the first worker's tasks would wait as long as it does, beside a worker that stands idle.
+    const floor = new FloorFixture({
+        workers: 2,
+        computeTaskMs: (task) => (task.startsWith("00000000000000b") ? 10_000 : 3_000),
+        queues: [
+            buildQueue(),
+            buildQueue({ name: GANGS, pathPrefix: "/g/", priority: 1 }),
+            buildQueue({ name: BATCHES, pathPrefix: "/b/", priority: 2 }),
+        ],
+    });
+    const needs = { cpu: 8_000, memoryMb: 500, gpu: 0 };
+    floor.submit("00000000000000b1", buildSpec({ count: 2, needs }), BATCHES);
+    floor.runFor(500);
+    floor.submit("00000000000000c1", buildSpec({ count: 2, needs, savesProgress: true }), BATCHES);
+    floor.runFor(500);
+    const wide = { cpu: 16_000, memoryMb: 500, gpu: 0 };
+    floor.submit("00000000000000a1", buildSpec({ count: 2, isGang: true, needs: wide }), GANGS);
+    floor.runFor(4_000);
+    t.is(floor.getState("00000000000000c1"), "complete");
+    floor.runFor(20_000);
+    t.is(floor.getState("00000000000000a1"), "complete");
+    t.deepEqual(floor.violations, []);
+});
