--- a/control/round_trips.ts
+++ b/control/round_trips.ts
@@ -3,8 +3,7 @@
  * few of a hundred orders get no answer and are carried out seconds later, or never. Each costs its task the
  * timeout, and a job is done only with its last task; with a fixed 400 ms a job of six tasks that loses one answer
  * is late. Answers come within some ms on a calm leader, and some hundred on one at its limit, where a
- * short fixed timeout would send everything twice. For what it buys, see `dispatch/overdue.ts`: the two were
- * measured together.
+ * short fixed timeout would send everything twice.
  *
  * @example
  * ```ts
--- a/control/timings.ts
+++ b/control/timings.ts
@@ -22,10 +22,8 @@
  */
 const SMALL_TIMINGS: ConsensusTimings = { heartbeatMs: 50, electionMs: 250 };
 /**
- * Large deployments: a lost leader is replaced in 0.4 to 0.9 s. Leads of 0.2 s, one after the other, were
- * seen with the shorter ones on six instances that came back together with 5,000 jobs and 245 workers, while a
- * takeover held the event loop. With paced looks and compiled code kept, 400 instead of 800 ms buys 0.013 and 0.054
- * of the worth of two simulated days with 246 workers, a lost leader and a loss of all power.
+ * Large deployments: a lost leader is replaced in 0.4 to 0.9 s. With shorter ones, leads end one after the
+ * other while instances that came back together take over thousands of jobs.
  */
 const LARGE_TIMINGS: ConsensusTimings = { heartbeatMs: 80, electionMs: 400 };
 /** Deployments that bear the loss of so many instances at once are large. */
--- a/control/worker_watch.ts
+++ b/control/worker_watch.ts
@@ -28,8 +28,7 @@
 
 /**
  * Pause between two looks at a worker, in ms. Ends that fall into it come with one look instead
- * of several: at 4 ends a second about a quarter fewer looks than with 40 ms. An end is noticed later
- * by half of it in the mean, which the shortest objective (250 ms and half the work) bears.
+ * of several. An end is noticed later by half of it in the mean, which the shortest objective bears.
  */
 const LOOK_PAUSE_MS = 100;
 /** Pause after a look without an answer, in ms. */
--- a/dispatch/overdue.ts
+++ b/dispatch/overdue.ts
@@ -4,9 +4,6 @@
  * two seconds later, and the next step of the job waits that long. A worker with an overdue task is therefore
  * looked at once more, beside the call under way.
  *
- * What it buys together with measured timeouts of orders, on fifteen simulated days, five of them with lost orders: 33.6
- * instead of 41.3 of 670 jobs late a day, 0.9 of a hundred requests more served.
- *
  * @example
  * ```ts
  * import { hasOverdueTask } from "./overdue.ts";
--- a/dispatch/repetition.ts
+++ b/dispatch/repetition.ts
@@ -3,9 +3,6 @@
  * and therefore has room when the others have none. A task that goes back there uses up its attempts within half
  * a second, and its job, which could be done, is lost.
  *
- * What it buys, on a simulated day with two such workers of 32: the one job of 47 of the largest kind that was
- * shown as failed by them is done; the span of 2 s in which it was handed in is worth 1.00 instead of 0.67.
- *
  * @example
  * ```ts
  * import { selectForRepetition } from "./repetition.ts";
--- a/dispatch/reservation.ts
+++ b/dispatch/reservation.ts
@@ -3,9 +3,7 @@
  * that its queue's policy admits. Small tasks of less urgent queues fill each gap as it opens, so that
  * a wide gang waits for many seconds on a full floor although room for it passes by every second.
  * A blocked gang therefore holds just enough workers: less urgent work stays off them, and tasks
- * there that resume from a checkpoint make way. What it buys, on one simulated day of high load with and
- * without: 68 instead of 59 of 82 gangs in time, 0.908 instead of 0.861 of the worth of all jobs, and no
- * more work thrown away (343 and 358 core-seconds).
+ * there that resume from a checkpoint make way, where the gang starts by it.
  *
  * @example
  * ```ts
--- a/dispatch/worker_book.ts
+++ b/dispatch/worker_book.ts
@@ -319,8 +319,7 @@
      * Records that a task failed on a worker. A worker that fails everything looks idle and would
      * draw all new work: it is paused after two failures in a row of different units (one unit may
      * fail anywhere by its own fault), and tried again with growing pauses. Units of one job count
-     * as different: four failures of one wide step in 0.4 s used up all attempts of a task of it while only
-     * different jobs counted.
+     * as different, or the failures of one wide step would use up all attempts of a task of it.
      *
      * @param worker The worker.
      * @param unit The task's unit.
--- a/dispatch/zone_choice.ts
+++ b/dispatch/zone_choice.ts
@@ -4,9 +4,6 @@
  * all zones, each cut holds up nearly every job that runs. A step's tasks therefore share as few zones as
  * have room. Lasting tasks are the opposite: each serves on its own, so they are spread, and a cut takes few.
  *
- * What it buys, on fifteen simulated days with a zone of four cut off for 5 to 6 s, each with and without: 41.0 instead of
- * 45.3 of 670 jobs late a day, 0.4 of a hundred requests more served.
- *
  * @example
  * ```ts
  * import { rankZones } from "./zone_choice.ts";
--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -88,7 +88,7 @@
 const CUT_OFF_BUDGET_MS = 250;
 /**
  * The balancer has moved callers this long after the leader was heard last, in ms: it moves them once the last front
- * of the zone has failed two checks a second apart. Callers still came 2.7 s after {@link READY_SILENCE_MS}.
+ * of the zone has failed two checks a second apart.
  */
 const MOVED_AFTER_MS = READY_SILENCE_MS + 2_700;
 /**
--- a/front/reach.ts
+++ b/front/reach.ts
@@ -6,9 +6,6 @@
  * fronts of other zones: one that hears the leader carries its calls, fronts that hear none either
  * mean an outage that ends for all at once, and silence means that this side is cut off.
  *
- * What it buys, on one simulated day with two cuts of two fronts of seven for 5 s, with and without:
- * 0.995 instead of 0.954 of the worth of all jobs, none instead of 39 of 857 not served.
- *
  * @example
  * ```ts
  * import { Reach } from "./reach.ts";
--- a/settings/parse_yaml.ts
+++ b/settings/parse_yaml.ts
@@ -15,7 +15,7 @@
 
 /**
  * Parses a document. JSON is YAML too, and a daemon that starts reads a settings file and its state
- * charts before it serves: as JSON they take 0.2 instead of 8 ms of its processor (profile of a start).
+ * charts before it serves: as JSON they take it far less time.
  *
  * @param text YAML, or JSON.
  * @returns What it says.
--- a/tools/warm_up.ts
+++ b/tools/warm_up.ts
@@ -4,10 +4,6 @@
  * a front that carries calls. What is not kept is compiled by an instance that starts after a loss of
  * power, at the moment when all callers wait for it.
  *
- * What it buys, on eight simulated days that end with a loss of power or of all processes: the two worst spans of 2 s are
- * worth 0.780 instead of 0.761 of what was owed, beside compiled code of an idle start (the interval of the
- * difference holds 0).
- *
  * @example
  * ```ts
  * import { runWarmUp } from "./warm_up.ts";
