--- /dev/null
+++ b/hashing/mod.ts
@@ -0,0 +1,26 @@
+/**
+ * A fast hash for drawing lots that fall alike in every process. It keeps no secret.
+ *
+ * @example
+ * ```ts
+ * import { computeHash } from "./mod.ts";
+ * const isDrawn = computeHash("5c0e7a21d94b36f8") % 4 === 0;
+ * ```
+ *
+ * @module
+ */
+
+/**
+ * Computes the 32-bit FNV-1a hash of a text, its high bits folded into the low ones, which alone would follow the
+ * last character.
+ *
+ * @param text The text.
+ * @returns A whole number from 0 to 2^32 - 1.
+ */
+export function computeHash(text: string): number {
+    let hash = 0x811c9dc5;
+    for (let i = 0; i < text.length; i++) {
+        hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193) >>> 0;
+    }
+    return (hash ^ (hash >>> 15)) >>> 0;
+}
--- a/telemetry/request_sampler.ts
+++ b/telemetry/request_sampler.ts
@@ -16,6 +16,8 @@
  * @module
  */
 
+import { computeHash } from "../hashing/mod.ts";
+
 /** Options of {@link RequestSampler}. */
 export interface RequestSamplerOptions {
     /** Lines a second that the log takes; asked once a second, so it may follow the size of the floor. */
@@ -122,13 +124,3 @@
         return this.#halvings === 0 || computeHash(request) % 2 ** this.#halvings === 0;
     }
 }
-
-/** FNV-1a with 32 bits: even over ids that differ in few characters. */
-function computeHash(text: string): number {
-    let hash = 0x811c9dc5;
-    for (let i = 0; i < text.length; i++) {
-        hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193) >>> 0;
-    }
-    // The low bits of FNV-1a alone follow the last character.
-    return (hash ^ (hash >>> 15)) >>> 0;
-}
