Watches that are there already don't use up a leader's looks

Beyond 640 starts a second the looks at silent workers would fall behind without bound. Change: effects that change nothing any more are not queued. Test: control/effect_queue_test (a thousand starts on watched workers), failed before.

--- a/control/effect_queue.ts
+++ b/control/effect_queue.ts
@@ -23,6 +23,8 @@
 export interface EffectQueueOptions {
     /** Carries an effect out; returns once it is on its way. */
     readonly run: (effect: Effect) => void;
+    /** Whether an effect would change nothing any more; none by default. */
+    readonly isDone?: (effect: Effect) => boolean;
     /** Told when few effects are left after many. */
     readonly onDrained: () => void;
     /** Has something done in the next turn of the event loop, or after a pause in ms; replaced in tests. */
@@ -77,12 +79,15 @@
     }
 
     /**
-     * Adds effects whose facts are agreed on.
+     * Adds effects whose facts are agreed on. Each start has its worker watched, which nearly always is watched
+     * already: kept, such effects would use up the turns of the looks that are needed.
      *
      * @param effects The effects.
      */
     add(effects: readonly Effect[]): void {
-        effects.forEach((effect) => this.#selectList(effect).push(effect));
+        effects
+            .filter((effect) => this.#options.isDone?.(effect) !== true)
+            .forEach((effect) => this.#selectList(effect).push(effect));
         this.#scheduleTurn();
     }
 
--- a/control/effect_queue_test.ts
+++ b/control/effect_queue_test.ts
@@ -12,13 +12,14 @@
     readonly clock: { now: number };
 }
 
-function buildQueue(): Fixture {
+function buildQueue(isDone?: (effect: Effect) => boolean): Fixture {
     const ran: Effect[] = [];
     const tasks: (() => void)[] = [];
     const clock = { now: 0 };
     let drained = 0;
     const queue = new EffectQueue({
         run: (effect) => ran.push(effect),
+        isDone,
         onDrained: () => {
             drained += 1;
         },
@@ -90,6 +91,19 @@
     t.is(countLooks(), 32);
 });
 
+test("a thousand starts on watched workers don't hold up the look at a silent one", (t) => {
+    // Each start has its worker watched. A worker that left an order unanswered gets no work until it has
+    // answered a look; behind the watches of a busy floor that look would wait for seconds.
+    const { queue, ran, runTurn } = buildQueue((effect) => effect.type === "watch");
+    for (let i = 0; i < 1_000; i++) {
+        queue.add([buildStart(1), { type: "watch", worker: `w${i % 380}` as WorkerId }]);
+    }
+    const look = buildLook(7);
+    queue.add([look]);
+    runTurn();
+    t.true(ran.includes(look));
+});
+
 test("while many orders wait nothing more is decided, and then it is told once", (t) => {
     const { queue, runTurn, countDrained } = buildQueue();
     queue.add(buildMany(20, () => buildStart(1)));
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -102,6 +102,7 @@
     readonly #decisions: DecisionLog;
     readonly #effects = new EffectQueue({
         run: (effect) => this.#runEffect(effect),
+        isDone: (effect) => effect.type === "watch" && this.#watch.isWatching(effect.worker),
         onDrained: () => this.#schedulePlacing(),
     });
     #ticks: Subscription | undefined;
--- a/control/worker_watch.ts
+++ b/control/worker_watch.ts
@@ -60,6 +60,16 @@
         }
     }
 
+    /**
+     * Tells whether a worker is watched.
+     *
+     * @param id The worker.
+     * @returns True until nothing runs there any more.
+     */
+    isWatching(id: WorkerId): boolean {
+        return this.#watched.has(id);
+    }
+
     /**
      * Looks at a worker at once, beside the look under way.
      *
