--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -14,7 +14,7 @@
  * @module
  */
 
-import type { PoolName, QueueConfig, QueueName } from "../configuration/mod.ts";
+import type { QueueConfig, QueueName } from "../configuration/mod.ts";
 import {
     Ledger,
     type EndKind,
@@ -22,16 +22,16 @@
     type JobId,
     type JobSpec,
     type Resources,
-    type StepSpec,
     type WorkerId,
     type WorkerRecord,
 } from "../job/mod.ts";
 import { TaskWorker, type TaskRun } from "../standin/task_worker.ts";
+import { VirtualTime } from "../standin/virtual_time.ts";
+import { buildQueue, POOL, QUEUE } from "./_builders.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import type { AdviceCall, Effect, LaneId, LookAnswer, OrderAnswer } from "./types.ts";
 
-export const POOL = "studio" as PoolName;
-export const QUEUE = "previews" as QueueName;
+export * from "./_builders.ts";
 
 const COMMIT_MS = 12;
 const WAY_MS = 1;
@@ -81,12 +81,6 @@
 
 const NO_FAULT: OrderFault = { type: "none" };
 
-interface Event {
-    readonly at: number;
-    readonly order: number;
-    readonly run: () => void;
-}
-
 /** The floor. */
 export class FloorFixture {
     readonly #options: FloorOptions;
@@ -102,12 +96,10 @@
     readonly #records = new Map<WorkerId, WorkerRecord>();
     readonly #leavesAt = new Map<WorkerId, number>();
     readonly #looking = new Set<WorkerId>();
-    readonly #events: Event[] = [];
-    #eventCount = 0;
+    readonly #time = new VirtualTime();
     #heartbeat = 0;
     #term = 1;
     #epoch = 0;
-    now = 0;
     dispatcher: Dispatcher;
 
     /**
@@ -195,20 +187,16 @@
 
     /** Lets time pass. */
     runFor(ms: number): void {
-        const end = this.now + ms;
-        for (;;) {
-            const next = this.#events[0];
-            if (next === undefined || next.at > end) {
-                break;
-            }
-            this.#events.shift();
-            this.now = Math.max(this.now, next.at);
-            next.run();
+        this.#time.runFor(ms, () => {
             if (this.#options.isChecked ?? true) {
                 this.#checkWorkers();
             }
-        }
-        this.now = end;
+        });
+    }
+
+    /** The time, in ms since the floor began. */
+    get now(): number {
+        return this.#time.now;
     }
 
     /** The state of a job as a caller sees it. */
@@ -296,15 +284,7 @@
     }
 
     #addEvent(delay: number, run: () => void): void {
-        const event = { at: this.now + delay, order: this.#eventCount++, run };
-        // Behind every event of the same time: the order of creation is kept.
-        let [low, high] = [0, this.#events.length];
-        while (low < high) {
-            const middle = (low + high) >>> 1;
-            const isBefore = (this.#events[middle]?.at ?? 0) <= event.at;
-            [low, high] = isBefore ? [middle + 1, high] : [low, middle];
-        }
-        this.#events.splice(low, 0, event);
+        this.#time.schedule(delay, run);
     }
 
     #tick(): void {
@@ -500,89 +480,3 @@
         });
     }
 }
-
-/**
- * Builds a queue.
- *
- * @param overrides What differs from an urgent queue without advice.
- * @returns The queue.
- */
-export function buildQueue(overrides: Partial<QueueConfig> = {}): QueueConfig {
-    return {
-        name: QUEUE,
-        host: "studio.example",
-        pathPrefix: "/previews/",
-        pool: POOL,
-        priority: 0,
-        maxAttempts: 3,
-        stretch: 2,
-        targetLatencyMs: 250,
-        timeoutMs: 3_000,
-        advice: undefined,
-        ...overrides,
-    };
-}
-
-/**
- * Builds a step.
- *
- * @param overrides What differs from one small task.
- * @returns The step.
- */
-export function buildStep(overrides: Partial<StepSpec> = {}): StepSpec {
-    return {
-        count: 1,
-        needs: { cpu: 1_000, memoryMb: 1_000, gpu: 0 },
-        estimateMs: 300,
-        after: [],
-        isGang: false,
-        isRackLocal: false,
-        requiredLabel: undefined,
-        preferredRack: undefined,
-        maxPerWorker: 0,
-        savesProgress: false,
-        isSpeculative: false,
-        isPerpetual: false,
-        image: "",
-        targetMs: 0,
-        isFiller: false,
-        maxAbsent: 0,
-        ...overrides,
-    };
-}
-
-/**
- * Builds a job of the given steps.
- *
- * @param steps What differs, per step.
- * @returns The job.
- */
-export function buildSpec(...steps: readonly Partial<StepSpec>[]): JobSpec {
-    return {
-        payload: "payload",
-        steps: steps.map((step) => buildStep(step)),
-        repeats: 0,
-        firstAtMs: 0,
-        periodMs: 0,
-    };
-}
-
-/**
- * Builds what a usual worker tells of itself.
- *
- * @param overrides What differs from it.
- * @returns The record.
- */
-export function buildWorkerRecord(overrides: Partial<WorkerRecord> = {}): WorkerRecord {
-    return {
-        id: "w1" as WorkerId,
-        address: "10.0.0.1:80",
-        pool: POOL,
-        zone: "z",
-        capacity: { cpu: 16_000, memoryMb: 32_000, gpu: 0 },
-        labels: ["a", "r1"],
-        instance: "",
-        isDraining: false,
-        ...overrides,
-    };
-}
--- a/tools/build_daemons.ts
+++ b/tools/build_daemons.ts
@@ -22,7 +22,7 @@
 } from "node:fs";
 import { basename, join } from "node:path";
 import { parseYaml } from "../settings/parse_yaml.ts";
-import { runWarmUp, type DaemonRole } from "./warm_up.ts";
+import { runWarmUp, type DaemonRole } from "../platform/warm_up.ts";
 
 /** Where everything goes that is built. */
 const TARGET = process.argv[2] ?? "target";
