--- a/tools/build_daemons_test.ts
+++ b/tools/build_daemons_test.ts
@@ -52,6 +52,27 @@
     },
 );
 
+test.serial("two builds at once both keep compiled code", async (t) => {
+    // Each build runs the daemons for a moment. On the same ports the second one's would not get up; its daemons
+    // then start a tenth of a second later each time, and nothing else tells.
+    const dirs = [1, 2].map(() => mkdtempSync(join(tmpdir(), "poplarhead-target-")));
+    t.teardown(() => dirs.forEach((dir) => rmSync(dir, { recursive: true })));
+    const statuses = await Promise.all(dirs.map((dir) => runBuild(dir)));
+    t.deepEqual(statuses, [0, 0]);
+    for (const dir of dirs) {
+        t.true(existsSync(join(dir, "code_cache_control.bin")));
+        t.true(existsSync(join(dir, "code_cache_front.bin")));
+    }
+});
+
+/** @returns The build's exit status. */
+function runBuild(dir: string): Promise<number | null> {
+    const child = spawn(process.execPath, ["--import=tsx", "tools/build_daemons.ts", dir], {
+        stdio: "ignore",
+    });
+    return new Promise((resolve) => child.once("exit", (code) => resolve(code)));
+}
+
 /** Starts the built front and tells whether it listens and ends as told. */
 async function isStarted(dir: string): Promise<boolean> {
     const settings = join(dir, "boot.yaml");
