--- a/dispatch/_candidates.ts
+++ b/dispatch/_candidates.ts
@@ -27,8 +27,8 @@
     readonly isHeld: (id: WorkerId) => boolean;
     /** The step's tasks keep to the part of the floor for single tasks. */
     readonly keepsToPart: boolean;
-    /** The step is a gang that leaves that part to them if it can. */
-    readonly isWideGang: boolean;
+    /** The step is a gang, which leaves that part to single tasks if it can. */
+    readonly sparesPart: boolean;
     /** Our clock, in ms. */
     readonly now: number;
 }
@@ -66,7 +66,7 @@
         }
         const list = findList(result, query, record.id);
         const isDoubtful = context.book.isDoubtful(worker, now);
-        const isOthers = query.isWideGang && context.parts.isForSingles(worker.lot);
+        const isOthers = query.sparesPart && context.parts.isForSingles(worker.lot);
         list?.push({ ...createCandidate(step, worker, isDoubtful, now), isOthers });
     }
     return result;
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -228,7 +228,7 @@
             workers,
             isHeld,
             keepsToPart: isDivided && isSingle && this.#hasWaitingGang && this.#isPatient(entry),
-            isWideGang: isDivided && step.spec.isGang,
+            sparesPart: isDivided && step.spec.isGang,
             now,
         });
     }
