--- a/bench/wide_jobs_bench.ts
+++ b/bench/wide_jobs_bench.ts
@@ -5,7 +5,6 @@
  * @example
  * ```sh
  * npx tsx bench/wide_jobs_bench.ts --workers 380 --seconds 30 --load 0.9 --seeds 1,2,3
- * npx tsx bench/wide_jobs_bench.ts --whole
  * ```
  *
  * @module
@@ -20,7 +19,6 @@
         seconds: { type: "string", default: "30" },
         load: { type: "string", default: "0.9" },
         seeds: { type: "string", default: "1" },
-        whole: { type: "boolean", default: false },
     },
 });
 
@@ -33,11 +31,7 @@
 }
 
 for (const seed of values.seeds.split(",").map(Number)) {
-    const day = new FullFloorDay({
-        workers: Number(values.workers),
-        seed,
-        mayDivide: !values.whole,
-    });
+    const day = new FullFloorDay({ workers: Number(values.workers), seed });
     const startedAt = process.cpuUsage();
     day.run(Number(values.seconds), Number(values.load));
     const used = process.cpuUsage(startedAt);
--- a/dispatch/_candidates.ts
+++ b/dispatch/_candidates.ts
@@ -25,10 +25,6 @@
     readonly workers: Iterable<WorkerState>;
     /** Whether a worker is kept for others. */
     readonly isHeld: (id: WorkerId) => boolean;
-    /** The step's tasks keep to the part of the floor for single tasks. */
-    readonly keepsToPart: boolean;
-    /** The step is a gang, which leaves that part to single tasks if it can. */
-    readonly sparesPart: boolean;
     /** Our clock, in ms. */
     readonly now: number;
 }
@@ -56,7 +52,6 @@
     for (const worker of query.workers) {
         const { record } = worker;
         const isPossible =
-            !(query.keepsToPart && !context.parts.isForSingles(worker.lot)) &&
             record.pool === queue.pool &&
             (requiredLabel === undefined || record.labels.includes(requiredLabel)) &&
             context.book.isUsable(worker, now) &&
@@ -65,9 +60,7 @@
             continue;
         }
         const list = findList(result, query, record.id);
-        const isDoubtful = context.book.isDoubtful(worker, now);
-        const isOthers = query.sparesPart && context.parts.isForSingles(worker.lot);
-        list?.push({ ...createCandidate(step, worker, isDoubtful, now), isOthers });
+        list?.push(createCandidate(step, worker, context.book.isDoubtful(worker, now), now));
     }
     return result;
 }
--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -12,11 +12,10 @@
  * @module
  */
 
-import type { Configuration, QueueConfig, QueueName } from "../configuration/mod.ts";
+import type { QueueConfig, QueueName } from "../configuration/mod.ts";
 import type { Fact, Ledger } from "../job/mod.ts";
 import { AdviceDesk } from "./advice_desk.ts";
 import { GoodShares } from "./advice_plan.ts";
-import { FloorParts } from "./floor_parts.ts";
 import { StepBoard } from "./step_board.ts";
 import type { DispatchClock, DispatchLimits, Effect, Outcome, RecordDecision } from "./types.ts";
 import { WorkerBook, type WorkerState } from "./worker_book.ts";
@@ -29,8 +28,6 @@
     /** Above every fence of earlier leaders. */
     readonly firstFence: number;
     readonly limits?: Partial<DispatchLimits>;
-    /** Whether a large floor may be divided between gangs and single tasks; true by default. */
-    readonly mayDivide?: boolean;
     /** Takes a line about each decision. */
     readonly record?: RecordDecision;
 }
@@ -56,15 +53,9 @@
     readonly board: StepBoard;
     readonly desk = new AdviceDesk();
     readonly goodShares = new GoodShares();
-    readonly parts: FloorParts;
     readonly recordDecision: RecordDecision;
     /** Something changed that may let a waiting unit be placed. */
     isDirty = true;
-    /** The priority of the most urgent queues, of the configuration that it was computed for. */
-    #urgent: { readonly configuration: Configuration | undefined; readonly priority: number } = {
-        configuration: undefined,
-        priority: Number.POSITIVE_INFINITY,
-    };
     #facts: Fact[] = [];
     #effects: Effect[] = [];
 
@@ -81,7 +72,6 @@
             leaseMs: this.limits.leaseMs,
         });
         this.board = new StepBoard({ ledger: this.ledger, clock: this.clock });
-        this.parts = new FloorParts(options.mayDivide ?? true);
     }
 
     /**
@@ -123,21 +113,6 @@
         return outcome;
     }
 
-    /**
-     * Tells whether a queue is of the most urgent ones.
-     *
-     * @param name The queue.
-     * @returns True when no queue in force is more urgent.
-     */
-    isUrgent(name: QueueName): boolean {
-        const { configuration } = this.ledger;
-        if (this.#urgent.configuration !== configuration) {
-            const priorities = (configuration?.queues ?? []).map(({ priority }) => priority);
-            this.#urgent = { configuration, priority: Math.min(...priorities) };
-        }
-        return (this.findQueue(name)?.priority ?? 0) <= this.#urgent.priority;
-    }
-
     /**
      * Finds a queue, also one that was removed while jobs of it go on.
      *
--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -63,8 +63,6 @@
     readonly getEnd?: (task: string, worker: WorkerId) => EndKind;
     /** What a task reports: its tail in ms if it serves. */
     readonly getLoad?: (task: string) => number;
-    /** Whether the dispatcher may divide the floor; true by default. */
-    readonly mayDivide?: boolean;
     /** Which workers the advice service admits to a step. */
     readonly isAdmitted?: (step: string, worker: WorkerId) => boolean;
 }
@@ -214,7 +212,6 @@
             ledger: this.durable.copy(),
             clock: { getNow: () => this.now, getWall: () => this.now },
             firstFence: this.#term * FENCES_PER_TERM,
-            mayDivide: this.#options.mayDivide,
         });
     }
 
--- a/dispatch/_full_floor.ts
+++ b/dispatch/_full_floor.ts
@@ -126,8 +126,6 @@
 export interface FullFloorOptions {
     readonly workers: number;
     readonly seed: number;
-    /** Whether the dispatcher may divide the floor; true by default. */
-    readonly mayDivide?: boolean;
 }
 
 /** What became of some jobs. */
@@ -159,12 +157,11 @@
      * @param options Size and seed; see {@link FullFloorOptions}.
      */
     constructor(options: FullFloorOptions) {
-        const { workers, seed, mayDivide } = options;
+        const { workers, seed } = options;
         this.#workers = workers;
         this.#random = createRandom(seed);
         this.#floor = new FloorFixture({
             workers,
-            mayDivide,
             isChecked: false,
             fronts: Math.max(3, Math.round((FRONTS * workers) / FLOOR_WORKERS)),
             queues: KINDS.map(({ queue }) => queue),
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -19,8 +19,7 @@
 import type { DispatchContext } from "./_context.ts";
 import { GangHolds, type RankedStep } from "./_holds.ts";
 import { countPlaces, placeUnit, type Candidate } from "./placement.ts";
-import { isPatient } from "./floor_parts.ts";
-import { computeObjective, rankStep } from "./ranking.ts";
+import { rankStep } from "./ranking.ts";
 import { selectForRepetition } from "./repetition.ts";
 import type { StepWork } from "./step_board.ts";
 import type { Admission, AdviceCall } from "./types.ts";
@@ -55,8 +54,6 @@
     readonly #attempts: Attempts;
     readonly #holds: GangHolds;
     #nextCall = 1;
-    /** A gang of a queue that is not the most urgent waits for room. */
-    #hasWaitingGang = false;
 
     /**
      * @param context What the parts share.
@@ -77,9 +74,6 @@
         const now = this.#context.clock.getNow();
         const ranked = this.#rankWaiting();
         this.#holds.setHolders(ranked);
-        this.#hasWaitingGang = ranked.some(
-            ({ step, queue }) => step.spec.isGang && !this.#context.isUrgent(queue.name),
-        );
         let gangs = 0;
         for (const entry of ranked) {
             gangs += entry.step.spec.isGang ? 1 : 0;
@@ -219,23 +213,7 @@
     ): StepCandidates {
         const { step, queue } = entry;
         const isHeld = (id: WorkerId): boolean => this.#holds.isHeld(id, entry);
-        const { parts } = this.#context;
-        const isDivided = parts.isDivided && !this.#context.isUrgent(queue.name);
-        const isSingle = !step.spec.isGang && !step.spec.isPerpetual;
-        return listCandidates(this.#context, {
-            step,
-            queue,
-            workers,
-            isHeld,
-            keepsToPart: isDivided && isSingle && this.#hasWaitingGang && this.#isPatient(entry),
-            sparesPart: isDivided && step.spec.isGang,
-            now,
-        });
-    }
-
-    #isPatient({ step, queue }: RankedStep): boolean {
-        const elapsed = this.#context.clock.getWall() - step.job.acceptedAt;
-        return isPatient(elapsed, computeObjective(step.job.spec, queue));
+        return listCandidates(this.#context, { step, queue, workers, isHeld, now });
     }
 
     #startAttempt(step: StepWork, unitNumber: number, workers: readonly WorkerId[]): void {
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -144,7 +144,6 @@
         if (job !== undefined) {
             this.#context.board.openJob(job);
         }
-        this.#recordDemand(submission);
         this.#context.recordDecision("decision", "job accepted", {
             request: submission.job,
             queue: submission.queue,
@@ -154,16 +153,6 @@
         return undefined;
     }
 
-    #recordDemand({ queue, spec }: Submission): void {
-        if (!this.#context.isUrgent(queue)) {
-            const now = this.#context.clock.getNow();
-            for (const { isGang, count, needs, estimateMs, isPerpetual } of spec.steps) {
-                const work = isPerpetual ? 0 : count * needs.cpu * estimateMs;
-                this.#context.parts.recordDemand({ isGang, work }, now);
-            }
-        }
-    }
-
     /**
      * Cancels a job.
      *
@@ -311,7 +300,6 @@
             this.#tickWorker(worker, now);
         }
         this.#tickedAt = now;
-        this.#context.parts.update(this.#context.ledger.workers.size, now);
         if (now - this.#forgottenAt >= FORGET_EVERY_MS) {
             this.#forgottenAt = now;
             this.#forgetEnded();
--- a/dispatch/placement.ts
+++ b/dispatch/placement.ts
@@ -27,8 +27,6 @@
     readonly slowness: number;
     /** The last task that ended there failed. */
     readonly isDoubtful: boolean;
-    /** It belongs to the part of the floor that others keep to; false by default. */
-    readonly isOthers?: boolean;
 }
 
 /** What is to be placed at once. */
@@ -128,12 +126,8 @@
     return Math.max(0, places);
 }
 
-/** Its own part of the floor first, then near and fast, then by zone, then best fit, then the id so that equal workers keep their order. */
+/** Near and fast first, then by zone, then best fit, then the id so that equal workers keep their order. */
 function compareSlots(a: Slot, b: Slot, { needs, zoneRanks }: PlacementRequest): number {
-    const others = Number(a.candidate.isOthers ?? false) - Number(b.candidate.isOthers ?? false);
-    if (others !== 0) {
-        return others;
-    }
     const near = Number(b.candidate.isNear) - Number(a.candidate.isNear);
     if (near !== 0) {
         return near;
--- a/dispatch/worker_book.ts
+++ b/dispatch/worker_book.ts
@@ -13,7 +13,6 @@
  */
 
 import type { Resources, TaskName, WorkerId, WorkerRecord } from "../job/mod.ts";
-import { computeLot } from "./floor_parts.ts";
 import type { MemberRun } from "./types.ts";
 import { WorkerClock } from "./worker_clock.ts";
 import { WorkerSpeed } from "./worker_speed.ts";
@@ -39,8 +38,6 @@
     record: WorkerRecord;
     readonly clock: WorkerClock;
     readonly speed: WorkerSpeed;
-    /** Its place in the division of the floor; see `floor_parts.ts`. */
-    readonly lot: number;
     /** The fence of the next order. */
     fence: number;
     /** The latest lease end that any order carried, on the worker's clock. */
@@ -137,7 +134,6 @@
             record,
             clock: new WorkerClock(),
             speed: new WorkerSpeed(),
-            lot: computeLot(record.id),
             fence: this.#nextFence,
             leaseUntil: Number.NEGATIVE_INFINITY,
             inheritedLeaseEndsAt: now,
