Sight: how long a lost run had lasted, and how a worker that is gone ended

The incident's hypotheses can be told apart by the lines there are, but not which of the tasks on a worker may have ended it, nor whether a worker that is gone had crashed or had left. No logic changes.

--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -120,6 +120,7 @@
             fence: 0,
             settledAt: undefined,
             startedAt: now,
+            lastedMs: 0,
             percent: 0,
             reportedAt: now,
             estimateMs: spec?.estimateMs ?? 0,
@@ -189,6 +190,7 @@
             worker: member.worker,
             how,
             tookMs: Math.round(this.#context.clock.getNow() - member.startedAt),
+            lastedMs: how === "lost" ? Math.round(member.lastedMs) : undefined,
         });
         this.#context.recordRoom(this.#context.book.findWorker(member.worker));
         if (members !== undefined && members.size > 0) {
--- a/dispatch/_looks.ts
+++ b/dispatch/_looks.ts
@@ -181,6 +181,7 @@
             member.state = "running";
         }
         member.load = report.load;
+        member.lastedMs = now - member.startedAt;
         this.#recordProgress(worker, member, report.percent, now);
     }
 
--- a/dispatch/_worker_losses.ts
+++ b/dispatch/_worker_losses.ts
@@ -61,6 +61,8 @@
             worker: id,
             why,
             members: worker.members.size,
+            silentMs: Math.round(this.#context.clock.getNow() - worker.heardAt),
+            draining: worker.record.isDraining,
         });
         this.#context.record({ type: "workerGone", worker: id });
         this.#attempts.endMembers([...worker.members.values()]);
--- a/dispatch/types.ts
+++ b/dispatch/types.ts
@@ -63,6 +63,8 @@
      */
     settledAt: number | undefined;
     startedAt: number;
+    /** How long it had run when its worker last listed it, in ms; 0 before. */
+    lastedMs: number;
     /** Share of its work done, in percent, as the worker reports it. */
     percent: number;
     /** When {@link MemberRun.percent} was last reported. */
