--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -41,6 +41,10 @@
 /** A look that gets no answer is given up so long after its own wait, in ms. */
 const LOOK_EXTRA_MS = 500;
 const FENCES_PER_TERM = 1_000_000;
+const HEARTBEAT_MS = 1_500;
+const DEFAULT_RESTART_MS = 3_300;
+/** A smaller room binds once it has been told for so long, in ms: three seconds and a heartbeat. */
+const SHRINK_GRACE_MS = 4_500;
 
 /** Options of {@link FloorFixture}. */
 export interface FloorOptions {
@@ -61,6 +65,10 @@
     /** Decides whether an order is lost on its way, carried out late, or both ways fine. */
     readonly getFault?: (kind: "start" | "stop" | "look", worker: WorkerId) => OrderFault;
     readonly getEnd?: (task: string, worker: WorkerId) => EndKind;
+    /** How long after its start a task ends its worker, in ms; `undefined` for one that does not. */
+    readonly getCrashAfterMs?: (task: string, worker: WorkerId) => number | undefined;
+    /** After a crash the next incarnation joins at the same address after this, in ms. */
+    readonly restartMs?: number;
     /** What a task reports: its tail in ms if it serves. */
     readonly getLoad?: (task: string) => number;
     /** Which workers the advice service admits to a step. */
@@ -90,7 +98,14 @@
     readonly runs: { task: string; attempt: number; worker: WorkerId; at: number }[] = [];
     /** Every pace order: task, percent. */
     readonly paces: { task: string; percent: number; at: number }[] = [];
+    /** Every crash of a worker: the tasks that ran there when it ended. */
+    readonly crashes: { worker: WorkerId; tasks: readonly string[]; at: number }[] = [];
     readonly #acknowledgedDone = new Set<string>();
+    readonly #rooms = new Map<WorkerId, { since: number; capacity: Resources }[]>();
+    readonly #addresses = new Map<WorkerId, string>();
+    readonly #muted = new Set<WorkerId>();
+    #isLed = true;
+    #incarnations = 0;
     readonly #records = new Map<WorkerId, WorkerRecord>();
     readonly #leavesAt = new Map<WorkerId, number>();
     readonly #looking = new Set<WorkerId>();
@@ -134,8 +149,50 @@
             isDraining: false,
             ...this.#options.getRecord?.(Number(id.slice(1))),
         };
+        this.#addIncarnation(record);
+    }
+
+    #addIncarnation(record: WorkerRecord): void {
+        const { id, address, capacity } = record;
         this.#records.set(id, record);
-        this.workers.set(id, this.#createWorker(id, record.capacity));
+        this.#addresses.set(id, address);
+        this.#rooms.set(id, [{ since: this.now, capacity }]);
+        this.workers.set(id, this.#createWorker(id, capacity));
+    }
+
+    /** Changes the room that a running worker has; its next heartbeat tells it. */
+    setCapacity(id: WorkerId, capacity: Resources): void {
+        const record = this.#records.get(id);
+        if (record !== undefined) {
+            this.#records.set(id, { ...record, capacity });
+            this.#rooms.get(id)?.push({ since: this.now, capacity });
+        }
+    }
+
+    /** Crashes a worker with all that runs there; its next incarnation joins after a while. */
+    crashWorker(id: WorkerId): void {
+        const worker = this.workers.get(id);
+        const record = this.#records.get(id);
+        if (worker === undefined || record === undefined) {
+            return;
+        }
+        const tasks = worker.runs.map((run) => run.task);
+        this.crashes.push({ worker: id, tasks, at: this.now });
+        this.killWorker(id);
+        this.#addEvent(this.#options.restartMs ?? DEFAULT_RESTART_MS, () => {
+            this.#incarnations += 1;
+            const next = `${id.split("#")[0]}#${this.#incarnations}` as WorkerId;
+            this.#addIncarnation({ ...record, id: next, isDraining: false });
+            this.#sendHeartbeats(false);
+        });
+    }
+
+    /** How often a task was started after a number of workers had crashed under it. */
+    countStartsAfterCrashes(task: string, crashes: number): number {
+        const crash = this.crashes.filter(({ tasks }) => tasks.includes(task))[crashes - 1];
+        return crash === undefined
+            ? 0
+            : this.runs.filter((run) => run.task === task && run.at > crash.at).length;
     }
 
     /** Ends a worker: its runs end with it, and it answers no more. */
@@ -172,17 +229,35 @@
         this.#flush();
     }
 
-    /** Replaces the leader: what it had not had agreed on is gone; orders on their way are not. */
-    replaceLeader(): void {
-        this.#term += 1;
+    /** Ends the leader; nobody leads until {@link FloorFixture.replaceLeader}. */
+    stopLeader(): void {
         this.#epoch += 1;
         this.#looking.clear();
+        this.#isLed = false;
+    }
+
+    /**
+     * Replaces the leader: what it had not had agreed on is gone; orders on their way are not.
+     *
+     * @param options Whether all workers' heartbeats reach the next one at once.
+     */
+    replaceLeader({ isHeardAtOnce = true }: { readonly isHeardAtOnce?: boolean } = {}): void {
+        this.stopLeader();
+        this.#term += 1;
+        this.#isLed = true;
         this.dispatcher = this.#createDispatcher();
         this.dispatcher.setLanes(this.#listLanes());
-        this.#sendHeartbeats(false);
+        if (isHeardAtOnce) {
+            this.#sendHeartbeats(false);
+        }
         this.#flush();
     }
 
+    /** Has a worker's heartbeats get lost; orders still reach it. */
+    dropHeartbeats(id: WorkerId): void {
+        this.#muted.add(id);
+    }
+
     /** Lets time pass. */
     runFor(ms: number): void {
         this.#time.runFor(ms, () => {
@@ -264,16 +339,36 @@
             this.violations.push(`${run.task} runs again at ${this.now} after it was done`);
         }
         this.runs.push({ task: run.task, attempt: run.attempt, worker, at: this.now });
+        this.#checkRoom(worker);
+        const crashAfterMs = this.#options.getCrashAfterMs?.(run.task, worker);
+        if (crashAfterMs !== undefined) {
+            this.#addEvent(crashAfterMs, () => this.crashWorker(worker));
+        }
+    }
+
+    /** A start must fit the room that the worker has, or had within the time that a change takes to be known. */
+    #checkRoom(id: WorkerId): void {
+        const worker = this.workers.get(id);
+        const rooms = this.#rooms.get(id) ?? [];
+        const bound = rooms.filter(
+            (_room, i) => (rooms[i + 1]?.since ?? this.now) >= this.now - SHRINK_GRACE_MS,
+        );
+        const cpu = Math.max(...bound.map((room) => room.capacity.cpu));
+        const memoryMb = Math.max(...bound.map((room) => room.capacity.memoryMb));
+        const used = worker?.used ?? { cpu: 0, memoryMb: 0 };
+        if (used.cpu > cpu || used.memoryMb > memoryMb) {
+            this.violations.push(`a start brings ${id} over its room at ${this.now}`);
+        }
     }
 
     #checkWorkers(): void {
         for (const [id, worker] of this.workers) {
             worker.advance();
-            const { capacity } = this.#records.get(id) ?? {};
+            const rooms = this.#rooms.get(id) ?? [];
             const { used } = worker;
-            const isOver =
-                capacity !== undefined &&
-                (used.cpu > capacity.cpu || used.memoryMb > capacity.memoryMb);
+            const isOver = rooms.every(
+                ({ capacity }) => used.cpu > capacity.cpu || used.memoryMb > capacity.memoryMb,
+            );
             if (isOver) {
                 this.violations.push(`${id} is over its capacity at ${this.now}`);
             }
@@ -285,14 +380,19 @@
     }
 
     #tick(): void {
-        this.dispatcher.tick();
-        this.#flush();
+        if (this.#isLed) {
+            this.dispatcher.tick();
+            this.#flush();
+        }
         this.#addEvent(TICK_MS, () => this.#tick());
     }
 
     #sendHeartbeats(isRepeated = true): void {
         this.#heartbeat += 1;
         for (const [id, record] of this.#records) {
+            if (!this.#isLed || this.#muted.has(id)) {
+                continue;
+            }
             const leavesAt = this.#leavesAt.get(id);
             this.dispatcher.handleHeartbeat({
                 record,
@@ -303,7 +403,7 @@
         }
         this.#flush();
         if (isRepeated) {
-            this.#addEvent(1_500, () => this.#sendHeartbeats());
+            this.#addEvent(HEARTBEAT_MS, () => this.#sendHeartbeats());
         }
     }
 
@@ -429,7 +529,7 @@
                     this.#flush();
                 }
             });
-        const worker = this.workers.get(id);
+        const worker = this.workers.get(id) ?? this.#findSuccessor(id);
         const silence = { type: "unanswered", cause: "timeout" } as A;
         if (fault.type === "refused") {
             reply(WAY_MS, { type: "undelivered", cause: "refused" } as A);
@@ -457,6 +557,13 @@
         });
     }
 
+    /** The incarnation that answers at the address of one that is gone. */
+    #findSuccessor(id: WorkerId): TaskWorker | undefined {
+        const address = this.#addresses.get(id);
+        const successor = [...this.#records.values()].find((other) => other.address === address);
+        return successor === undefined ? undefined : this.workers.get(successor.id);
+    }
+
     #answerAdvice(call: AdviceCall): void {
         const tookMs = call.policy.decideMs + call.policy.perWorkerMs * call.workers.length;
         const epoch = this.#epoch;
