A task that crashes its workers is given up, and what runs beside it is not

Callers saw: jobs on workers that ended again and again, up to three workers a second; the users' report: a task started 26 times, each run gone after 10 ms. Cause: a run that is lost with its worker counted for nothing. The ledger counts ends that workers list, and a worker that crashes lists none, so nothing bounded the starts. Why this works: each crash is on record with the units that may have caused it, before any of them starts again, whoever leads then. A unit is given up after two crashes that nothing else explains or four of any kind, which leaves one start after the third at most. Others are kept out of it by where a suspect starts: on a worker whose runs have outlasted their starts, with no other start until it has outlasted its own; a second crash there tells of it alone.

--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -21,7 +21,9 @@
     type UnitRef,
     type WorkerId,
 } from "../job/mod.ts";
+import { computeApartMs, isCrashLoop } from "./crash_loop.ts";
 import type { DispatchContext } from "./_context.ts";
+import { createUnitKey } from "./step_board.ts";
 import type { MemberRun } from "./types.ts";
 import type { WorkerState } from "./worker_book.ts";
 
@@ -121,6 +123,7 @@
             settledAt: undefined,
             startedAt: now,
             lastedMs: 0,
+            apartMs: computeApartMs(this.#context.ledger.findUnit(unit)?.crashes ?? []),
             percent: 0,
             reportedAt: now,
             estimateMs: spec?.estimateMs ?? 0,
@@ -223,19 +226,39 @@
                 .forEach((key) => this.#context.desk.removeCalls(key));
             return;
         }
+        if (!this.endIfHopeless(ref)) {
+            this.#context.board.addWaiting(ref);
+        }
+    }
+
+    /**
+     * Fails a unit's job once the unit has used up its attempts or crashes its workers.
+     *
+     * @param ref The unit.
+     * @returns Whether the job has failed by it.
+     */
+    endIfHopeless(ref: UnitRef): boolean {
+        const job = this.#context.ledger.jobs.get(ref.job);
+        const unit = this.#context.ledger.findUnit(ref);
+        if (job === undefined || unit === undefined || job.endedAt !== undefined || unit.isDone) {
+            return false;
+        }
         const isPerpetual = job.spec?.steps[ref.step]?.isPerpetual ?? false;
         const limit = this.#context.findQueue(job.queue)?.maxAttempts ?? Number.POSITIVE_INFINITY;
-        if (!isPerpetual && (unit?.failures ?? 0) >= limit) {
-            this.#context.record({ type: "jobFailed", job: job.id });
-            this.#context.recordDecision("failure", "job failed", {
-                request: job.id,
-                unit: ref,
-                limit,
-            });
-            this.closeJob(job);
-            return;
+        const hasFailed = !isPerpetual && unit.failures >= limit;
+        if (!hasFailed && !isCrashLoop(unit.crashes)) {
+            return false;
         }
-        this.#context.board.addWaiting(ref);
+        this.#context.record({ type: "jobFailed", job: job.id });
+        this.#context.recordDecision("failure", "job failed", {
+            request: job.id,
+            unit: ref,
+            cause: hasFailed ? "attempts" : "crashes",
+            limit,
+            crashes: unit.crashes,
+        });
+        this.closeJob(job);
+        return true;
     }
 
     /**
@@ -306,13 +329,3 @@
 function isMovable(spec: StepSpec): boolean {
     return spec.savesProgress && !spec.isGang && !spec.isPerpetual;
 }
-
-/**
- * Names a unit, as a key.
- *
- * @param ref The unit.
- * @returns The key.
- */
-export function createUnitKey(ref: UnitRef): string {
-    return `${ref.job}.${ref.occurrence}.${ref.step}/${ref.unit}`;
-}
--- /dev/null
+++ b/dispatch/_isolation.ts
@@ -0,0 +1,256 @@
+/**
+ * Starts of units under which workers crashed, apart from other starts; see `crash_loop.ts` for the pattern. A
+ * unit under suspicion goes to the worker with least to lose, once every run there has outlasted its start, and no
+ * other start follows until it has outlasted its own. A second crash then tells of this unit alone.
+ *
+ * @example
+ * ```ts
+ * import { Isolation } from "./_isolation.ts";
+ * const isolation = new Isolation(context);
+ * isolation.update(now);
+ * const workers = isolation.selectWorkers(step, unit, admitted, now);
+ * ```
+ *
+ * @module
+ */
+
+import type { UnitRef, WorkerId } from "../job/mod.ts";
+import { computeRoom } from "./_attempts.ts";
+import type { StepCandidates } from "./_candidates.ts";
+import type { DispatchContext } from "./_context.ts";
+import { computeApartMs, hasOutlastedStart, OUTLASTED_MS } from "./crash_loop.ts";
+import { placeUnit, type Candidate } from "./placement.ts";
+import { createUnitKey, type StepWork } from "./step_board.ts";
+import type { MemberRun, StepKey } from "./types.ts";
+import { hasRoomFor, type WorkerState } from "./worker_book.ts";
+
+/** A unit that finds no worker for itself within this time starts beside others, in ms. */
+const PATIENCE_MS = 3_000;
+/** One worker of so many is kept for units under suspicion at most, and always one. */
+const WORKERS_PER_RESERVATION = 8;
+/** Pause between two looks that ask whether runs have outlasted their starts, in ms. */
+const LOOK_AGAIN_MS = 250;
+
+/** The isolated starts of one leader. */
+export class Isolation {
+    readonly #context: DispatchContext;
+    readonly #reservations = new Map<WorkerId, StepKey>();
+    readonly #waitingSince = new Map<string, number>();
+    #closed = new Set<WorkerId>();
+
+    /**
+     * @param context What the parts share.
+     */
+    constructor(context: DispatchContext) {
+        this.#context = context;
+    }
+
+    /**
+     * Takes stock before a round of placing: drops reservations that nothing waits for, and asks for signs of runs
+     * that somebody waits for.
+     *
+     * @param now Our clock, in ms.
+     */
+    update(now: number): void {
+        const { book, board } = this.#context;
+        for (const [id, key] of this.#reservations) {
+            const worker = book.findWorker(id);
+            const hasWaiting = (board.findStep(key)?.waiting.size ?? 0) > 0;
+            if (worker === undefined || !hasWaiting || !book.isUsable(worker, now)) {
+                this.#release(id);
+            } else if ([...worker.members.values()].some((member) => isUnproven(member, now))) {
+                this.#look(worker, now);
+            }
+        }
+        this.#closed = new Set(this.#listApart(now).map((member) => member.worker));
+    }
+
+    /**
+     * Tells whether a worker takes no start of a step.
+     *
+     * @param id The worker.
+     * @param step The step.
+     * @returns True beside a run under suspicion, and while the worker is kept for another step.
+     */
+    isClosed(id: WorkerId, step: StepWork): boolean {
+        const holder = this.#reservations.get(id);
+        return this.#closed.has(id) || (holder !== undefined && holder !== step.key);
+    }
+
+    /**
+     * Selects the candidates that units without suspicion may use.
+     *
+     * @param candidates Those that are open to the step.
+     * @returns Those that units under suspicion neither use nor wait for.
+     */
+    selectOpen(candidates: readonly Candidate[]): readonly Candidate[] {
+        return this.#reservations.size + this.#closed.size === 0
+            ? candidates
+            : candidates.filter(({ id }) => !this.#reservations.has(id) && !this.#closed.has(id));
+    }
+
+    /**
+     * Lists the waiting units of a step that are under suspicion.
+     *
+     * @param step The step.
+     * @returns Their numbers.
+     */
+    listSuspects(step: StepWork): number[] {
+        if (!step.hasCrashes) {
+            return [];
+        }
+        return [...step.waiting].filter((unit) => {
+            const crashes = this.#context.ledger.findUnit(createUnitRef(step, unit))?.crashes ?? [];
+            return computeApartMs(crashes) > 0;
+        });
+    }
+
+    /**
+     * Selects workers for a unit under suspicion, and keeps one until there are some.
+     *
+     * @param step The step.
+     * @param unit The unit's number.
+     * @param candidates The workers that the step may use, by admission.
+     * @param now Our clock, in ms.
+     * @returns One worker a task; `undefined` when the unit has to wait.
+     */
+    selectWorkers(
+        step: StepWork,
+        unit: number,
+        candidates: StepCandidates,
+        now: number,
+    ): WorkerId[] | undefined {
+        const key = createUnitKey(createUnitRef(step, unit));
+        const since = this.#waitingSince.get(key) ?? now;
+        const chosen =
+            this.#placeApart(step, candidates.admitted) ??
+            (now - since >= PATIENCE_MS
+                ? placeUnit(createRequest(step, this.selectOpen(candidates.admitted)))
+                : undefined);
+        if (chosen === undefined) {
+            this.#waitingSince.set(key, since);
+            this.#addReservation(step, [...candidates.admitted, ...candidates.expired]);
+            return undefined;
+        }
+        this.#waitingSince.delete(key);
+        for (const id of chosen) {
+            this.#release(id);
+            this.#closed.add(id);
+        }
+        return chosen;
+    }
+
+    /** On workers without young runs, those first that have least to lose. */
+    #placeApart(step: StepWork, admitted: readonly Candidate[]): WorkerId[] | undefined {
+        const calm = admitted
+            .map((candidate) => ({
+                candidate,
+                worker: this.#context.book.findWorker(candidate.id),
+            }))
+            .filter(({ worker }) => worker !== undefined && isCalm(worker))
+            .sort((a, b) => countMembers(a.worker) - countMembers(b.worker));
+        if (step.spec.isGang) {
+            return placeUnit(
+                createRequest(
+                    step,
+                    calm.map(({ candidate }) => candidate),
+                ),
+            );
+        }
+        for (const { candidate } of calm) {
+            const chosen = placeUnit(createRequest(step, [candidate]));
+            if (chosen !== undefined) {
+                return chosen;
+            }
+        }
+        return undefined;
+    }
+
+    #addReservation(step: StepWork, candidates: readonly Candidate[]): void {
+        const { book } = this.#context;
+        const workers = [...book.workers].length;
+        const most = Math.max(1, Math.floor(workers / WORKERS_PER_RESERVATION));
+        const own = [...this.#reservations.values()].filter((key) => key === step.key).length;
+        const wanted = step.spec.isGang ? step.spec.count : this.listSuspects(step).length;
+        if (this.#reservations.size >= most || own >= wanted) {
+            return;
+        }
+        const needs = computeRoom(step.spec);
+        const free = candidates
+            .filter(({ id }) => !this.#reservations.has(id) && !this.#closed.has(id))
+            .map(({ id }) => book.findWorker(id))
+            .filter((worker) => worker !== undefined && hasRoomFor(worker.record.capacity, needs))
+            .sort((a, b) => countMembers(a) - countMembers(b));
+        const [worker] = free;
+        if (worker !== undefined) {
+            this.#reservations.set(worker.record.id, step.key);
+        }
+    }
+
+    #release(id: WorkerId): void {
+        const worker = this.#reservations.delete(id)
+            ? this.#context.book.findWorker(id)
+            : undefined;
+        if (worker !== undefined) {
+            this.#context.recordRoom(worker);
+        }
+    }
+
+    /** The runs that keep others off their workers; those that may have outlasted their starts are looked at. */
+    #listApart(now: number): MemberRun[] {
+        const apart: MemberRun[] = [];
+        for (const member of this.#context.book.suspects) {
+            if (member.lastedMs >= member.apartMs) {
+                continue;
+            }
+            apart.push(member);
+            const worker = this.#context.book.findWorker(member.worker);
+            if (worker !== undefined && isUnproven(member, now)) {
+                this.#look(worker, now);
+            }
+        }
+        return apart;
+    }
+
+    #look(worker: WorkerState, now: number): void {
+        if (now - worker.extraLookAt >= LOOK_AGAIN_MS) {
+            worker.extraLookAt = now;
+            this.#context.emit({ type: "look", worker: worker.record.id });
+        }
+    }
+}
+
+/** It runs for long enough to have outlasted its start, and no look has shown it yet. */
+function isUnproven(member: MemberRun, now: number): boolean {
+    return (
+        member.state === "running" &&
+        !hasOutlastedStart(member) &&
+        now - member.startedAt >= OUTLASTED_MS
+    );
+}
+
+function isCalm(worker: WorkerState): boolean {
+    return [...worker.members.values()].every((member) => hasOutlastedStart(member));
+}
+
+function countMembers(worker: WorkerState | undefined): number {
+    return worker?.members.size ?? 0;
+}
+
+function createRequest(
+    step: StepWork,
+    candidates: readonly Candidate[],
+): Parameters<typeof placeUnit>[0] {
+    const { isGang, count, maxPerWorker, isRackLocal } = step.spec;
+    return {
+        needs: computeRoom(step.spec),
+        count: isGang ? count : 1,
+        candidates,
+        maxPerWorker,
+        isRackLocal,
+    };
+}
+
+function createUnitRef(step: StepWork, unit: number): UnitRef {
+    return { job: step.job.id, occurrence: step.occurrence, step: step.step, unit };
+}
--- a/dispatch/_looks.ts
+++ b/dispatch/_looks.ts
@@ -12,11 +12,11 @@
  */
 
 import type { WorkerId } from "../job/mod.ts";
-import { createUnitKey, type Attempts } from "./_attempts.ts";
+import type { Attempts } from "./_attempts.ts";
 import type { DispatchContext } from "./_context.ts";
 import { Pacer } from "./_pacer.ts";
 import type { WorkerLosses } from "./_worker_losses.ts";
-import { createStepKey } from "./step_board.ts";
+import { createStepKey, createUnitKey } from "./step_board.ts";
 import type { EndReport, LookAnswer, LookOrder, MemberRun, RunningReport } from "./types.ts";
 import type { WorkerState } from "./worker_book.ts";
 
@@ -95,7 +95,7 @@
             return;
         }
         if (answer.type === "gone") {
-            this.#losses.removeWorker(order.worker, "another incarnation answers");
+            this.#losses.replaceWorker(worker);
             return;
         }
         if (answer.type === "unanswered" || answer.type === "undelivered") {
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -100,7 +100,7 @@
                 this.#handleRefusal(worker, member, answer.reason);
                 return;
             case "gone":
-                this.#losses.removeWorker(worker.record.id, "another incarnation answers");
+                this.#losses.replaceWorker(worker);
                 return;
             case "undelivered":
                 this.#handleUndelivered(worker, member, answer.cause);
@@ -173,7 +173,7 @@
                 this.#context.emit({ type: "look", worker: member.worker });
             }
         } else if (answer.type === "gone") {
-            this.#losses.removeWorker(worker.record.id, "another incarnation answers");
+            this.#losses.replaceWorker(worker);
         } else if (answer.type === "unanswered" || answer.type === "undelivered") {
             this.#losses.setSuspect(worker, answer.cause);
         }
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -18,6 +18,7 @@
 import { listCandidates, takeRoom, type StepCandidates } from "./_candidates.ts";
 import type { DispatchContext } from "./_context.ts";
 import { GangHolds, type RankedStep } from "./_holds.ts";
+import { Isolation } from "./_isolation.ts";
 import { countPlaces, placeUnit, type Candidate } from "./placement.ts";
 import { rankStep } from "./ranking.ts";
 import { selectForRepetition } from "./repetition.ts";
@@ -53,6 +54,7 @@
     readonly #context: DispatchContext;
     readonly #attempts: Attempts;
     readonly #holds: GangHolds;
+    readonly #isolation: Isolation;
     #nextCall = 1;
 
     /**
@@ -63,6 +65,7 @@
         this.#context = context;
         this.#attempts = attempts;
         this.#holds = new GangHolds(context, attempts);
+        this.#isolation = new Isolation(context);
     }
 
     /** Places what waits, if anything changed since the last time. */
@@ -73,6 +76,7 @@
         this.#context.isDirty = false;
         const now = this.#context.clock.getNow();
         const ranked = this.#rankWaiting();
+        this.#isolation.update(now);
         this.#holds.setHolders(ranked);
         let gangs = 0;
         for (const entry of ranked) {
@@ -114,6 +118,13 @@
             return "all";
         }
         const waitedMs = now - step.triedAllAt;
+        if (
+            step.hasCrashes &&
+            waitedMs >= RETRY_GANG_MS &&
+            this.#isolation.listSuspects(step).length > 0
+        ) {
+            return "all";
+        }
         if (step.spec.isGang) {
             const everyMs = gangsSoFar <= EAGER_GANGS ? RETRY_GANG_MS : RETRY_LATER_GANG_MS;
             return waitedMs >= everyMs ? "all" : "none";
@@ -143,16 +154,39 @@
     }
 
     #placeUnits(step: StepWork, candidates: StepCandidates, now: number): boolean {
-        const { repeated, first } = this.#listByHistory(step);
-        const trusted = selectForRepetition(candidates.admitted, now - step.failedAt);
+        const suspects = this.#isolation.listSuspects(step);
+        const { repeated, first } = this.#listByHistory(step, suspects);
+        const hasPlacedSuspects = this.#placeApart(step, suspects, candidates, now);
+        const open = this.#isolation.selectOpen(candidates.admitted);
+        const trusted = selectForRepetition(open, now - step.failedAt);
         const hasPlacedRepeated = this.#placeEach(step, repeated, trusted);
-        const hasPlacedFirst = this.#placeEach(step, first, candidates.admitted);
-        return hasPlacedRepeated || hasPlacedFirst;
+        const hasPlacedFirst = this.#placeEach(step, first, open);
+        return hasPlacedSuspects || hasPlacedRepeated || hasPlacedFirst;
+    }
+
+    #placeApart(
+        step: StepWork,
+        suspects: readonly number[],
+        candidates: StepCandidates,
+        now: number,
+    ): boolean {
+        let hasPlaced = false;
+        for (const unit of suspects) {
+            const chosen = this.#isolation.selectWorkers(step, unit, candidates, now);
+            if (chosen !== undefined) {
+                hasPlaced = true;
+                this.#startAttempt(step, unit, chosen);
+            }
+        }
+        return hasPlaced;
     }
 
     /** Units that failed before go first: their job waits for them longest. */
-    #listByHistory(step: StepWork): { repeated: number[]; first: number[] } {
-        const units = [...step.waiting];
+    #listByHistory(
+        step: StepWork,
+        suspects: readonly number[],
+    ): { repeated: number[]; first: number[] } {
+        const units = [...step.waiting].filter((unit) => !suspects.includes(unit));
         if (step.failedOn.size === 0) {
             return { repeated: [], first: units };
         }
@@ -212,7 +246,8 @@
         now: number,
     ): StepCandidates {
         const { step, queue } = entry;
-        const isHeld = (id: WorkerId): boolean => this.#holds.isHeld(id, entry);
+        const isHeld = (id: WorkerId): boolean =>
+            this.#isolation.isClosed(id, step) || this.#holds.isHeld(id, entry);
         return listCandidates(this.#context, { step, queue, workers, isHeld, now });
     }
 
@@ -283,6 +318,11 @@
             const goodShare = this.#context.goodShares.get(queue.name);
             return planAdvice({ workers, tasks, goodShare, policy });
         }
+        const suspects = this.#isolation.listSuspects(step);
+        if (suspects.length === step.waiting.size && hasRoomForUnit(step, candidates.admitted)) {
+            // They wait for runs beside them, not for a ticket.
+            return [];
+        }
         const known = [...candidates.expired, ...candidates.admitted];
         // A gang that holds workers asks while they are cleared, so that its tickets are fresh then.
         const isHolding = step.held.size > 0 && candidates.admitted.length === 0;
--- a/dispatch/_worker_losses.ts
+++ b/dispatch/_worker_losses.ts
@@ -13,6 +13,7 @@
 
 import type { WorkerId } from "../job/mod.ts";
 import type { Attempts } from "./_attempts.ts";
+import { computeEvidence } from "./crash_loop.ts";
 import type { DispatchContext } from "./_context.ts";
 import type { WorkerState } from "./worker_book.ts";
 
@@ -46,6 +47,25 @@
         }
     }
 
+    /**
+     * Takes a worker for gone because another incarnation answers in its place. Unless it had announced its end, it
+     * crashed, and what ran there may be the cause.
+     *
+     * @param worker The worker.
+     */
+    replaceWorker(worker: WorkerState): void {
+        const { id, isDraining } = worker.record;
+        const members = [...worker.members.values(), ...worker.lapsed];
+        const under = isDraining ? [] : computeEvidence(members);
+        if (under.length > 0) {
+            this.#context.record({ type: "workerCrashed", worker: id, under });
+            this.#context.recordDecision("failure", "worker crashed", { worker: id, under });
+        }
+        under.forEach(({ unit }) => this.#context.board.recordCrash(unit));
+        this.removeWorker(id, "another incarnation answers");
+        under.forEach(({ unit }) => this.#attempts.endIfHopeless(unit));
+    }
+
     /**
      * Takes a worker for gone, with all that ran there.
      *
--- a/dispatch/crash_loop_test.ts
+++ b/dispatch/crash_loop_test.ts
@@ -1,8 +1,10 @@
 import test from "ava";
 import fc from "fast-check";
+import type { Crash, CrashEvidence, JobId, TaskName, WorkerId } from "../job/mod.ts";
 import { createRandom } from "../tools/seeded_random.ts";
-import type { TaskName, WorkerId } from "../job/mod.ts";
 import { buildQueue, buildSpec, FloorFixture, type FloorOptions } from "./_fixtures.ts";
+import { computeApartMs, computeEvidence, isCrashLoop, OUTLASTED_MS } from "./crash_loop.ts";
+import type { MemberRun } from "./types.ts";
 
 const JOB = "00000000000000c1";
 const CRASHER = `${JOB}.0.0.0` as TaskName;
@@ -27,6 +29,43 @@
     );
 }
 
+function buildHistory(...evidence: readonly CrashEvidence[]): Crash[] {
+    return evidence.map((each, i) => ({ attempt: i + 1, evidence: each }));
+}
+
+function buildRun(job: string, run: Partial<MemberRun> = {}): MemberRun {
+    const unit = { job: job as JobId, occurrence: 0, step: 0, unit: 0 };
+    return { unit, attempt: 1, tries: 1, lastedMs: 0, ...run } as MemberRun;
+}
+
+test("a unit is given up after two crashes that nothing else explains, or four of any kind", (t) => {
+    t.false(isCrashLoop([]));
+    t.false(isCrashLoop(buildHistory("sole")));
+    t.false(isCrashLoop(buildHistory("early", "early", "early")));
+    t.true(isCrashLoop(buildHistory("sole", "sole")));
+    t.true(isCrashLoop(buildHistory("early", "sole", "sole")));
+    t.true(isCrashLoop(buildHistory("late", "late", "late", "late")));
+});
+
+test("a unit starts apart after an early crash, and runs apart after three of any kind", (t) => {
+    t.is(computeApartMs([]), 0);
+    t.is(computeApartMs(buildHistory("late")), 0);
+    t.is(computeApartMs(buildHistory("early")), OUTLASTED_MS);
+    t.is(computeApartMs(buildHistory("late", "late", "late")), Number.POSITIVE_INFINITY);
+});
+
+test("of the runs on a crashed worker those that had outlasted their starts are least to blame", (t) => {
+    const old = buildRun("a", { lastedMs: 2_000 });
+    const young = buildRun("b");
+    const unsent = buildRun("c", { tries: 0 });
+    const listEvidence = (...runs: MemberRun[]): string[] =>
+        computeEvidence(runs).map(({ unit, evidence }) => `${unit.job} ${evidence}`);
+    t.deepEqual(listEvidence(old, young, unsent), ["a late", "b sole"]);
+    t.deepEqual(listEvidence(young, buildRun("d"), old), ["b early", "d early", "a late"]);
+    t.deepEqual(listEvidence(young, { ...young, index: 1 }), ["b sole"]);
+    t.deepEqual(listEvidence(old), ["a late"]);
+});
+
 // Guards against a task that takes its workers down one after another for as long as its job is open.
 test("a task that crashes each worker it starts on is given up", (t) => {
     const floor = buildCrashFloor();
@@ -125,6 +164,25 @@
     t.deepEqual(floor.violations, []);
 });
 
+// Guards against counting a worker's announced end as a crash under what still ran there.
+test("tasks on workers that announced their end before they were replaced are not suspected", (t) => {
+    const floor = new FloorFixture({ workers: 2, taskMs: 30_000 });
+    floor.submit(JOB, buildSpec({}));
+    for (let i = 0; i < 5; i++) {
+        floor.runFor(300);
+        const worker = floor.runs.at(-1)?.worker as WorkerId;
+        floor.drainWorker(worker);
+        floor.runFor(1_600);
+        floor.crashWorker(worker);
+        floor.runFor(6_000);
+    }
+    t.is(floor.runs.length, 6);
+    t.deepEqual(
+        floor.durable.findUnit({ job: JOB as JobId, occurrence: 0, step: 0, unit: 0 })?.crashes,
+        [],
+    );
+});
+
 // Guards against failing jobs whose workers crash by causes of their own.
 test("jobs on workers that crash now and then by themselves complete", (t) => {
     const random = createRandom(5);
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -352,6 +352,7 @@
                 members: sent.length,
                 silentMs: Math.round(now - worker.heardAt),
             });
+            worker.lapsed = [...worker.lapsed, ...sent];
             this.#attempts.endMembers(sent);
         }
         for (const member of worker.members.values()) {
--- a/dispatch/step_board.ts
+++ b/dispatch/step_board.ts
@@ -65,6 +65,8 @@
     readonly failedOn: Set<WorkerId>;
     /** When one of its units failed last, in ms. */
     failedAt: number;
+    /** Workers crashed under some of its units. */
+    hasCrashes: boolean;
 }
 
 /** Options of {@link StepBoard}. */
@@ -168,6 +170,19 @@
         }
     }
 
+    /**
+     * Notes that a worker crashed under a unit.
+     *
+     * @param ref The unit.
+     */
+    recordCrash(ref: UnitRef): void {
+        const step = this.#steps.get(createStepKey(ref));
+        if (step !== undefined) {
+            step.hasCrashes = true;
+            step.triedVersion = undefined;
+        }
+    }
+
     /**
      * Closes a step when all its units are done, and opens those that waited for it.
      *
@@ -243,6 +258,7 @@
             clearedAt: Number.NEGATIVE_INFINITY,
             failedOn: new Set(),
             failedAt: Number.NEGATIVE_INFINITY,
+            hasCrashes: units.some((unit) => unit.crashes.length > 0),
         });
         const keys = this.#byJob.get(step.job.id) ?? new Set();
         keys.add(step.key);
@@ -259,3 +275,13 @@
 export function createStepKey(ref: Pick<UnitRef, "job" | "occurrence" | "step">): StepKey {
     return `${ref.job}.${ref.occurrence}.${ref.step}` as StepKey;
 }
+
+/**
+ * Names a unit, as a key.
+ *
+ * @param ref The unit.
+ * @returns The key.
+ */
+export function createUnitKey(ref: UnitRef): string {
+    return `${ref.job}.${ref.occurrence}.${ref.step}/${ref.unit}`;
+}
--- a/dispatch/types.ts
+++ b/dispatch/types.ts
@@ -65,6 +65,8 @@
     startedAt: number;
     /** How long it had run when its worker last listed it, in ms; 0 before. */
     lastedMs: number;
+    /** For how long it keeps other starts off its worker, in ms; 0 unless it is under suspicion of crashing it. */
+    readonly apartMs: number;
     /** Share of its work done, in percent, as the worker reports it. */
     percent: number;
     /** When {@link MemberRun.percent} was last reported. */
--- a/dispatch/worker_book.ts
+++ b/dispatch/worker_book.ts
@@ -46,6 +46,8 @@
     inheritedLeaseEndsAt: number;
     readonly used: { cpu: number; memoryMb: number; gpu: number };
     readonly members: Map<TaskName, MemberRun>;
+    /** Runs that were given up because its lease ran out, until it answers: it may have crashed under them. */
+    lapsed: readonly MemberRun[];
     /** The number of the newest end that was read. */
     readCursor: number;
     /** The number up to which ends are durable here. */
@@ -91,6 +93,8 @@
     readonly #byChange = new Set<WorkerState>();
     #newestFirst: readonly WorkerState[] | undefined;
     #nextFence: number;
+    /** Runs that keep, or kept, other starts off their workers. */
+    readonly suspects = new Set<MemberRun>();
     /** Rises when a worker gets room or becomes usable: what did not fit before may fit now. */
     roomVersion = 0;
 
@@ -139,6 +143,7 @@
             inheritedLeaseEndsAt: now,
             used: { cpu: 0, memoryMb: 0, gpu: 0 },
             members: new Map(),
+            lapsed: [],
             readCursor: 0,
             durableCursor: 0,
             toldCursor: 0,
@@ -232,6 +237,9 @@
             return;
         }
         worker.members.set(member.name, member);
+        if (member.apartMs > 0) {
+            this.suspects.add(member);
+        }
         worker.used.cpu += member.room.cpu;
         worker.used.memoryMb += member.room.memoryMb;
         worker.used.gpu += member.room.gpu;
@@ -248,6 +256,7 @@
             return;
         }
         worker.members.delete(member.name);
+        this.suspects.delete(member);
         worker.used.cpu -= member.room.cpu;
         worker.used.memoryMb -= member.room.memoryMb;
         worker.used.gpu -= member.room.gpu;
@@ -299,6 +308,7 @@
     recordAnswer(worker: WorkerState, clockMs: number | undefined, now: number): void {
         worker.heardAt = now;
         worker.isSuspect = false;
+        worker.lapsed = [];
         if (clockMs !== undefined) {
             worker.clock.record(clockMs, now);
         }
--- a/job/facts.ts
+++ b/job/facts.ts
@@ -12,6 +12,7 @@
  */
 
 import type { Configuration, PoolName, QueueName } from "../configuration/mod.ts";
+import type { CrashEvidence } from "./crash_history.ts";
 import type { EndKind, JobId, JobSpec, UnitRef, WorkerId, WorkerRecord } from "./types.ts";
 
 /** One fact. */
@@ -24,7 +25,7 @@
           readonly spec: JobSpec;
       }
     | { readonly type: "jobCancelled"; readonly job: JobId }
-    /** A unit failed as often as its queue allows. */
+    /** A unit failed as often as its queue allows, or crashes its workers. */
     | { readonly type: "jobFailed"; readonly job: JobId }
     /** Recorded before any order goes out: a later leader knows each attempt that may run. */
     | {
@@ -44,6 +45,16 @@
           readonly checkpoint: string;
       }
     | { readonly type: "workerSeen"; readonly worker: WorkerRecord }
+    /** Recorded with the worker's end, before any other attempt of these units starts. */
+    | {
+          readonly type: "workerCrashed";
+          readonly worker: WorkerId;
+          readonly under: readonly {
+              readonly unit: UnitRef;
+              readonly attempt: number;
+              readonly evidence: CrashEvidence;
+          }[];
+      }
     | { readonly type: "workerGone"; readonly worker: WorkerId }
     | { readonly type: "configurationSet"; readonly configuration: Configuration }
     /** Jobs that ended before `before` may be forgotten. */
--- a/job/ledger.ts
+++ b/job/ledger.ts
@@ -14,6 +14,7 @@
 
 import { applyChartEvent, hasChartEdge, loadChart } from "../chart/mod.ts";
 import type { Configuration, QueueConfig, QueueName } from "../configuration/mod.ts";
+import { addCrash, type Crash } from "./crash_history.ts";
 import type { Fact, FactBatch } from "./facts.ts";
 import type {
     Job,
@@ -28,9 +29,11 @@
 } from "./types.ts";
 
 const jobChart = loadChart(new URL("./job_chart.yaml", import.meta.url));
+const NO_CRASHES: readonly Crash[] = [];
 const NO_GUARDS: ReadonlySet<string> = new Set();
 
 type MemberEnded = Extract<Fact, { type: "memberEnded" }>;
+type WorkerCrashed = Extract<Fact, { type: "workerCrashed" }>;
 type AttemptStarted = Extract<Fact, { type: "attemptStarted" }>;
 
 /** A unit in the encoded form of a ledger. */
@@ -41,6 +44,7 @@
     boolean,
     boolean,
     readonly (readonly [number, WorkerId])[],
+    (readonly Crash[])?,
 ];
 
 interface EncodedLedger {
@@ -208,6 +212,9 @@
             case "workerSeen":
                 this.workers.set(fact.worker.id, fact.worker);
                 return;
+            case "workerCrashed":
+                fact.under.forEach((run) => this.#recordCrash(run));
+                return;
             case "workerGone":
                 this.#removeWorker(fact.worker);
                 return;
@@ -279,6 +286,18 @@
         }
     }
 
+    #recordCrash({ unit: ref, attempt, evidence }: WorkerCrashed["under"][number]): void {
+        const unit = this.findUnit(ref);
+        if (unit !== undefined && !unit.isDone) {
+            const spec = this.jobs.get(ref.job)?.spec?.steps[ref.step];
+            unit.crashes = addCrash(
+                unit.crashes,
+                { attempt, evidence },
+                spec?.isPerpetual ?? false,
+            );
+        }
+    }
+
     #endJob(job: Job | undefined, event: "cancel" | "fail" | "complete"): void {
         if (job === undefined || !hasChartEdge(jobChart, job.state, event)) {
             return;
@@ -396,22 +415,28 @@
         checkpoint: "",
         isDone: false,
         hasFailedMember: false,
+        crashes: NO_CRASHES,
         members: new Map(),
     }));
 }
 
 function encodeUnit(unit: Unit): EncodedUnit {
-    return [
-        unit.attempt,
-        unit.failures,
-        unit.checkpoint,
-        unit.isDone,
-        unit.hasFailedMember,
-        [...unit.members],
-    ];
+    const { attempt, failures, checkpoint, isDone, hasFailedMember, crashes } = unit;
+    const members = [...unit.members];
+    return crashes.length === 0
+        ? [attempt, failures, checkpoint, isDone, hasFailedMember, members]
+        : [attempt, failures, checkpoint, isDone, hasFailedMember, members, crashes];
 }
 
 function decodeUnit(encoded: EncodedUnit): Unit {
-    const [attempt, failures, checkpoint, isDone, hasFailedMember, members] = encoded;
-    return { attempt, failures, checkpoint, isDone, hasFailedMember, members: new Map(members) };
+    const [attempt, failures, checkpoint, isDone, hasFailedMember, members, crashes] = encoded;
+    return {
+        attempt,
+        failures,
+        checkpoint,
+        isDone,
+        hasFailedMember,
+        crashes: crashes ?? NO_CRASHES,
+        members: new Map(members),
+    };
 }
--- a/job/ledger_test.ts
+++ b/job/ledger_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { buildSpec, POOL, QUEUE } from "../dispatch/_fixtures.ts";
+import { addCrash } from "./crash_history.ts";
 import type { Fact } from "./facts.ts";
 import { Ledger } from "./ledger.ts";
 import type { EndKind, JobId, UnitRef, WorkerId } from "./types.ts";
@@ -48,6 +49,42 @@
     t.is(ledger.findUnit(UNIT)?.members.size, 1);
 });
 
+// Guards against a history of crashes that a new leader or a restored replica does not have.
+test("crashes under a unit outlast a copy and a restored state", (t) => {
+    const ledger = buildLedger();
+    const under = [{ unit: UNIT, attempt: 1, evidence: "sole" as const }];
+    ledger.apply({
+        at: 2,
+        facts: [
+            buildAttempt(1),
+            { type: "workerCrashed", worker: WORKER, under },
+            buildEnd(1, "lost"),
+        ],
+    });
+    const restored = new Ledger();
+    restored.restore(ledger.encode());
+    for (const other of [ledger, ledger.copy(), restored]) {
+        t.deepEqual(other.findUnit(UNIT)?.crashes, [{ attempt: 1, evidence: "sole" }]);
+    }
+});
+
+test("a gang's crashed workers count once an attempt, with the strongest evidence", (t) => {
+    const early = addCrash([], { attempt: 1, evidence: "early" }, false);
+    t.deepEqual(addCrash(early, { attempt: 1, evidence: "sole" }, false), [
+        { attempt: 1, evidence: "sole" },
+    ]);
+    t.is(addCrash(early, { attempt: 1, evidence: "late" }, false), early);
+});
+
+test("a run that outlasted its start takes the weight off earlier crashes, and clears a lasting task", (t) => {
+    const early = addCrash([], { attempt: 1, evidence: "sole" }, false);
+    t.deepEqual(addCrash(early, { attempt: 2, evidence: "late" }, false), [
+        { attempt: 1, evidence: "late" },
+        { attempt: 2, evidence: "late" },
+    ]);
+    t.deepEqual(addCrash(early, { attempt: 2, evidence: "late" }, true), []);
+});
+
 test("a gang's attempt counts once, however many members failed", (t) => {
     const ledger = buildLedger(buildSpec({ count: 3, isGang: true }));
     ledger.apply({ at: 2, facts: [buildAttempt(1, [0, 1, 2])] });
--- a/job/mod.ts
+++ b/job/mod.ts
@@ -9,6 +9,7 @@
  * @module
  */
 
+export * from "./crash_history.ts";
 export * from "./facts.ts";
 export * from "./ledger.ts";
 export * from "./types.ts";
--- a/job/types.ts
+++ b/job/types.ts
@@ -12,6 +12,7 @@
 
 import type { PoolName, QueueName } from "../configuration/mod.ts";
 import type { Brand } from "../inventory/mod.ts";
+import type { Crash } from "./crash_history.ts";
 
 /** A job, named by its caller: 16 hexadecimal digits. */
 export type JobId = Brand<string, "JobId">;
@@ -101,6 +102,8 @@
     isDone: boolean;
     /** A member of the attempt under way failed. */
     hasFailedMember: boolean;
+    /** Attempts under which a worker crashed, as far as they may have caused it. */
+    crashes: readonly Crash[];
     /** Members of the attempt under way that may still run: task index to worker. */
     readonly members: Map<number, WorkerId>;
 }
