A room that shrinks or grows while its worker runs is placed by as it is

Why this works: a smaller room counts with the heartbeat that tells it; a larger one with the second in a row; without a heartbeat younger than the time in which a change binds (less a second) nothing is started, whoever leads and whatever the record says. Signs that members gather tell the room, as the member may know less than the leader. A fixture of control/ never sent its worker's heartbeat; it does now, as every worker does.

--- a/control/_fixtures.ts
+++ b/control/_fixtures.ts
@@ -19,7 +19,7 @@
 import type { Logger } from "winston";
 import { createLogger, LogSink } from "../telemetry/mod.ts";
 import type { Configuration } from "../configuration/mod.ts";
-import { buildQueue, buildWorkerRecord, POOL } from "../dispatch/_fixtures.ts";
+import { buildQueue, buildWorkerReport, POOL } from "../dispatch/_fixtures.ts";
 import type { LookAnswer, LookOrder, OrderAnswer } from "../dispatch/mod.ts";
 import { FrontDaemon } from "../front/mod.ts";
 import { Ledger, type WorkerId } from "../job/mod.ts";
@@ -158,7 +158,7 @@
         this.#sequence += 1;
         const daemon = [...this.daemons.values()][0];
         for (const [id, worker] of this.workers) {
-            const record = buildWorkerRecord({ id, address: `worker:${id}` });
+            const record = buildWorkerReport({ id, address: `worker:${id}` });
             // No leader yet, or none any more: the next heartbeat tries again.
             await daemon
                 ?.handleHeartbeat({
@@ -210,7 +210,7 @@
 } {
     const durable = new Ledger();
     const configuration = { ...buildConfiguration(1), queues: [buildQueue()] };
-    const worker = buildWorkerRecord();
+    const worker = buildWorkerReport();
     durable.apply({
         at: 0,
         facts: [
@@ -235,6 +235,12 @@
         advise: () => Promise.resolve({ admissions: undefined }),
         log: createLogger({ process: "c1", zone: "z", sink }),
     });
+    void leadership.handleHeartbeat({
+        record: worker,
+        sequence: 1,
+        clockMs: undefined,
+        leavesInMs: undefined,
+    });
     return { leadership, sink };
 }
 
--- a/control/calls.ts
+++ b/control/calls.ts
@@ -21,7 +21,7 @@
     StartOrder,
     StopOrder,
 } from "../dispatch/mod.ts";
-import type { JobSpec, JobState, WorkerId } from "../job/mod.ts";
+import type { JobSpec, JobState, Resources, WorkerId } from "../job/mod.ts";
 
 /** Methods that control instances and fronts serve to each other. */
 export const METHODS = {
@@ -76,6 +76,8 @@
     readonly worker: WorkerId;
     readonly sequence: number;
     readonly clockMs: number | undefined;
+    /** The room that it told. */
+    readonly capacity: Resources;
 }
 
 /** What an instance tells the leader about itself. */
--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -15,7 +15,7 @@
 import { interval, type Subscription } from "rxjs";
 import type { Logger } from "winston";
 import { checkConfiguration, findQueue, type Configuration } from "../configuration/mod.ts";
-import { isSameRecord, type DispatchLimits, type LaneId } from "../dispatch/mod.ts";
+import { isSameReport, type DispatchLimits, type LaneId } from "../dispatch/mod.ts";
 import { CellClock, GroupMember, PeerNetwork, type PeerEnvelope } from "../group/mod.ts";
 import { Ledger, type FactBatch, type JobId, type WorkerId } from "../job/mod.ts";
 import {
@@ -242,7 +242,12 @@
     async handleHeartbeat(call: HeartbeatCall): Promise<void> {
         if (this.#isPlainSign(call)) {
             const { record, sequence, clockMs } = call;
-            this.#signs.add({ worker: record.id, sequence, clockMs });
+            this.#signs.add({
+                worker: record.id,
+                sequence,
+                clockMs,
+                capacity: record.capacity,
+            });
             return;
         }
         await this.#runOrForward(METHODS.heartbeat, call, (leadership) =>
@@ -330,7 +335,7 @@
             this.#signs.isTrusted &&
             !call.record.isDraining &&
             known !== undefined &&
-            isSameRecord(known, call.record)
+            isSameReport(known, call.record)
         );
     }
 
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -228,8 +228,8 @@
      * @param signs The heartbeats.
      */
     handleSigns(signs: readonly LifeSign[]): void {
-        for (const { worker, sequence, clockMs } of signs) {
-            this.#dispatcher.handleSign(worker, sequence, clockMs);
+        for (const { worker, sequence, clockMs, capacity } of signs) {
+            this.#dispatcher.handleSign(worker, sequence, clockMs, capacity);
         }
         this.#flushSoon();
     }
--- a/dispatch/_builders.ts
+++ b/dispatch/_builders.ts
@@ -11,7 +11,7 @@
  */
 
 import type { PoolName, QueueConfig, QueueName } from "../configuration/mod.ts";
-import type { JobSpec, StepSpec, WorkerId, WorkerRecord } from "../job/mod.ts";
+import type { JobSpec, StepSpec, WorkerId, WorkerRecord, WorkerReport } from "../job/mod.ts";
 
 export const POOL = "studio" as PoolName;
 export const QUEUE = "previews" as QueueName;
@@ -86,9 +86,9 @@
  * Builds what a usual worker tells of itself.
  *
  * @param overrides What differs from it.
- * @returns The record.
+ * @returns The report.
  */
-export function buildWorkerRecord(overrides: Partial<WorkerRecord> = {}): WorkerRecord {
+export function buildWorkerReport(overrides: Partial<WorkerReport> = {}): WorkerReport {
     return {
         id: "w1" as WorkerId,
         address: "10.0.0.1:80",
@@ -101,3 +101,14 @@
         ...overrides,
     };
 }
+
+/**
+ * Builds what is on record of a usual worker.
+ *
+ * @param overrides What differs from it.
+ * @returns The record.
+ */
+export function buildWorkerRecord(overrides: Partial<WorkerReport> = {}): WorkerRecord {
+    const report = buildWorkerReport(overrides);
+    return { ...report, fullCapacity: report.capacity };
+}
--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -42,6 +42,9 @@
     retentionMs: 240_000,
     // A look that is lost is noticed after this and a little more; a third of a lease.
     lookWaitMs: 1_500,
+    // A smaller room binds three seconds and a heartbeat after it came; a second is left for the way of the
+    // heartbeat, the commit and the order.
+    reportAgeMs: 3_500,
 };
 
 /** Shared state of one leader's decisions. */
@@ -70,6 +73,7 @@
         this.book = new WorkerBook({
             firstFence: options.firstFence,
             leaseMs: this.limits.leaseMs,
+            reportAgeMs: this.limits.reportAgeMs,
         });
         this.board = new StepBoard({ ledger: this.ledger, clock: this.clock });
     }
--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -23,7 +23,7 @@
     type JobSpec,
     type Resources,
     type WorkerId,
-    type WorkerRecord,
+    type WorkerReport,
 } from "../job/mod.ts";
 import { TaskWorker, type TaskRun } from "../standin/task_worker.ts";
 import { VirtualTime } from "../standin/virtual_time.ts";
@@ -57,7 +57,7 @@
     /** Promises are checked at each event; a benchmark of a large floor leaves that out. */
     readonly isChecked?: boolean;
     /** What differs from the usual worker, by its number from 1. */
-    readonly getRecord?: (number: number) => Partial<WorkerRecord>;
+    readonly getRecord?: (number: number) => Partial<WorkerReport>;
     /** Fronts that call the advice service. */
     readonly fronts?: number;
     readonly clockDrift?: number;
@@ -106,7 +106,7 @@
     readonly #muted = new Set<WorkerId>();
     #isLed = true;
     #incarnations = 0;
-    readonly #records = new Map<WorkerId, WorkerRecord>();
+    readonly #records = new Map<WorkerId, WorkerReport>();
     readonly #leavesAt = new Map<WorkerId, number>();
     readonly #looking = new Set<WorkerId>();
     readonly #time = new VirtualTime();
@@ -152,7 +152,7 @@
         this.#addIncarnation(record);
     }
 
-    #addIncarnation(record: WorkerRecord): void {
+    #addIncarnation(record: WorkerReport): void {
         const { id, address, capacity } = record;
         this.#records.set(id, record);
         this.#addresses.set(id, address);
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -11,12 +11,15 @@
  * @module
  */
 
+import type { Resources } from "../job/mod.ts";
 import { MAX_START_TRIES, type Attempts } from "./_attempts.ts";
 import type { DispatchContext } from "./_context.ts";
 import type { WorkerLosses } from "./_worker_losses.ts";
 import { createStepKey } from "./step_board.ts";
 import type { MemberRun, OrderAnswer, PaceOrder, StartOrder, StopOrder } from "./types.ts";
-import type { WorkerState } from "./worker_book.ts";
+import { getFreeRoom, hasRoomFor, type WorkerState } from "./worker_book.ts";
+
+const NOTHING: Resources = { cpu: 0, memoryMb: 0, gpu: 0 };
 
 /** The orders of one leader. */
 export class Orders {
@@ -47,7 +50,9 @@
         if (worker === undefined || job === undefined || member.state === "stopping") {
             return undefined;
         }
-        const isWanted = job.endedAt === undefined && job.spec !== undefined;
+        // The room may have shrunk since it was placed.
+        const hasRoom = member.tries > 0 || hasRoomFor(getFreeRoom(worker), NOTHING);
+        const isWanted = job.endedAt === undefined && job.spec !== undefined && hasRoom;
         const until = isWanted
             ? this.#context.book.grantLease(worker, this.#context.clock.getNow())
             : undefined;
--- a/dispatch/admission.ts
+++ b/dispatch/admission.ts
@@ -15,7 +15,7 @@
 import type { JobSpec, Resources, StepSpec, WorkerRecord } from "../job/mod.ts";
 
 /**
- * Checks whether the workers of a pool, all empty, could ever run a job.
+ * Checks whether the workers of a pool, all empty and at their full size, could ever run a job.
  *
  * @param spec The job.
  * @param workers Every worker of its pool on record, also those that are silent or busy. While none
@@ -43,7 +43,7 @@
     if (labelled.length === 0) {
         return `no worker carries the label ${String(requiredLabel)}`;
     }
-    const places = labelled.map((worker) => countPlaces(step, worker.capacity));
+    const places = labelled.map((worker) => countPlaces(step, worker.fullCapacity));
     if (places.every((count) => count === 0)) {
         return "no worker is large enough for one of its tasks";
     }
--- a/dispatch/contradiction.ts
+++ b/dispatch/contradiction.ts
@@ -1,7 +1,8 @@
 /**
  * Heartbeats that cannot come from the worker whose id they bear. The pattern: another writer, or a damaged
- * message, names a live worker with another address, pool or room, or with a number far ahead of its own.
- * Taken over, it would send the worker's orders elsewhere, or make its own later heartbeats look old.
+ * message, names a live worker with another address or pool, or with a number far ahead of its own.
+ * Taken over, it would send the worker's orders elsewhere, or make its own later heartbeats look old. A room may
+ * change while a worker runs; what another writer says of it is weighed in `room_reports.ts`.
  *
  * @example
  * ```ts
@@ -13,7 +14,7 @@
  */
 
 import type { PoolName } from "../configuration/mod.ts";
-import type { WorkerRecord } from "../job/mod.ts";
+import type { WorkerReport } from "../job/mod.ts";
 import type { WorkerState } from "./worker_book.ts";
 
 /**
@@ -30,8 +31,8 @@
 }
 
 /**
- * Tells whether a heartbeat contradicts what is known of its worker. Place, room and pool stay with one life
- * of a worker. The record that is known may be the false one: it gives way when its pool is not named, or when
+ * Tells whether a heartbeat contradicts what is known of its worker. Place and pool stay with one life of a
+ * worker. The record that is known may be the false one: it gives way when its pool is not named, or when
  * orders to it fail and nothing runs there.
  *
  * @param known The worker.
@@ -41,7 +42,7 @@
  */
 export function isContradiction(
     known: Pick<WorkerState, "record" | "heartbeat" | "isSuspect" | "members">,
-    next: WorkerRecord,
+    next: WorkerReport,
     context: ContradictionContext,
 ): boolean {
     const isFarAhead =
@@ -58,12 +59,6 @@
     return !isKnownDoubtful || !context.isPoolNamed(next.pool);
 }
 
-function isSamePlace(a: WorkerRecord, b: WorkerRecord): boolean {
-    return (
-        a.address === b.address &&
-        a.pool === b.pool &&
-        a.capacity.cpu === b.capacity.cpu &&
-        a.capacity.memoryMb === b.capacity.memoryMb &&
-        a.capacity.gpu === b.capacity.gpu
-    );
+function isSamePlace(a: WorkerReport, b: WorkerReport): boolean {
+    return a.address === b.address && a.pool === b.pool;
 }
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -17,7 +17,14 @@
  */
 
 import type { Configuration, PoolName, QueueName } from "../configuration/mod.ts";
-import type { JobId, JobSpec, WorkerId, WorkerRecord } from "../job/mod.ts";
+import type {
+    JobId,
+    JobSpec,
+    Resources,
+    WorkerId,
+    WorkerRecord,
+    WorkerReport,
+} from "../job/mod.ts";
 import { checkFeasible } from "./admission.ts";
 import { isContradiction } from "./contradiction.ts";
 import { Attempts } from "./_attempts.ts";
@@ -27,6 +34,7 @@
 import { Orders } from "./_orders.ts";
 import { hasOverdueTask } from "./overdue.ts";
 import { StepPlacer } from "./_placer.ts";
+import { isSameRoom, mergeRoom } from "./room_reports.ts";
 import { WorkerLosses } from "./_worker_losses.ts";
 import type {
     Admission,
@@ -213,7 +221,12 @@
         // A worker that said it leaves does not come back under the same id; a late heartbeat
         // from before that must not bring new work to it.
         const isDraining = record.isDraining || (known?.isDraining ?? false);
-        const next = { ...record, isDraining };
+        const { room, unconfirmed } = mergeRoom(
+            known?.capacity ?? record.capacity,
+            record.capacity,
+            state?.unconfirmedRoom,
+        );
+        const next = { ...record, capacity: room, isDraining };
         if (state !== undefined && this.#isContradiction(state, next, sequence)) {
             this.#context.recordDecision("failure", "heartbeat contradicts its worker", {
                 worker: record.id,
@@ -223,7 +236,7 @@
             });
             return;
         }
-        if (known === undefined || !isSameRecord(known, next)) {
+        if (known === undefined || !isSameReport(known, next)) {
             this.#context.record({ type: "workerSeen", worker: next });
             this.#context.recordDecision(
                 "decision",
@@ -232,14 +245,22 @@
                     worker: record.id,
                     address: record.address,
                     draining: isDraining,
+                    capacity: room,
                 },
             );
             this.#checkAddress(next);
         }
-        const worker = this.#context.book.ensureWorker(next, now);
+        const durable = this.#context.ledger.workers.get(record.id);
+        if (durable === undefined) {
+            return;
+        }
+        const hadRoom = state === undefined ? undefined : state.record.capacity;
+        const worker = this.#context.book.ensureWorker(durable, now);
         const wasUsable = this.#context.book.isUsable(worker, now);
         worker.heartbeat = sequence;
         worker.heardAt = now;
+        worker.report = { arrivedAt: now, clockMs };
+        worker.unconfirmedRoom = unconfirmed;
         worker.leavesAt = leavesInMs === undefined ? worker.leavesAt : now + leavesInMs;
         if (worker.isSuspect) {
             // It lives, but orders did not reach it; only an answered look brings work back.
@@ -248,7 +269,8 @@
         if (clockMs !== undefined) {
             worker.clock.record(clockMs, now);
         }
-        if (!wasUsable) {
+        const hasChangedRoom = hadRoom !== undefined && !isSameRoom(hadRoom, room);
+        if (!wasUsable || hasChangedRoom) {
             this.#context.recordRoom(worker);
         }
     }
@@ -259,10 +281,17 @@
      * @param id The worker.
      * @param sequence Rises with each heartbeat of the worker.
      * @param clockMs The worker's clock when it was sent.
+     * @param capacity The room that it told: the member that took it may know less than this leader.
      */
-    handleSign(id: WorkerId, sequence: number, clockMs: number | undefined): void {
-        const record = this.#context.ledger.workers.get(id);
-        if (record !== undefined) {
+    handleSign(
+        id: WorkerId,
+        sequence: number,
+        clockMs: number | undefined,
+        capacity: Resources,
+    ): void {
+        const known = this.#context.ledger.workers.get(id);
+        if (known !== undefined) {
+            const record = { ...createReport(known), capacity };
             this.handleHeartbeat({ record, sequence, clockMs, leavesInMs: undefined });
         }
     }
@@ -310,7 +339,7 @@
         }
     }
 
-    #isContradiction(state: WorkerState, next: WorkerRecord, sequence: number): boolean {
+    #isContradiction(state: WorkerState, next: WorkerReport, sequence: number): boolean {
         const pools = this.#context.ledger.configuration?.pools ?? [];
         return isContradiction(state, next, {
             sequence,
@@ -336,7 +365,7 @@
     }
 
     /** Two live workers never share an address: one of them is an earlier incarnation. */
-    #checkAddress(record: WorkerRecord): void {
+    #checkAddress(record: WorkerReport): void {
         for (const other of this.#context.book.workers) {
             if (other.record.address === record.address && other.record.id !== record.id) {
                 this.#context.emit({ type: "look", worker: other.record.id });
@@ -447,10 +476,16 @@
 /**
  * Tells whether a heartbeat says what is on record.
  *
- * @param a What is on record.
- * @param b What the heartbeat says.
+ * @param record What is on record.
+ * @param report What the heartbeat says.
  * @returns True when nothing differs.
  */
-export function isSameRecord(a: WorkerRecord, b: WorkerRecord): boolean {
-    return JSON.stringify(a) === JSON.stringify(b);
+export function isSameReport(record: WorkerRecord, report: WorkerReport): boolean {
+    return JSON.stringify(createReport(record)) === JSON.stringify(createReport(report));
+}
+
+/** What a worker told, without what was learned from it. */
+function createReport(report: WorkerReport): WorkerReport {
+    const { id, address, pool, zone, capacity, labels, instance, isDraining } = report;
+    return { id, address, pool, zone, capacity, labels, instance, isDraining };
 }
--- a/dispatch/types.ts
+++ b/dispatch/types.ts
@@ -19,7 +19,7 @@
     TaskName,
     UnitRef,
     WorkerId,
-    WorkerRecord,
+    WorkerReport,
 } from "../job/mod.ts";
 
 /** One occurrence's step, `JOB.OCCURRENCE.STEP`. */
@@ -215,7 +215,7 @@
 
 /** A worker's word about itself. */
 export interface Heartbeat {
-    readonly record: WorkerRecord;
+    readonly record: WorkerReport;
     /** Rises with each heartbeat of the worker: late ones are told by it. */
     readonly sequence: number;
     /** The worker's clock when it was sent; `undefined` when it does not tell. */
@@ -248,4 +248,6 @@
     readonly retentionMs: number;
     /** How long one look at a worker may wait for an end, in ms. */
     readonly lookWaitMs: number;
+    /** A worker whose last heartbeat is older gets no new work, in ms: its room may have shrunk since. */
+    readonly reportAgeMs: number;
 }
--- a/dispatch/worker_book.ts
+++ b/dispatch/worker_book.ts
@@ -55,6 +55,10 @@
     /** The number up to which the worker was told to forget ends. */
     toldCursor: number;
     heardAt: number;
+    /** Its newest heartbeat: when it arrived, and what the worker's clock showed, if it told. */
+    report: { readonly arrivedAt: number; readonly clockMs: number | undefined };
+    /** A larger room than it is placed by, told by its newest heartbeat. */
+    unconfirmedRoom: Resources | undefined;
     /** When it last answered a look, in ms. */
     lookedAt: number;
     /** When it was last looked at for an overdue task, in ms. */
@@ -83,6 +87,8 @@
     readonly firstFence: number;
     /** How long one lease lasts, in ms. */
     readonly leaseMs: number;
+    /** A worker whose last heartbeat is older gets no new work, in ms. */
+    readonly reportAgeMs: number;
 }
 
 /** All workers. */
@@ -148,6 +154,8 @@
             durableCursor: 0,
             toldCursor: 0,
             heardAt: Number.NEGATIVE_INFINITY,
+            report: { arrivedAt: Number.NEGATIVE_INFINITY, clockMs: undefined },
+            unconfirmedRoom: undefined,
             lookedAt: Number.NEGATIVE_INFINITY,
             extraLookAt: Number.NEGATIVE_INFINITY,
             isSuspect: false,
@@ -376,7 +384,7 @@
      *
      * @param worker The worker.
      * @param now Our clock, in ms.
-     * @returns False while it drains, is silent, is paused, or its clock is unknown.
+     * @returns False while it drains, is silent, is paused, its room was told too long ago, or its clock is unknown.
      */
     isUsable(worker: WorkerState, now: number): boolean {
         return (
@@ -384,11 +392,27 @@
             !worker.isSuspect &&
             now >= worker.pausedUntil &&
             now - worker.heardAt < SILENCE_MS &&
+            computeReportAge(worker, now) < this.#options.reportAgeMs &&
             worker.clock.computeEarliest(now) !== undefined
         );
     }
 }
 
+/**
+ * Computes how old a worker's newest heartbeat is. One that a cut held up is as old as the worker's own clock says.
+ *
+ * @param worker The worker.
+ * @param now Our clock, in ms.
+ * @returns Ms since it was sent, at least.
+ */
+function computeReportAge({ report, clock }: WorkerState, now: number): number {
+    const sinceArrival = now - report.arrivedAt;
+    const clockMs = clock.computeEarliest(now);
+    return clockMs === undefined || report.clockMs === undefined
+        ? sinceArrival
+        : Math.max(sinceArrival, clockMs - report.clockMs);
+}
+
 /**
  * Gives what a worker has left.
  *
--- a/job/facts.ts
+++ b/job/facts.ts
@@ -13,7 +13,7 @@
 
 import type { Configuration, PoolName, QueueName } from "../configuration/mod.ts";
 import type { CrashEvidence } from "./crash_history.ts";
-import type { EndKind, JobId, JobSpec, UnitRef, WorkerId, WorkerRecord } from "./types.ts";
+import type { EndKind, JobId, JobSpec, UnitRef, WorkerId, WorkerReport } from "./types.ts";
 
 /** One fact. */
 export type Fact =
@@ -44,7 +44,7 @@
           readonly how: EndKind;
           readonly checkpoint: string;
       }
-    | { readonly type: "workerSeen"; readonly worker: WorkerRecord }
+    | { readonly type: "workerSeen"; readonly worker: WorkerReport }
     /** Recorded with the worker's end, before any other attempt of these units starts. */
     | {
           readonly type: "workerCrashed";
--- a/job/ledger.ts
+++ b/job/ledger.ts
@@ -26,6 +26,7 @@
     UnitRef,
     WorkerId,
     WorkerRecord,
+    WorkerReport,
 } from "./types.ts";
 
 const jobChart = loadChart(new URL("./job_chart.yaml", import.meta.url));
@@ -51,7 +52,7 @@
     readonly at: number;
     readonly configuration: Configuration | undefined;
     readonly queues: readonly QueueConfig[];
-    readonly workers: readonly WorkerRecord[];
+    readonly workers: readonly (WorkerReport & Partial<WorkerRecord>)[];
     readonly gone: readonly WorkerId[];
     readonly jobs: readonly {
         readonly job: Omit<Job, "occurrences">;
@@ -160,7 +161,13 @@
         this.queues.clear();
         state.queues.forEach((queue) => this.queues.set(queue.name, queue));
         this.workers.clear();
-        state.workers.forEach((worker) => this.workers.set(worker.id, worker));
+        for (const worker of state.workers) {
+            // A snapshot of an earlier release names no full capacity.
+            this.workers.set(worker.id, {
+                ...worker,
+                fullCapacity: worker.fullCapacity ?? worker.capacity,
+            });
+        }
         this.#gone.clear();
         state.gone.forEach((id) => this.#gone.add(id));
         this.jobs.clear();
@@ -210,7 +217,7 @@
                 this.#endMember(fact);
                 return;
             case "workerSeen":
-                this.workers.set(fact.worker.id, fact.worker);
+                this.#setWorker(fact.worker);
                 return;
             case "workerCrashed":
                 fact.under.forEach((run) => this.#recordCrash(run));
@@ -321,6 +328,17 @@
         }
     }
 
+    #setWorker(report: WorkerReport): void {
+        const { capacity } = report;
+        const before = this.workers.get(report.id)?.fullCapacity ?? capacity;
+        const fullCapacity = {
+            cpu: Math.max(before.cpu, capacity.cpu),
+            memoryMb: Math.max(before.memoryMb, capacity.memoryMb),
+            gpu: Math.max(before.gpu, capacity.gpu),
+        };
+        this.workers.set(report.id, { ...report, fullCapacity });
+    }
+
     #removeWorker(id: WorkerId): void {
         this.workers.delete(id);
         this.#gone.add(id);
--- a/job/types.ts
+++ b/job/types.ts
@@ -144,12 +144,13 @@
     readonly occurrences: Map<number, Occurrence>;
 }
 
-/** A worker's durable record. */
-export interface WorkerRecord {
+/** What a worker tells of itself. */
+export interface WorkerReport {
     readonly id: WorkerId;
     readonly address: string;
     readonly pool: PoolName;
     readonly zone: string;
+    /** What it has now; it may shrink and grow again. */
     readonly capacity: Resources;
     readonly labels: readonly string[];
     /** The instance that it is one incarnation of; empty when the worker does not say. */
@@ -158,6 +159,12 @@
     readonly isDraining: boolean;
 }
 
+/** A worker's durable record. */
+export interface WorkerRecord extends WorkerReport {
+    /** The largest room that it had so far: what it can be expected to have again. */
+    readonly fullCapacity: Resources;
+}
+
 const JOB_ID = /^[0-9a-f]{16}$/;
 
 /**
