A new leader knows how old each worker's room on record is, and need not wait for the next heartbeats

Cause: the age of what is on record was unknown, so it counted for nothing. Wall clocks and times of leaders can't tell the age (they jump, and a restarted instance has none); the worker's own steady clock can. Change: the leader records every half second what the clocks of the workers heard since showed.

--- a/dispatch/capacity_test.ts
+++ b/dispatch/capacity_test.ts
@@ -107,6 +107,17 @@
     t.deepEqual(floor.violations, []);
 });
 
+// Guards against a floor that stands still after each change of leaders until all heartbeats came in.
+test("a new leader gives out work at once on workers whose heartbeats are on record", (t) => {
+    const floor = new FloorFixture({ workers: 4, taskMs: 300 });
+    floor.runFor(3_200);
+    floor.replaceLeader({ isHeardAtOnce: false });
+    floor.submit(JOB, buildSpec({ count: 4 }));
+    floor.runFor(200);
+    t.is(floor.runs.length, 4);
+    t.deepEqual(floor.violations, []);
+});
+
 // Guards against starts on a worker that answers orders while its heartbeats, and its new room, get lost.
 test("a worker that nobody hears of gets no new work although it answers orders", (t) => {
     const floor = new FloorFixture({ workers: 2, taskMs: 700 });
@@ -196,7 +207,9 @@
                 });
             }
             if (i % 40 === 39) {
-                floor.replaceLeader();
+                floor.stopLeader();
+                floor.runFor(random() * 5_000);
+                floor.replaceLeader({ isHeardAtOnce: random() < 0.5 });
             }
         });
         isCalm = true;
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -71,6 +71,8 @@
 const FORGET_EVERY_MS = 5_000;
 /** A worker not heard from for this long, and with nothing running, is forgotten, in ms. */
 const FORGET_WORKER_MS = 120_000;
+/** Time between two records of the heartbeats since, in ms: a third of the time between two of a worker. */
+const RECORD_HEARD_EVERY_MS = 500;
 /** Slowest clock against ours, as in {@link WorkerClock}. */
 const INHERITED_LEASE_FACTOR = 1 / 0.98;
 
@@ -83,6 +85,9 @@
     readonly #looks: Looks;
     readonly #placer: StepPlacer;
     readonly #evacuator: Evacuator;
+    /** Heartbeats that are not on record yet: what the workers' clocks showed. */
+    readonly #heard = new Map<WorkerId, number>();
+    #heardRecordedAt = Number.NEGATIVE_INFINITY;
     #forgottenAt: number;
     #tickedAt = Number.NEGATIVE_INFINITY;
 
@@ -260,6 +265,9 @@
         worker.heartbeat = sequence;
         worker.heardAt = now;
         worker.report = { arrivedAt: now, clockMs };
+        if (clockMs !== undefined) {
+            this.#heard.set(record.id, clockMs);
+        }
         worker.unconfirmedRoom = unconfirmed;
         worker.leavesAt = leavesInMs === undefined ? worker.leavesAt : now + leavesInMs;
         if (worker.isSuspect) {
@@ -329,6 +337,7 @@
             this.#tickWorker(worker, now);
         }
         this.#tickedAt = now;
+        this.#recordHeard(now);
         if (now - this.#forgottenAt >= FORGET_EVERY_MS) {
             this.#forgottenAt = now;
             this.#forgetEnded();
@@ -354,6 +363,8 @@
             worker.inheritedLeaseEndsAt =
                 now + this.#context.limits.leaseMs * INHERITED_LEASE_FACTOR;
             worker.isSuspect = true;
+            const clockMs = this.#context.ledger.reports.get(record.id);
+            worker.report = { arrivedAt: Number.NEGATIVE_INFINITY, clockMs };
         }
     }
 
@@ -403,6 +414,16 @@
         }
     }
 
+    /** Without it a new leader would give out no work until each worker's next heartbeat. */
+    #recordHeard(now: number): void {
+        if (this.#heard.size === 0 || now - this.#heardRecordedAt < RECORD_HEARD_EVERY_MS) {
+            return;
+        }
+        this.#heardRecordedAt = now;
+        this.#context.record({ type: "workersHeard", reports: [...this.#heard] });
+        this.#heard.clear();
+    }
+
     #forgetEnded(): void {
         const before = this.#context.clock.getWall() - this.#context.limits.retentionMs;
         for (const job of this.#context.ledger.jobs.values()) {
--- a/dispatch/worker_book.ts
+++ b/dispatch/worker_book.ts
@@ -55,7 +55,7 @@
     /** The number up to which the worker was told to forget ends. */
     toldCursor: number;
     heardAt: number;
-    /** Its newest heartbeat: when it arrived, and what the worker's clock showed, if it told. */
+    /** Its newest heartbeat: when it arrived here, and what the worker's clock showed, if it told. */
     report: { readonly arrivedAt: number; readonly clockMs: number | undefined };
     /** A larger room than it is placed by, told by its newest heartbeat. */
     unconfirmedRoom: Resources | undefined;
@@ -399,18 +399,18 @@
 }
 
 /**
- * Computes how old a worker's newest heartbeat is. One that a cut held up is as old as the worker's own clock says.
+ * Computes how old a worker's newest heartbeat is: by the worker's own clock where it tells it, as a cut may have held the
+ * heartbeat up, and an earlier leader may have taken it.
  *
  * @param worker The worker.
  * @param now Our clock, in ms.
  * @returns Ms since it was sent, at least.
  */
 function computeReportAge({ report, clock }: WorkerState, now: number): number {
-    const sinceArrival = now - report.arrivedAt;
     const clockMs = clock.computeEarliest(now);
     return clockMs === undefined || report.clockMs === undefined
-        ? sinceArrival
-        : Math.max(sinceArrival, clockMs - report.clockMs);
+        ? now - report.arrivedAt
+        : clockMs - report.clockMs;
 }
 
 /**
--- a/job/facts.ts
+++ b/job/facts.ts
@@ -45,6 +45,11 @@
           readonly checkpoint: string;
       }
     | { readonly type: "workerSeen"; readonly worker: WorkerReport }
+    /** What workers' clocks showed when they last told their room: a later leader knows by it how old that is. */
+    | {
+          readonly type: "workersHeard";
+          readonly reports: readonly (readonly [WorkerId, number])[];
+      }
     /** Recorded with the worker's end, before any other attempt of these units starts. */
     | {
           readonly type: "workerCrashed";
--- a/job/ledger.ts
+++ b/job/ledger.ts
@@ -53,6 +53,7 @@
     readonly configuration: Configuration | undefined;
     readonly queues: readonly QueueConfig[];
     readonly workers: readonly (WorkerReport & Partial<WorkerRecord>)[];
+    readonly reports?: readonly (readonly [WorkerId, number])[];
     readonly gone: readonly WorkerId[];
     readonly jobs: readonly {
         readonly job: Omit<Job, "occurrences">;
@@ -76,6 +77,8 @@
     readonly queues = new Map<QueueName, QueueConfig>();
     readonly jobs = new Map<JobId, Job>();
     readonly workers = new Map<WorkerId, WorkerRecord>();
+    /** What each worker's own clock showed when it last told its room, in ms, as far as recorded. */
+    readonly reports = new Map<WorkerId, number>();
     readonly #gone = new Set<WorkerId>();
 
     /**
@@ -137,6 +140,7 @@
             configuration: this.configuration,
             queues: [...this.queues.values()],
             workers: [...this.workers.values()],
+            reports: [...this.reports],
             gone: [...this.#gone],
             jobs: [...this.jobs.values()].map(({ occurrences, ...job }) => ({
                 job,
@@ -168,6 +172,8 @@
                 fullCapacity: worker.fullCapacity ?? worker.capacity,
             });
         }
+        this.reports.clear();
+        state.reports?.forEach(([id, clockMs]) => this.reports.set(id, clockMs));
         this.#gone.clear();
         state.gone.forEach((id) => this.#gone.add(id));
         this.jobs.clear();
@@ -194,6 +200,7 @@
         copy.configuration = this.configuration;
         this.queues.forEach((queue, name) => copy.queues.set(name, queue));
         this.workers.forEach((worker, id) => copy.workers.set(id, worker));
+        this.reports.forEach((clockMs, id) => copy.reports.set(id, clockMs));
         this.#gone.forEach((id) => copy.#gone.add(id));
         this.jobs.forEach((job, id) => copy.jobs.set(id, isSettled(job) ? job : copyJob(job)));
         return copy;
@@ -219,6 +226,9 @@
             case "workerSeen":
                 this.#setWorker(fact.worker);
                 return;
+            case "workersHeard":
+                fact.reports.forEach(([id, clockMs]) => this.#recordReport(id, clockMs));
+                return;
             case "workerCrashed":
                 fact.under.forEach((run) => this.#recordCrash(run));
                 return;
@@ -339,8 +349,15 @@
         this.workers.set(report.id, { ...report, fullCapacity });
     }
 
+    #recordReport(id: WorkerId, clockMs: number): void {
+        if (this.workers.has(id)) {
+            this.reports.set(id, clockMs);
+        }
+    }
+
     #removeWorker(id: WorkerId): void {
         this.workers.delete(id);
+        this.reports.delete(id);
         this.#gone.add(id);
         for (const oldest of this.#gone) {
             if (this.#gone.size <= MAX_GONE_WORKERS) {
--- a/job/ledger_test.ts
+++ b/job/ledger_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { buildSpec, POOL, QUEUE } from "../dispatch/_fixtures.ts";
+import { buildSpec, buildWorkerReport, POOL, QUEUE } from "../dispatch/_fixtures.ts";
 import { addCrash } from "./crash_history.ts";
 import type { Fact } from "./facts.ts";
 import { Ledger } from "./ledger.ts";
@@ -68,6 +68,22 @@
     }
 });
 
+// Guards against reports that a restored replica takes for newer than they are, or does not have.
+test("what workers' clocks showed outlasts a copy and a restored state, and goes with its worker", (t) => {
+    const ledger = buildLedger();
+    const heard = { type: "workersHeard" as const, reports: [[WORKER, 4_000] as const] };
+    ledger.apply({ at: 2, facts: [heard] });
+    t.is(ledger.reports.size, 0);
+    ledger.apply({ at: 3, facts: [{ type: "workerSeen", worker: buildWorkerReport() }, heard] });
+    const restored = new Ledger();
+    restored.restore(ledger.encode());
+    for (const other of [ledger, ledger.copy(), restored]) {
+        t.is(other.reports.get(WORKER), 4_000);
+        other.apply({ at: 4, facts: [{ type: "workerGone", worker: WORKER }] });
+        t.is(other.reports.size, 0);
+    }
+});
+
 test("a gang's crashed workers count once an attempt, with the strongest evidence", (t) => {
     const early = addCrash([], { attempt: 1, evidence: "early" }, false);
     t.deepEqual(addCrash(early, { attempt: 1, evidence: "sole" }, false), [
