A start that workers refuse as unreadable is repeated once a second, not dozens of times

Cause: a refused start ends as if it had never been and leaves for the next worker at once; what one can not read no other can. Why this works: the step waits a second after the refusal; other steps go on. The job isn't failed: a refusal is no end of a run.

--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -19,6 +19,8 @@
 import type { MemberRun, OrderAnswer, PaceOrder, StartOrder, StopOrder } from "./types.ts";
 import { getFreeRoom, hasRoomFor, type WorkerState } from "./worker_book.ts";
 
+/** Pause of a step after a start of it was refused as unreadable, in ms. */
+const UNREADABLE_PAUSE_MS = 1_000;
 const NOTHING: Resources = { cpu: 0, memoryMb: 0, gpu: 0 };
 
 /** The orders of one leader. */
@@ -197,6 +199,9 @@
             reason,
             tries: member.tries,
         });
+        if (reason === "invalid") {
+            this.#setPause(member);
+        }
         if (reason === "unhealthy" || reason === "no_room") {
             this.#context.book.recordRefusal(worker, this.#context.clock.getNow());
         }
@@ -214,6 +219,14 @@
         }
     }
 
+    /** What one worker can not read no other can: sent at once to the next it would go round for ever. */
+    #setPause(member: MemberRun): void {
+        const step = this.#context.board.findStep(createStepKey(member.unit));
+        if (step !== undefined) {
+            step.pausedUntil = this.#context.clock.getNow() + UNREADABLE_PAUSE_MS;
+        }
+    }
+
     #dropTicket(member: MemberRun, reason: string): void {
         if (reason === "ticket") {
             const step = this.#context.board.findStep(createStepKey(member.unit));
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -109,6 +109,9 @@
      * that had no room for a task at the last try has none now unless it got some since.
      */
     #selectMatch({ step, queue }: RankedStep, gangsSoFar: number, now: number): Match {
+        if (now < step.pausedUntil) {
+            return "none";
+        }
         const awaitsAdvice =
             queue.advice !== undefined && step.advice.calls.size > 0 && step.advice.good.size === 0;
         if (awaitsAdvice) {
--- a/dispatch/deployments_test.ts
+++ b/dispatch/deployments_test.ts
@@ -85,6 +85,27 @@
     t.true(refusals < 200, `${refusals} refusals`);
 });
 
+// Guards against sending a start that no worker can read dozens of times a second for as long as its job is open.
+test("a start that workers refuse as unreadable is repeated seldom, and other jobs go on", (t) => {
+    let refusals = 0;
+    const floor = new FloorFixture({ workers: 3, taskMs: 300 });
+    for (const worker of floor.workers.values()) {
+        const start = worker.start.bind(worker);
+        worker.start = (order) => {
+            if (!order.task.startsWith(JOB)) {
+                return start(order);
+            }
+            refusals += 1;
+            return { type: "refused", reason: "invalid", clockMs: worker.clockMs };
+        };
+    }
+    floor.submit(JOB, buildSpec({ count: 3 }));
+    floor.submit(OTHER_JOB, buildSpec({ count: 30 }));
+    floor.runFor(10_000);
+    t.is(floor.getState(OTHER_JOB), "complete");
+    t.true(refusals <= 30, `${refusals} refusals`);
+});
+
 test("occurrences that overlap run side by side, each once", (t) => {
     const floor = new FloorFixture({ workers: 2, taskMs: 1_500 });
     const spec = buildSpec({ count: 2 });
--- a/dispatch/step_board.ts
+++ b/dispatch/step_board.ts
@@ -65,6 +65,8 @@
     readonly failedOn: Set<WorkerId>;
     /** When one of its units failed last, in ms. */
     failedAt: number;
+    /** No start of it before this time, in ms: workers refused one as unreadable. */
+    pausedUntil: number;
     /** Workers crashed under some of its units. */
     hasCrashes: boolean;
 }
@@ -258,6 +260,7 @@
             clearedAt: Number.NEGATIVE_INFINITY,
             failedOn: new Set(),
             failedAt: Number.NEGATIVE_INFINITY,
+            pausedUntil: Number.NEGATIVE_INFINITY,
             hasCrashes: units.some((unit) => unit.crashes.length > 0),
         });
         const keys = this.#byJob.get(step.job.id) ?? new Set();
