Units under suspicion keep off workers that crashed lately

Cause: a worker that crashes by itself has least to lose each time it is back, so the repetition of a task that was lost there was started there, apart from others, and blamed for the next crash. Change: a worker at an address that crashed within eight seconds is left out for such units, unless most workers are.

--- a/dispatch/_isolation.ts
+++ b/dispatch/_isolation.ts
@@ -14,7 +14,7 @@
  * @module
  */
 
-import type { UnitRef, WorkerId } from "../job/mod.ts";
+import type { Resources, UnitRef, WorkerId } from "../job/mod.ts";
 import { computeRoom } from "./_attempts.ts";
 import type { StepCandidates } from "./_candidates.ts";
 import type { DispatchContext } from "./_context.ts";
@@ -31,6 +31,8 @@
 /** Pause between two looks that ask whether runs have outlasted their starts, in ms. */
 const LOOK_AGAIN_MS = 250;
 
+const NOTHING: Resources = { cpu: 0, memoryMb: 0, gpu: 0 };
+
 /** The isolated starts of one leader. */
 export class Isolation {
     readonly #context: DispatchContext;
@@ -142,22 +144,15 @@
 
     /** On workers without young runs, those first that have least to lose. */
     #placeApart(step: StepWork, admitted: readonly Candidate[]): WorkerId[] | undefined {
-        const calm = admitted
-            .map((candidate) => ({
-                candidate,
-                worker: this.#context.book.findWorker(candidate.id),
-            }))
-            .filter(({ worker }) => worker !== undefined && isCalm(worker))
-            .sort((a, b) => countMembers(a.worker) - countMembers(b.worker));
+        const calm = this.#selectSteady(admitted).filter(({ id }) => {
+            const worker = this.#context.book.findWorker(id);
+            return worker !== undefined && isCalm(worker);
+        });
         if (step.spec.isGang) {
-            return placeUnit(
-                createRequest(
-                    step,
-                    calm.map(({ candidate }) => candidate),
-                ),
-            );
+            return placeUnit(createRequest(step, calm));
         }
-        for (const { candidate } of calm) {
+        const ranked = [...calm].sort((a, b) => this.#countMembers(a) - this.#countMembers(b));
+        for (const candidate of ranked) {
             const chosen = placeUnit(createRequest(step, [candidate]));
             if (chosen !== undefined) {
                 return chosen;
@@ -166,6 +161,24 @@
         return undefined;
     }
 
+    /**
+     * Leaves out workers that crashed lately, unless most did: one that crashes by itself looks idle each time it is
+     * back, and would have the next unit under suspicion blamed for it.
+     */
+    #selectSteady(candidates: readonly Candidate[]): readonly Candidate[] {
+        const { book, clock } = this.#context;
+        const now = clock.getNow();
+        const steady = candidates.filter(({ id }) => {
+            const address = book.findWorker(id)?.record.address ?? "";
+            return !book.isCrashProne(address, now);
+        });
+        return 2 * steady.length >= candidates.length ? steady : candidates;
+    }
+
+    #countMembers({ id }: Candidate): number {
+        return this.#context.book.findWorker(id)?.members.size ?? 0;
+    }
+
     #addReservation(step: StepWork, candidates: readonly Candidate[]): void {
         const { book } = this.#context;
         const workers = [...book.workers].length;
@@ -176,14 +189,12 @@
             return;
         }
         const needs = computeRoom(step.spec);
-        const free = candidates
+        const [best] = this.#selectSteady(candidates)
             .filter(({ id }) => !this.#reservations.has(id) && !this.#closed.has(id))
-            .map(({ id }) => book.findWorker(id))
-            .filter((worker) => worker !== undefined && hasRoomFor(worker.record.capacity, needs))
-            .sort((a, b) => countMembers(a) - countMembers(b));
-        const [worker] = free;
-        if (worker !== undefined) {
-            this.#reservations.set(worker.record.id, step.key);
+            .filter(({ id }) => hasRoomFor(book.findWorker(id)?.record.capacity ?? NOTHING, needs))
+            .sort((a, b) => this.#countMembers(a) - this.#countMembers(b));
+        if (best !== undefined) {
+            this.#reservations.set(best.id, step.key);
         }
     }
 
@@ -233,10 +244,6 @@
     return [...worker.members.values()].every((member) => hasOutlastedStart(member));
 }
 
-function countMembers(worker: WorkerState | undefined): number {
-    return worker?.members.size ?? 0;
-}
-
 function createRequest(
     step: StepWork,
     candidates: readonly Candidate[],
--- a/dispatch/_worker_losses.ts
+++ b/dispatch/_worker_losses.ts
@@ -54,9 +54,13 @@
      * @param worker The worker.
      */
     replaceWorker(worker: WorkerState): void {
-        const { id, isDraining } = worker.record;
+        const { id, address, isDraining } = worker.record;
+        const { book, clock } = this.#context;
         const members = [...worker.members.values(), ...worker.lapsed];
         const under = isDraining ? [] : computeEvidence(members);
+        if (!isDraining) {
+            book.recordCrash(address, clock.getNow());
+        }
         if (under.length > 0) {
             this.#context.record({ type: "workerCrashed", worker: id, under });
             this.#context.recordDecision("failure", "worker crashed", { worker: id, under });
--- a/dispatch/crash_loop_test.ts
+++ b/dispatch/crash_loop_test.ts
@@ -203,6 +203,30 @@
     t.deepEqual(floor.violations, []);
 });
 
+// Guards against blaming tasks for a worker that goes down again and again by itself, and looks idle each time it is back.
+test("jobs beside workers that go down and up by turns complete", (t) => {
+    for (const seed of [1, 2, 3, 4, 5, 6]) {
+        const random = createRandom(seed);
+        const floor = new FloorFixture({ workers: 8, taskMs: 900, restartMs: 400 });
+        for (const id of listJobIds(200)) {
+            floor.submit(id, buildSpec({ count: 3, needs: { cpu: 4_000, memoryMb: 500, gpu: 0 } }));
+            floor.runFor(100);
+            for (const worker of ["w1", "w2"]) {
+                const current = [...floor.workers.keys()].find((w) => w.split("#")[0] === worker);
+                if (current !== undefined && random() < 0.12) {
+                    floor.crashWorker(current);
+                }
+            }
+        }
+        floor.runFor(40_000);
+        t.deepEqual(
+            listJobIds(200).filter((id) => floor.getState(id) !== "complete"),
+            [],
+            `seed ${seed}`,
+        );
+    }
+});
+
 // Guards against a bound that holds for crashes alone and not beside lost orders, cuts and changes of leaders.
 test("beside other faults a task that crashes its workers is started within bounds, and others end", (t) => {
     const property = fc.property(fc.integer({ min: 1, max: 1_000_000 }), (seed) => {
--- a/dispatch/worker_book.ts
+++ b/dispatch/worker_book.ts
@@ -30,6 +30,8 @@
 const FAILURES_TO_QUARANTINE = 2;
 /** A failure makes a worker doubtful for as long as the longest pause, in ms, unless something is done there. */
 const DOUBT_MS = MAX_QUARANTINE_MS;
+/** After a crash the next incarnation at the address is held for prone to another one for this long, in ms. */
+const CRASH_PRONE_MS = 8_000;
 /** Pause after a worker refused an order, in ms: about the time between two heartbeats. */
 const REFUSAL_PAUSE_MS = 1_500;
 
@@ -101,6 +103,8 @@
     #nextFence: number;
     /** Runs that keep, or kept, other starts off their workers. */
     readonly suspects = new Set<MemberRun>();
+    /** When a worker's crash became known, in ms, by its address. */
+    readonly #crashedAt = new Map<string, number>();
     /** Rises when a worker gets room or becomes usable: what did not fit before may fit now. */
     roomVersion = 0;
 
@@ -187,6 +191,27 @@
         }
     }
 
+    /**
+     * Notes that a worker crashed.
+     *
+     * @param address Where it was.
+     * @param now Our clock, in ms.
+     */
+    recordCrash(address: string, now: number): void {
+        this.#crashedAt.set(address, now);
+    }
+
+    /**
+     * Tells whether workers at an address may be crashing again and again by themselves.
+     *
+     * @param address The address.
+     * @param now Our clock, in ms.
+     * @returns True for a while after a crash there.
+     */
+    isCrashProne(address: string, now: number): boolean {
+        return now - (this.#crashedAt.get(address) ?? Number.NEGATIVE_INFINITY) < CRASH_PRONE_MS;
+    }
+
     /**
      * Notes that a worker got room or became usable.
      *
