--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -58,6 +58,8 @@
     readonly isChecked?: boolean;
     /** What differs from the usual worker, by its number from 1. */
     readonly getRecord?: (number: number) => Partial<WorkerReport>;
+    /** How long the next commit takes, in ms. */
+    readonly computeCommitMs?: () => number;
     /** Fronts that call the advice service. */
     readonly fronts?: number;
     readonly clockDrift?: number;
@@ -415,7 +417,8 @@
         }
         const epoch = this.#epoch;
         const at = this.now;
-        this.#addEvent(facts.length === 0 ? 0 : COMMIT_MS, () => {
+        const commitMs = this.#options.computeCommitMs?.() ?? COMMIT_MS;
+        this.#addEvent(facts.length === 0 ? 0 : commitMs, () => {
             if (epoch !== this.#epoch) {
                 return;
             }
--- a/dispatch/capacity_test.ts
+++ b/dispatch/capacity_test.ts
@@ -128,6 +128,21 @@
     t.deepEqual(floor.violations, []);
 });
 
+// Guards against starts that were decided on a fresh room and leave seconds later, when a commit was held up.
+test("a start that a slow commit held up is not sent on a room that was told too long ago", (t) => {
+    let commitMs = 12;
+    const floor = new FloorFixture({ workers: 1, taskMs: 700, computeCommitMs: () => commitMs });
+    floor.runFor(3_010);
+    floor.dropHeartbeats("w1" as WorkerId);
+    floor.setCapacity("w1" as WorkerId, SMALL);
+    floor.runFor(2_000);
+    commitMs = 3_000;
+    floor.submit(JOB, buildSpec({ count: 8, needs: { cpu: 2_000, memoryMb: 1_000, gpu: 0 } }));
+    floor.runFor(8_000);
+    t.deepEqual(floor.violations, []);
+    t.is(floor.runs.length, 0);
+});
+
 // Guards against refusing work as impossible that has room again in a moment.
 test("a job that fits the workers at their usual size is not refused while they are small", (t) => {
     const floor = new FloorFixture({ workers: 2, taskMs: 300 });
