A start is not sent on a room that was told too long ago, however long its commit took

Cause: the age of a room was looked at when a start was decided only; the margin of a second holds for usual commits. Why this works: age and room are looked at again as the order leaves; what fails it is placed anew. Beside it: entries about past crashes and waiting units are dropped when they are over (they would have grown with a leader's age).

--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -226,7 +226,7 @@
                 .forEach((key) => this.#context.desk.removeCalls(key));
             return;
         }
-        if (!this.endIfHopeless(ref)) {
+        if (!this.endIfFailed(ref)) {
             this.#context.board.addWaiting(ref);
         }
     }
@@ -237,7 +237,7 @@
      * @param ref The unit.
      * @returns Whether the job has failed by it.
      */
-    endIfHopeless(ref: UnitRef): boolean {
+    endIfFailed(ref: UnitRef): boolean {
         const job = this.#context.ledger.jobs.get(ref.job);
         const unit = this.#context.ledger.findUnit(ref);
         if (job === undefined || unit === undefined || job.endedAt !== undefined || unit.isDone) {
--- a/dispatch/_isolation.ts
+++ b/dispatch/_isolation.ts
@@ -37,7 +37,8 @@
 export class Isolation {
     readonly #context: DispatchContext;
     readonly #reservations = new Map<WorkerId, StepKey>();
-    readonly #waitingSince = new Map<string, number>();
+    /** Units under suspicion that found no worker yet, by their keys. */
+    readonly #waiting = new Map<string, { readonly step: StepKey; readonly since: number }>();
     #closed = new Set<WorkerId>();
 
     /**
@@ -48,8 +49,8 @@
     }
 
     /**
-     * Takes stock before a round of placing: drops reservations that nothing waits for, and asks for signs of runs
-     * that somebody waits for.
+     * Prepares a round of placing: drops what nothing waits for any more, and looks at workers whose runs may have
+     * outlasted their starts by now.
      *
      * @param now Our clock, in ms.
      */
@@ -64,6 +65,11 @@
                 this.#look(worker, now);
             }
         }
+        for (const [key, { step }] of this.#waiting) {
+            if (board.findStep(step) === undefined) {
+                this.#waiting.delete(key);
+            }
+        }
         this.#closed = new Set(this.#listApart(now).map((member) => member.worker));
     }
 
@@ -123,18 +129,18 @@
         now: number,
     ): WorkerId[] | undefined {
         const key = createUnitKey(createUnitRef(step, unit));
-        const since = this.#waitingSince.get(key) ?? now;
+        const since = this.#waiting.get(key)?.since ?? now;
         const chosen =
             this.#placeApart(step, candidates.admitted) ??
             (now - since >= PATIENCE_MS
                 ? placeUnit(createRequest(step, this.selectOpen(candidates.admitted)))
                 : undefined);
         if (chosen === undefined) {
-            this.#waitingSince.set(key, since);
+            this.#waiting.set(key, { step: step.key, since });
             this.#addReservation(step, [...candidates.admitted, ...candidates.expired]);
             return undefined;
         }
-        this.#waitingSince.delete(key);
+        this.#waiting.delete(key);
         for (const id of chosen) {
             this.#release(id);
             this.#closed.add(id);
@@ -144,14 +150,14 @@
 
     /** On workers without young runs, those first that have least to lose. */
     #placeApart(step: StepWork, admitted: readonly Candidate[]): WorkerId[] | undefined {
-        const calm = this.#selectSteady(admitted).filter(({ id }) => {
+        const free = this.#selectSteady(admitted).filter(({ id }) => {
             const worker = this.#context.book.findWorker(id);
-            return worker !== undefined && isCalm(worker);
+            return worker !== undefined && !hasYoungRun(worker);
         });
         if (step.spec.isGang) {
-            return placeUnit(createRequest(step, calm));
+            return placeUnit(createRequest(step, free));
         }
-        const ranked = [...calm].sort((a, b) => this.#countMembers(a) - this.#countMembers(b));
+        const ranked = [...free].sort((a, b) => this.#countMembers(a) - this.#countMembers(b));
         for (const candidate of ranked) {
             const chosen = placeUnit(createRequest(step, [candidate]));
             if (chosen !== undefined) {
@@ -240,8 +246,8 @@
     );
 }
 
-function isCalm(worker: WorkerState): boolean {
-    return [...worker.members.values()].every((member) => hasOutlastedStart(member));
+function hasYoungRun(worker: WorkerState): boolean {
+    return [...worker.members.values()].some((member) => !hasOutlastedStart(member));
 }
 
 function createRequest(
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -52,12 +52,12 @@
         if (worker === undefined || job === undefined || member.state === "stopping") {
             return undefined;
         }
-        // The room may have shrunk since it was placed.
-        const hasRoom = member.tries > 0 || hasRoomFor(getFreeRoom(worker), NOTHING);
-        const isWanted = job.endedAt === undefined && job.spec !== undefined && hasRoom;
-        const until = isWanted
-            ? this.#context.book.grantLease(worker, this.#context.clock.getNow())
-            : undefined;
+        const now = this.#context.clock.getNow();
+        const isWanted =
+            job.endedAt === undefined &&
+            job.spec !== undefined &&
+            (member.tries > 0 || this.#hasRoomStill(worker, now));
+        const until = isWanted ? this.#context.book.grantLease(worker, now) : undefined;
         if (until === undefined) {
             if (member.state === "planned") {
                 this.#attempts.endMember(member, "void", "");
@@ -219,6 +219,14 @@
         }
     }
 
+    /** The room may have shrunk since the start was decided, or a slow commit may have outlasted what is known of it. */
+    #hasRoomStill(worker: WorkerState, now: number): boolean {
+        return (
+            this.#context.book.hasFreshReport(worker, now) &&
+            hasRoomFor(getFreeRoom(worker), NOTHING)
+        );
+    }
+
     /** What one worker can not read no other can: sent at once to the next it would go round for ever. */
     #setPause(member: MemberRun): void {
         const step = this.#context.board.findStep(createStepKey(member.unit));
--- a/dispatch/_worker_losses.ts
+++ b/dispatch/_worker_losses.ts
@@ -67,7 +67,7 @@
         }
         under.forEach(({ unit }) => this.#context.board.recordCrash(unit));
         this.removeWorker(id, "another incarnation answers");
-        under.forEach(({ unit }) => this.#attempts.endIfHopeless(unit));
+        under.forEach(({ unit }) => this.#attempts.endIfFailed(unit));
     }
 
     /**
--- a/dispatch/worker_book.ts
+++ b/dispatch/worker_book.ts
@@ -191,6 +191,17 @@
         }
     }
 
+    /**
+     * Tells whether a worker's room was told lately enough to be given away.
+     *
+     * @param worker The worker.
+     * @param now Our clock, in ms.
+     * @returns False without a fresh heartbeat: its room may have shrunk since.
+     */
+    hasFreshReport(worker: WorkerState, now: number): boolean {
+        return computeReportAge(worker, now) < this.#options.reportAgeMs;
+    }
+
     /**
      * Notes that a worker crashed.
      *
@@ -198,6 +209,11 @@
      * @param now Our clock, in ms.
      */
     recordCrash(address: string, now: number): void {
+        for (const earlier of this.#crashedAt.keys()) {
+            if (!this.isCrashProne(earlier, now)) {
+                this.#crashedAt.delete(earlier);
+            }
+        }
         this.#crashedAt.set(address, now);
     }
 
@@ -417,7 +433,7 @@
             !worker.isSuspect &&
             now >= worker.pausedUntil &&
             now - worker.heardAt < SILENCE_MS &&
-            computeReportAge(worker, now) < this.#options.reportAgeMs &&
+            this.hasFreshReport(worker, now) &&
             worker.clock.computeEarliest(now) !== undefined
         );
     }
