Model: tasks that crash their workers, workers that crash by themselves and rooms that change, on a full floor

dispatch/_full_floor.ts takes troubles beside its jobs, with draws of their own; bench/wide_jobs_bench.ts has an option for each and prints what they led to.

--- a/bench/wide_jobs_bench.ts
+++ b/bench/wide_jobs_bench.ts
@@ -1,10 +1,12 @@
 /**
  * How a full floor treats its widest jobs: prints for each queue, and for the largest tenth of its jobs and the
- * fifth below it, how many were in time and served on a day in virtual time, and how long they took.
+ * fifth below it, how many were in time and served on a day in virtual time, and how long they took; with troubles
+ * also what they led to.
  *
  * @example
  * ```sh
  * npx tsx bench/wide_jobs_bench.ts --workers 380 --seconds 30 --load 0.9 --seeds 1,2,3
+ * npx tsx bench/wide_jobs_bench.ts --workers 33 --load 0.7 --crashing 0.01 --crashes 0.2 --rooms 1
  * ```
  *
  * @module
@@ -19,6 +21,12 @@
         seconds: { type: "string", default: "30" },
         load: { type: "string", default: "0.9" },
         seeds: { type: "string", default: "1" },
+        /** Share of the jobs that crash their workers. */
+        crashing: { type: "string", default: "0" },
+        /** Workers that crash by themselves, a second. */
+        crashes: { type: "string", default: "0" },
+        /** Workers whose room changes, a second. */
+        rooms: { type: "string", default: "0" },
     },
 });
 
@@ -31,11 +39,17 @@
 }
 
 for (const seed of values.seeds.split(",").map(Number)) {
-    const day = new FullFloorDay({ workers: Number(values.workers), seed });
+    const troubles = {
+        crashingShare: Number(values.crashing),
+        crashesPerSecond: Number(values.crashes),
+        roomChangesPerSecond: Number(values.rooms),
+    };
+    const day = new FullFloorDay({ workers: Number(values.workers), seed, troubles });
     const startedAt = process.cpuUsage();
     day.run(Number(values.seconds), Number(values.load));
     const used = process.cpuUsage(startedAt);
     const cpuSeconds = ((used.user + used.system) / 1e6).toFixed(1);
     process.stdout.write(`seed ${seed}, ${cpuSeconds} s of processor\n`);
     day.listOutcomes().forEach((outcome) => process.stdout.write(`${formatRow(outcome)}\n`));
+    process.stdout.write(`${JSON.stringify(day.describeTroubles())}\n`);
 }
--- a/dispatch/_full_floor.ts
+++ b/dispatch/_full_floor.ts
@@ -16,7 +16,7 @@
 
 import type { QueueConfig, QueueName } from "../configuration/mod.ts";
 import { computeHash } from "../hashing/mod.ts";
-import type { WorkerId } from "../job/mod.ts";
+import type { Resources, WorkerId } from "../job/mod.ts";
 import { createRandom } from "../tools/seeded_random.ts";
 import { buildQueue, buildSpec, FloorFixture } from "./_fixtures.ts";
 
@@ -63,6 +63,15 @@
 const SLOW_FACTOR = 1.3;
 /** A job that took this many times its objective was not served. */
 const LATE_FACTOR = 3;
+const NO_TROUBLES: FloorTroubles = {
+    crashingShare: 0,
+    crashesPerSecond: 0,
+    roomChangesPerSecond: 0,
+};
+const CRASH_AFTER_MS = 10;
+const CAPACITY: Resources = { cpu: 16_000, memoryMb: 65_536, gpu: 0 };
+/** Troubles draw from a source of their own: the jobs stay those of the seed. */
+const TROUBLE_SEEDS = 1_000_000;
 
 const KINDS: readonly Kind[] = [
     {
@@ -122,10 +131,35 @@
     },
 ];
 
+/** What goes wrong on a day; nothing by default. */
+export interface FloorTroubles {
+    /** Share of the jobs whose first task crashes each worker that starts it. */
+    readonly crashingShare: number;
+    /** Workers that crash by themselves, a second. */
+    readonly crashesPerSecond: number;
+    /** Workers whose room shrinks or grows, a second. */
+    readonly roomChangesPerSecond: number;
+}
+
 /** Options of {@link FullFloorDay}. */
 export interface FullFloorOptions {
     readonly workers: number;
     readonly seed: number;
+    readonly troubles?: Partial<FloorTroubles>;
+}
+
+/** What a day's troubles led to. */
+export interface TroubleReport {
+    /** Crashes of workers, by themselves or by a task. */
+    readonly crashes: number;
+    readonly crashingJobs: number;
+    /** Crashing jobs that were given up. */
+    readonly givenUp: number;
+    /** The most starts of a task after three workers had crashed under it. */
+    readonly mostStartsAfterThree: number;
+    /** Other jobs that were failed. */
+    readonly failedOthers: number;
+    readonly violations: number;
 }
 
 /** What became of some jobs. */
@@ -150,6 +184,9 @@
     readonly #open = new Set<string>();
     readonly #floor: FloorFixture;
     readonly #workers: number;
+    readonly #troubles: FloorTroubles;
+    readonly #drawTrouble: () => number;
+    readonly #crashing = new Set<string>();
     #nextId = 1;
     #seconds = 0;
 
@@ -160,12 +197,15 @@
         const { workers, seed } = options;
         this.#workers = workers;
         this.#random = createRandom(seed);
+        this.#troubles = { ...NO_TROUBLES, ...options.troubles };
+        this.#drawTrouble = createRandom(seed + TROUBLE_SEEDS);
         this.#floor = new FloorFixture({
             workers,
             isChecked: false,
             fronts: Math.max(3, Math.round((FRONTS * workers) / FLOOR_WORKERS)),
             queues: KINDS.map(({ queue }) => queue),
-            capacity: { cpu: 16_000, memoryMb: 65_536, gpu: 0 },
+            capacity: CAPACITY,
+            getCrashAfterMs: (task) => (this.#isCrashing(task) ? CRASH_AFTER_MS : undefined),
             getRecord: (number) => ({ zone: `zone-${number % 5}` }),
             computeTaskMs: (task, worker) => this.#computeTaskMs(task, worker),
             isAdmitted: (step, worker) => isAdmitted(step, worker),
@@ -190,6 +230,7 @@
                     this.#submitJob(kind);
                 }
             }
+            this.#addTroubles();
             this.#floor.runFor(STEP_MS);
             this.#recordDone();
         }
@@ -214,8 +255,54 @@
         });
     }
 
+    /**
+     * Tells what the day's troubles led to.
+     *
+     * @returns Counts over the whole day.
+     */
+    describeTroubles(): TroubleReport {
+        const failed = [...this.#handed.values()]
+            .flat()
+            .filter(({ id }) => this.#floor.getState(id) === "failed");
+        const givenUp = failed.filter(({ id }) => this.#crashing.has(id)).length;
+        const starts = [...this.#crashing].map((id) =>
+            this.#floor.countStartsAfterCrashes(`${id}.0.0.0`, 3),
+        );
+        return {
+            crashes: this.#floor.crashes.length,
+            crashingJobs: this.#crashing.size,
+            givenUp,
+            mostStartsAfterThree: Math.max(0, ...starts),
+            failedOthers: failed.length - givenUp,
+            violations: this.#floor.violations.length,
+        };
+    }
+
+    #isCrashing(task: string): boolean {
+        return this.#crashing.has(task.slice(0, 16)) && task.endsWith(".0.0.0");
+    }
+
+    #addTroubles(): void {
+        const { crashesPerSecond, roomChangesPerSecond } = this.#troubles;
+        const ids = [...this.#floor.workers.keys()];
+        const drawWorker = (): WorkerId =>
+            ids[Math.floor(this.#drawTrouble() * ids.length)] as WorkerId;
+        if (this.#drawTrouble() < (crashesPerSecond * STEP_MS) / 1_000) {
+            this.#floor.crashWorker(drawWorker());
+        }
+        if (this.#drawTrouble() < (roomChangesPerSecond * STEP_MS) / 1_000) {
+            const share = this.#drawTrouble();
+            const cpu = Math.floor(CAPACITY.cpu * share);
+            const memoryMb = Math.floor(CAPACITY.memoryMb * share);
+            this.#floor.setCapacity(drawWorker(), { cpu, memoryMb, gpu: 0 });
+        }
+    }
+
     #submitJob(kind: Kind): void {
         const id = `${getCode(kind)}${(this.#nextId++).toString(16).padStart(15, "0")}`;
+        if (this.#drawTrouble() < this.#troubles.crashingShare) {
+            this.#crashing.add(id);
+        }
         const taskMs = this.#takeSize(kind.taskMs);
         const stepCount = 1 + (this.#random() < kind.steps % 1 ? 1 : 0);
         const isGang = this.#random() < kind.gangShare;
@@ -250,7 +337,7 @@
     }
 
     #computeTaskMs(task: string, worker: WorkerId): number {
-        const number = Number(worker.slice(1));
+        const number = Number.parseInt(worker.slice(1), 10);
         return (
             (this.#durations.get(task.slice(0, 16)) ?? 1_000) * (number % 3 === 0 ? SLOW_FACTOR : 1)
         );
