--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -29,6 +29,7 @@
 import { VirtualTime } from "../standin/virtual_time.ts";
 import { buildQueue, POOL, QUEUE } from "./_builders.ts";
 import { Dispatcher } from "./dispatcher.ts";
+import { FloorAudit, type SeenCrash, type SeenRun } from "./_floor_audit.ts";
 import type { AdviceCall, Effect, LaneId, LookAnswer, OrderAnswer } from "./types.ts";
 
 export * from "./_builders.ts";
@@ -43,8 +44,6 @@
 const FENCES_PER_TERM = 1_000_000;
 const HEARTBEAT_MS = 1_500;
 const DEFAULT_RESTART_MS = 3_300;
-/** A smaller room binds once it has been told for so long, in ms: three seconds and a heartbeat. */
-const SHRINK_GRACE_MS = 4_500;
 
 /** Options of {@link FloorFixture}. */
 export interface FloorOptions {
@@ -94,16 +93,9 @@
     readonly #options: FloorOptions;
     readonly durable = new Ledger();
     readonly workers = new Map<WorkerId, TaskWorker>();
-    /** Broken promises, in words. */
-    readonly violations: string[] = [];
-    /** Every run that began: task, attempt, worker. */
-    readonly runs: { task: string; attempt: number; worker: WorkerId; at: number }[] = [];
     /** Every pace order: task, percent. */
     readonly paces: { task: string; percent: number; at: number }[] = [];
-    /** Every crash of a worker: the tasks that ran there when it ended. */
-    readonly crashes: { worker: WorkerId; tasks: readonly string[]; at: number }[] = [];
-    readonly #acknowledgedDone = new Set<string>();
-    readonly #rooms = new Map<WorkerId, { since: number; capacity: Resources }[]>();
+    readonly #audit = new FloorAudit({ workers: this.workers, getNow: () => this.now });
     readonly #addresses = new Map<WorkerId, string>();
     readonly #muted = new Set<WorkerId>();
     #isLed = true;
@@ -158,7 +150,7 @@
         const { id, address, capacity } = record;
         this.#records.set(id, record);
         this.#addresses.set(id, address);
-        this.#rooms.set(id, [{ since: this.now, capacity }]);
+        this.#audit.recordRoom(id, capacity);
         this.workers.set(id, this.#createWorker(id, capacity));
     }
 
@@ -167,19 +159,17 @@
         const record = this.#records.get(id);
         if (record !== undefined) {
             this.#records.set(id, { ...record, capacity });
-            this.#rooms.get(id)?.push({ since: this.now, capacity });
+            this.#audit.recordRoom(id, capacity);
         }
     }
 
     /** Crashes a worker with all that runs there; its next incarnation joins after a while. */
     crashWorker(id: WorkerId): void {
-        const worker = this.workers.get(id);
         const record = this.#records.get(id);
-        if (worker === undefined || record === undefined) {
+        if (record === undefined || !this.workers.has(id)) {
             return;
         }
-        const tasks = worker.runs.map((run) => run.task);
-        this.crashes.push({ worker: id, tasks, at: this.now });
+        this.#audit.recordCrash(id);
         this.killWorker(id);
         this.#addEvent(this.#options.restartMs ?? DEFAULT_RESTART_MS, () => {
             this.#incarnations += 1;
@@ -189,12 +179,24 @@
         });
     }
 
+    /** Broken promises, in words. */
+    get violations(): readonly string[] {
+        return this.#audit.violations;
+    }
+
+    /** Every run that began. */
+    get runs(): readonly SeenRun[] {
+        return this.#audit.runs;
+    }
+
+    /** Every crash of a worker. */
+    get crashes(): readonly SeenCrash[] {
+        return this.#audit.crashes;
+    }
+
     /** How often a task was started after a number of workers had crashed under it. */
     countStartsAfterCrashes(task: string, crashes: number): number {
-        const crash = this.crashes.filter(({ tasks }) => tasks.includes(task))[crashes - 1];
-        return crash === undefined
-            ? 0
-            : this.runs.filter((run) => run.task === task && run.at > crash.at).length;
+        return this.#audit.countStartsAfterCrashes(task, crashes);
     }
 
     /** Ends a worker: its runs end with it, and it answers no more. */
@@ -264,7 +266,7 @@
     runFor(ms: number): void {
         this.#time.runFor(ms, () => {
             if (this.#options.isChecked ?? true) {
-                this.#checkWorkers();
+                this.#audit.checkWorkers();
             }
         });
     }
@@ -316,12 +318,8 @@
             getRoom: (task) => this.#findRoom(task),
             getLoad: this.#options.getLoad,
             getEnd: (task) => this.#options.getEnd?.(task, id) ?? "done",
-            onRun: (run) => this.#checkRun(id, run),
-            onAcknowledge: (end) => {
-                if (end.how === "done") {
-                    this.#acknowledgedDone.add(end.task);
-                }
-            },
+            onRun: (run) => this.#handleRun(id, run),
+            onAcknowledge: (end) => this.#audit.recordAcknowledged(end),
         });
     }
 
@@ -331,52 +329,14 @@
         return spec?.needs ?? { cpu: 1_000, memoryMb: 1_000, gpu: 0 };
     }
 
-    #checkRun(worker: WorkerId, run: TaskRun): void {
-        for (const [other, state] of this.workers) {
-            if (other !== worker && state.runs.some((r) => r.task === run.task)) {
-                this.violations.push(`${run.task} runs on ${other} and ${worker} at ${this.now}`);
-            }
-        }
-        if (this.#acknowledgedDone.has(run.task)) {
-            this.violations.push(`${run.task} runs again at ${this.now} after it was done`);
-        }
-        this.runs.push({ task: run.task, attempt: run.attempt, worker, at: this.now });
-        this.#checkRoom(worker);
+    #handleRun(worker: WorkerId, run: TaskRun): void {
+        this.#audit.recordRun(worker, run);
         const crashAfterMs = this.#options.getCrashAfterMs?.(run.task, worker);
         if (crashAfterMs !== undefined) {
             this.#addEvent(crashAfterMs, () => this.crashWorker(worker));
         }
     }
 
-    /** A start must fit the room that the worker has, or had within the time that a change takes to be known. */
-    #checkRoom(id: WorkerId): void {
-        const worker = this.workers.get(id);
-        const rooms = this.#rooms.get(id) ?? [];
-        const bound = rooms.filter(
-            (_room, i) => (rooms[i + 1]?.since ?? this.now) >= this.now - SHRINK_GRACE_MS,
-        );
-        const cpu = Math.max(...bound.map((room) => room.capacity.cpu));
-        const memoryMb = Math.max(...bound.map((room) => room.capacity.memoryMb));
-        const used = worker?.used ?? { cpu: 0, memoryMb: 0 };
-        if (used.cpu > cpu || used.memoryMb > memoryMb) {
-            this.violations.push(`a start brings ${id} over its room at ${this.now}`);
-        }
-    }
-
-    #checkWorkers(): void {
-        for (const [id, worker] of this.workers) {
-            worker.advance();
-            const rooms = this.#rooms.get(id) ?? [];
-            const { used } = worker;
-            const isOver = rooms.every(
-                ({ capacity }) => used.cpu > capacity.cpu || used.memoryMb > capacity.memoryMb,
-            );
-            if (isOver) {
-                this.violations.push(`${id} is over its capacity at ${this.now}`);
-            }
-        }
-    }
-
     #addEvent(delay: number, run: () => void): void {
         this.#time.schedule(delay, run);
     }
