--- a/bin/poplarhead_start.ts
+++ b/bin/poplarhead_start.ts
@@ -3,9 +3,6 @@
  * all processes start in the same second, on small processors that are charged for compiling, and nobody
  * is served before they listen. The bundle is one file, and comes with what the engine compiled when it was built.
  *
- * What it buys, as whole processes up to reading their settings, median of ten pairs: 61 ms bare `node`, 88 ms the
- * bundle with compiled code, 116 ms the bundle alone, 240 ms modules in files of their own.
- *
  * @module
  */
 
--- a/cell/_queue.ts
+++ b/cell/_queue.ts
@@ -26,8 +26,8 @@
 
     /**
      * Adds a request in arrival order within its precedence; a requeued one returns to its
-     * place. A binary search finds the place: sorting on every insert made a backlog of
-     * thousands cost 10 ms a tick.
+     * place. A binary search finds the place: sorting on every insert would cost a
+     * backlog of thousands most of a tick.
      *
      * @param request The request.
      * @param precedence Its class's precedence.
--- a/control/state_reader.ts
+++ b/control/state_reader.ts
@@ -4,9 +4,6 @@
  * comes again only after a pause. An answer that is about to change is therefore held until it does,
  * for a moment.
  *
- * What it buys, on a simulated calm day: 506 of 508 callers asked within 150 ms before their job's end
- * was on record, and learned of it 216 ms after that in the median (traced with a line for each question).
- *
  * @example
  * ```ts
  * import { StateReader } from "./state_reader.ts";
@@ -21,9 +18,9 @@
 import type { CallerAnswer } from "./calls.ts";
 
 /**
- * How long a question waits for a running job's end, in ms: an end is on record 20 to 120 ms after it
- * happened (a pause between two looks at a worker, the way, a commit), later on a busy leader. Well
- * below the silence after which a front takes the leader for lost (350 ms).
+ * How long a question waits for a running job's end, in ms: longer than an end takes to be on record (a pause
+ * between two looks at a worker, the way, a commit), below the silence after which a front takes the leader for
+ * lost.
  */
 const DEFAULT_HOLD_MS = 200;
 /** Questions that wait at the same time at most: some hundred bytes each. */
--- a/control/timings.ts
+++ b/control/timings.ts
@@ -16,13 +16,12 @@
 import type { ConsensusTimings } from "../log/mod.ts";
 
 /**
- * A lost leader is replaced in 0.25 to 0.6 s: leases of 6 s and callers that wait 3 s bear that.
- * Heartbeats do not wait for the disk, so a slow one does not end a lead; a pause of the event loop
- * (snapshot, garbage collection) stays below 0.1 s.
+ * A lost leader is replaced well within a worker's lease and a caller's deadline. Heartbeats do not wait for the disk,
+ * so a slow one does not end a lead.
  */
 const SMALL_TIMINGS: ConsensusTimings = { heartbeatMs: 50, electionMs: 250 };
 /**
- * Large deployments: a lost leader is replaced in 0.4 to 0.9 s. With shorter ones, leads end one after the
+ * Large deployments. With shorter timeouts leads end one after the
  * other while instances that came back together take over thousands of jobs.
  */
 const LARGE_TIMINGS: ConsensusTimings = { heartbeatMs: 80, electionMs: 400 };
--- a/log/consensus.ts
+++ b/log/consensus.ts
@@ -880,8 +880,7 @@
      * Asks again soon whether this member would be elected. The pattern: all members come back from a loss of
      * power within some 100 ms; the first to ask finds the others not up yet, or still keeping the lease of
      * the leader before, and a whole election timeout more would be a part of the outage. A pre-vote disturbs
-     * nobody, because members that hear a leader refuse it. A leader is there 0.27 to 0.29 s after the last start, with
-     * timeouts of 0.25 s (three losses of all power on a simulated day); 0.3 to 0.45 s before.
+     * nobody, because members that hear a leader refuse it.
      */
     #setPreVoteDeadline(): void {
         const shortest = this.#timings.electionMs * PRE_VOTE_RETRY_SHARE;
