--- a/dispatch/crash_loop_test.ts
+++ b/dispatch/crash_loop_test.ts
@@ -99,6 +99,22 @@
     t.is(floor.getState(JOB), "failed");
 });
 
+// Guards against crashes that are forgotten with a leader that gave the worker's runs up and did not see it return.
+test("a task that crashes its workers is given up although leaders change while they are away", (t) => {
+    for (const everyMs of [9_300, 10_000, 12_000, 13_000]) {
+        const floor = buildCrashFloor({ restartMs: 14_000, workers: 12 });
+        floor.submit(JOB, buildSpec({}));
+        for (let next = everyMs; floor.now < 150_000; floor.runFor(100)) {
+            if (floor.now > next) {
+                next += everyMs;
+                floor.replaceLeader();
+            }
+        }
+        t.true(floor.countStartsAfterCrashes(CRASHER, 3) < FORBIDDEN_STARTS, `every ${everyMs} ms`);
+        t.is(floor.getState(JOB), "failed", `every ${everyMs} ms`);
+    }
+});
+
 // Guards against a bound that holds only for tasks that crash their workers at once.
 test("a task that crashes its workers late in its run is given up", (t) => {
     const floor = buildCrashFloor({
