Attempts that are given up with a lease are on record until it shows whether their worker crashed

Cause: the runs that a leader gave up at the lease's end were in its memory only; the next one took the returning worker's crash for one under which nothing ran. Why this works: the lapse is on record with what it says about each attempt, in the batch that gives the runs up. The worker's answer takes it off, its crash turns it into crashes, whoever leads then.

--- a/dispatch/_looks.ts
+++ b/dispatch/_looks.ts
@@ -118,6 +118,7 @@
         }
         this.#context.book.recordAnswer(worker, answer.clockMs, now);
         worker.lookedAt = now;
+        this.#losses.clearLapse(order.worker);
         worker.toldCursor = Math.max(worker.toldCursor, order.cursor);
         answer.ended.forEach((report) => this.#handleEnd(worker, report));
         if (worker.readCursor > worker.durableCursor) {
--- a/dispatch/_worker_losses.ts
+++ b/dispatch/_worker_losses.ts
@@ -15,6 +15,7 @@
 import type { Attempts } from "./_attempts.ts";
 import { computeEvidence } from "./crash_loop.ts";
 import type { DispatchContext } from "./_context.ts";
+import type { MemberRun } from "./types.ts";
 import type { WorkerState } from "./worker_book.ts";
 
 /** The losses of one leader. */
@@ -56,8 +57,10 @@
     replaceWorker(worker: WorkerState): void {
         const { id, address, isDraining } = worker.record;
         const { book, clock } = this.#context;
-        const members = [...worker.members.values(), ...worker.lapsed];
-        const under = isDraining ? [] : computeEvidence(members);
+        const lapsed = this.#context.ledger.lapses.get(id) ?? [];
+        const under = isDraining
+            ? []
+            : [...lapsed, ...computeEvidence([...worker.members.values()])];
         if (!isDraining) {
             book.recordCrash(address, clock.getNow());
         }
@@ -70,6 +73,35 @@
         under.forEach(({ unit }) => this.#attempts.endIfFailed(unit));
     }
 
+    /**
+     * Gives up what runs on a worker whose lease has run out. Whether it crashed shows when it answers, or another
+     * incarnation does in its place, perhaps to a later leader.
+     *
+     * @param worker The worker.
+     * @param members What an order may have started there.
+     */
+    expireLease(worker: WorkerState, members: readonly MemberRun[]): void {
+        const { id } = worker.record;
+        this.#context.recordDecision("failure", "lease over", {
+            worker: id,
+            members: members.length,
+            silentMs: Math.round(this.#context.clock.getNow() - worker.heardAt),
+        });
+        this.#context.record({ type: "workerLapsed", worker: id, under: computeEvidence(members) });
+        this.#attempts.endMembers(members);
+    }
+
+    /**
+     * Notes that a worker whose lease had run out has not crashed.
+     *
+     * @param id The worker.
+     */
+    clearLapse(id: WorkerId): void {
+        if (this.#context.ledger.lapses.has(id)) {
+            this.#context.record({ type: "workerAnswered", worker: id });
+        }
+    }
+
     /**
      * Takes a worker for gone, with all that ran there.
      *
--- a/dispatch/crash_loop.ts
+++ b/dispatch/crash_loop.ts
@@ -14,7 +14,7 @@
  * @module
  */
 
-import type { Crash, CrashEvidence, UnitRef } from "../job/mod.ts";
+import type { Crash, CrashedAttempt } from "../job/mod.ts";
 import { createUnitKey } from "./step_board.ts";
 import type { MemberRun } from "./types.ts";
 
@@ -27,13 +27,6 @@
 /** From so many crashes on a unit runs apart from other starts for its whole run, not only at its start. */
 const MANY_CRASHES = 3;
 
-/** What a crash says about one unit that was on the worker. */
-export interface UnitEvidence {
-    readonly unit: UnitRef;
-    readonly attempt: number;
-    readonly evidence: CrashEvidence;
-}
-
 /**
  * Tells whether a run has outlasted its start.
  *
@@ -47,17 +40,17 @@
 /**
  * Weighs what a worker's crash says about the units that were there.
  *
- * @param members All runs on the worker, also those that were given up while it was silent.
+ * @param members All runs on the worker.
  * @returns One entry a unit that an order may have started.
  */
-export function computeEvidence(members: readonly MemberRun[]): UnitEvidence[] {
+export function computeEvidence(members: readonly MemberRun[]): CrashedAttempt[] {
     const sent = members.filter((member) => member.tries > 0);
     const young = new Set(
         sent
             .filter((member) => !hasOutlastedStart(member))
             .map((member) => createUnitKey(member.unit)),
     );
-    const units = new Map<string, UnitEvidence>();
+    const units = new Map<string, CrashedAttempt>();
     for (const { unit, attempt } of sent) {
         const key = createUnitKey(unit);
         const strongest = young.size === 1 ? "sole" : "early";
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -387,13 +387,7 @@
     #tickWorker(worker: WorkerState, now: number): void {
         const sent = [...worker.members.values()].filter((member) => member.state !== "planned");
         if (sent.length > 0 && this.#context.book.isLeaseOver(worker, now)) {
-            this.#context.recordDecision("failure", "lease over", {
-                worker: worker.record.id,
-                members: sent.length,
-                silentMs: Math.round(now - worker.heardAt),
-            });
-            worker.lapsed = [...worker.lapsed, ...sent];
-            this.#attempts.endMembers(sent);
+            this.#losses.expireLease(worker, sent);
         }
         for (const member of worker.members.values()) {
             if (member.state === "stopping" && now - member.stopSentAt > STOP_AGAIN_MS) {
--- a/dispatch/worker_book.ts
+++ b/dispatch/worker_book.ts
@@ -48,8 +48,6 @@
     inheritedLeaseEndsAt: number;
     readonly used: { cpu: number; memoryMb: number; gpu: number };
     readonly members: Map<TaskName, MemberRun>;
-    /** Runs that were given up because its lease ran out, until it answers: it may have crashed under them. */
-    lapsed: readonly MemberRun[];
     /** The number of the newest end that was read. */
     readCursor: number;
     /** The number up to which ends are durable here. */
@@ -153,7 +151,6 @@
             inheritedLeaseEndsAt: now,
             used: { cpu: 0, memoryMb: 0, gpu: 0 },
             members: new Map(),
-            lapsed: [],
             readCursor: 0,
             durableCursor: 0,
             toldCursor: 0,
@@ -357,7 +354,6 @@
     recordAnswer(worker: WorkerState, clockMs: number | undefined, now: number): void {
         worker.heardAt = now;
         worker.isSuspect = false;
-        worker.lapsed = [];
         if (clockMs !== undefined) {
             worker.clock.record(clockMs, now);
         }
--- a/job/crash_history.ts
+++ b/job/crash_history.ts
@@ -10,6 +10,8 @@
  * @module
  */
 
+import type { UnitRef } from "./types.ts";
+
 /**
  * What a crash says about an attempt that was on the worker. `late`: the attempt had outlasted its start. `early`:
  * it had not, nor had others beside it. `sole`: it was the only one that had not.
@@ -22,6 +24,13 @@
     readonly evidence: CrashEvidence;
 }
 
+/** What a crash, or a silence that may be one, says about one attempt. */
+export interface CrashedAttempt {
+    readonly unit: UnitRef;
+    readonly attempt: number;
+    readonly evidence: CrashEvidence;
+}
+
 const STRENGTH: Readonly<Record<CrashEvidence, number>> = { late: 0, early: 1, sole: 2 };
 
 /**
--- a/job/facts.ts
+++ b/job/facts.ts
@@ -12,7 +12,7 @@
  */
 
 import type { Configuration, PoolName, QueueName } from "../configuration/mod.ts";
-import type { CrashEvidence } from "./crash_history.ts";
+import type { CrashedAttempt } from "./crash_history.ts";
 import type { EndKind, JobId, JobSpec, UnitRef, WorkerId, WorkerReport } from "./types.ts";
 
 /** One fact. */
@@ -54,12 +54,16 @@
     | {
           readonly type: "workerCrashed";
           readonly worker: WorkerId;
-          readonly under: readonly {
-              readonly unit: UnitRef;
-              readonly attempt: number;
-              readonly evidence: CrashEvidence;
-          }[];
+          readonly under: readonly CrashedAttempt[];
       }
+    /** A worker's lease ran out under these attempts: it may have crashed, or be cut off. */
+    | {
+          readonly type: "workerLapsed";
+          readonly worker: WorkerId;
+          readonly under: readonly CrashedAttempt[];
+      }
+    /** It was cut off, or slow. */
+    | { readonly type: "workerAnswered"; readonly worker: WorkerId }
     | { readonly type: "workerGone"; readonly worker: WorkerId }
     | { readonly type: "configurationSet"; readonly configuration: Configuration }
     /** Jobs that ended before `before` may be forgotten. */
--- a/job/ledger.ts
+++ b/job/ledger.ts
@@ -14,7 +14,7 @@
 
 import { applyChartEvent, hasChartEdge, loadChart } from "../chart/mod.ts";
 import type { Configuration, QueueConfig, QueueName } from "../configuration/mod.ts";
-import { addCrash, type Crash } from "./crash_history.ts";
+import { addCrash, type Crash, type CrashedAttempt } from "./crash_history.ts";
 import type { Fact, FactBatch } from "./facts.ts";
 import type {
     Job,
@@ -34,7 +34,6 @@
 const NO_GUARDS: ReadonlySet<string> = new Set();
 
 type MemberEnded = Extract<Fact, { type: "memberEnded" }>;
-type WorkerCrashed = Extract<Fact, { type: "workerCrashed" }>;
 type AttemptStarted = Extract<Fact, { type: "attemptStarted" }>;
 
 /** A unit in the encoded form of a ledger. */
@@ -54,6 +53,7 @@
     readonly queues: readonly QueueConfig[];
     readonly workers: readonly (WorkerReport & Partial<WorkerRecord>)[];
     readonly reports?: readonly (readonly [WorkerId, number])[];
+    readonly lapses?: readonly (readonly [WorkerId, readonly CrashedAttempt[]])[];
     readonly gone: readonly WorkerId[];
     readonly jobs: readonly {
         readonly job: Omit<Job, "occurrences">;
@@ -79,6 +79,8 @@
     readonly workers = new Map<WorkerId, WorkerRecord>();
     /** What each worker's own clock showed when it last told its room, in ms, as far as recorded. */
     readonly reports = new Map<WorkerId, number>();
+    /** Attempts that were given up as their workers' leases ran out, while it is open whether these crashed. */
+    readonly lapses = new Map<WorkerId, readonly CrashedAttempt[]>();
     readonly #gone = new Set<WorkerId>();
 
     /**
@@ -141,6 +143,7 @@
             queues: [...this.queues.values()],
             workers: [...this.workers.values()],
             reports: [...this.reports],
+            lapses: [...this.lapses],
             gone: [...this.#gone],
             jobs: [...this.jobs.values()].map(({ occurrences, ...job }) => ({
                 job,
@@ -174,6 +177,8 @@
         }
         this.reports.clear();
         state.reports?.forEach(([id, clockMs]) => this.reports.set(id, clockMs));
+        this.lapses.clear();
+        state.lapses?.forEach(([id, under]) => this.lapses.set(id, under));
         this.#gone.clear();
         state.gone.forEach((id) => this.#gone.add(id));
         this.jobs.clear();
@@ -201,6 +206,7 @@
         this.queues.forEach((queue, name) => copy.queues.set(name, queue));
         this.workers.forEach((worker, id) => copy.workers.set(id, worker));
         this.reports.forEach((clockMs, id) => copy.reports.set(id, clockMs));
+        this.lapses.forEach((under, id) => copy.lapses.set(id, under));
         this.#gone.forEach((id) => copy.#gone.add(id));
         this.jobs.forEach((job, id) => copy.jobs.set(id, isSettled(job) ? job : copyJob(job)));
         return copy;
@@ -232,6 +238,12 @@
             case "workerCrashed":
                 fact.under.forEach((run) => this.#recordCrash(run));
                 return;
+            case "workerLapsed":
+                this.#recordLapse(fact.worker, fact.under);
+                return;
+            case "workerAnswered":
+                this.lapses.delete(fact.worker);
+                return;
             case "workerGone":
                 this.#removeWorker(fact.worker);
                 return;
@@ -303,7 +315,7 @@
         }
     }
 
-    #recordCrash({ unit: ref, attempt, evidence }: WorkerCrashed["under"][number]): void {
+    #recordCrash({ unit: ref, attempt, evidence }: CrashedAttempt): void {
         const unit = this.findUnit(ref);
         if (unit !== undefined && !unit.isDone) {
             const spec = this.jobs.get(ref.job)?.spec?.steps[ref.step];
@@ -349,6 +361,12 @@
         this.workers.set(report.id, { ...report, fullCapacity });
     }
 
+    #recordLapse(id: WorkerId, under: readonly CrashedAttempt[]): void {
+        if (this.workers.has(id)) {
+            this.lapses.set(id, [...(this.lapses.get(id) ?? []), ...under]);
+        }
+    }
+
     #recordReport(id: WorkerId, clockMs: number): void {
         if (this.workers.has(id)) {
             this.reports.set(id, clockMs);
@@ -358,6 +376,7 @@
     #removeWorker(id: WorkerId): void {
         this.workers.delete(id);
         this.reports.delete(id);
+        this.lapses.delete(id);
         this.#gone.add(id);
         for (const oldest of this.#gone) {
             if (this.#gone.size <= MAX_GONE_WORKERS) {
--- a/job/ledger_test.ts
+++ b/job/ledger_test.ts
@@ -84,6 +84,24 @@
     }
 });
 
+// Guards against lapses that a later leader does not know, or that outlive the question whether the worker crashed.
+test("attempts given up with a lease outlast a copy and a restored state, until the worker answers or is gone", (t) => {
+    const under = [{ unit: UNIT, attempt: 1, evidence: "sole" as const }];
+    const seen: Fact = { type: "workerSeen", worker: buildWorkerReport() };
+    const lapsed: Fact = { type: "workerLapsed", worker: WORKER, under };
+    for (const end of ["workerAnswered", "workerGone"] as const) {
+        const ledger = buildLedger();
+        ledger.apply({ at: 2, facts: [seen, lapsed] });
+        const restored = new Ledger();
+        restored.restore(ledger.encode());
+        for (const other of [ledger, ledger.copy(), restored]) {
+            t.deepEqual(other.lapses.get(WORKER), under);
+            other.apply({ at: 3, facts: [{ type: end, worker: WORKER }] });
+            t.is(other.lapses.size, 0);
+        }
+    }
+});
+
 test("a gang's crashed workers count once an attempt, with the strongest evidence", (t) => {
     const early = addCrash([], { attempt: 1, evidence: "early" }, false);
     t.deepEqual(addCrash(early, { attempt: 1, evidence: "sole" }, false), [
