--- a/job/crash_history.ts
+++ b/job/crash_history.ts
@@ -25,10 +25,8 @@
 }
 
 /** What a crash, or a silence that may be one, says about one attempt. */
-export interface CrashedAttempt {
+export interface CrashedAttempt extends Crash {
     readonly unit: UnitRef;
-    readonly attempt: number;
-    readonly evidence: CrashEvidence;
 }
 
 const STRENGTH: Readonly<Record<CrashEvidence, number>> = { late: 0, early: 1, sole: 2 };
