One name for a unit of a step, one empty room, one list of job ids for tests

One conditional reads as an optional access now. Moved, not changed; the tests keep their assertions.

--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -25,7 +25,7 @@
 import type { DispatchContext } from "./_context.ts";
 import { createUnitKey } from "./step_board.ts";
 import type { MemberRun } from "./types.ts";
-import type { WorkerState } from "./worker_book.ts";
+import { NO_ROOM, type WorkerState } from "./worker_book.ts";
 
 /** Times that a start is sent before the worker counts as silent. */
 export const MAX_START_TRIES = 3;
@@ -320,7 +320,7 @@
  */
 export function computeRoom(spec: Pick<StepSpec, "needs" | "isFiller"> | undefined): Resources {
     if (spec === undefined) {
-        return { cpu: 0, memoryMb: 0, gpu: 0 };
+        return NO_ROOM;
     }
     return spec.isFiller ? { ...spec.needs, cpu: 0 } : spec.needs;
 }
--- a/dispatch/_builders.ts
+++ b/dispatch/_builders.ts
@@ -112,3 +112,16 @@
     const report = buildWorkerReport(overrides);
     return { ...report, fullCapacity: report.capacity };
 }
+
+/**
+ * Builds the ids of some jobs.
+ *
+ * @param count How many.
+ * @returns Ids that differ, the same each time.
+ */
+export function buildJobIds(count: number): string[] {
+    return Array.from(
+        { length: count },
+        (_unused, i) => `0000000000${(1_048_576 + i).toString(16)}`,
+    );
+}
--- a/dispatch/_holds.ts
+++ b/dispatch/_holds.ts
@@ -21,7 +21,7 @@
 import type { MemberRun } from "./types.ts";
 import { selectHeld, selectVictims } from "./reservation.ts";
 import type { StepWork } from "./step_board.ts";
-import { getFreeRoom } from "./worker_book.ts";
+import { getFreeRoom, NO_ROOM } from "./worker_book.ts";
 
 /**
  * Gangs that hold workers at the same time: a third of the floor at most stands ready (a mean gang
@@ -173,7 +173,7 @@
     #computeAttainable(id: WorkerId, priority: number): Resources {
         const worker = this.#context.book.findWorker(id);
         if (worker === undefined) {
-            return { cpu: 0, memoryMb: 0, gpu: 0 };
+            return NO_ROOM;
         }
         const room = { ...getFreeRoom(worker) };
         for (const member of worker.members.values()) {
--- a/dispatch/_isolation.ts
+++ b/dispatch/_isolation.ts
@@ -14,15 +14,15 @@
  * @module
  */
 
-import type { Resources, UnitRef, WorkerId } from "../job/mod.ts";
+import type { WorkerId } from "../job/mod.ts";
 import { computeRoom } from "./_attempts.ts";
 import type { StepCandidates } from "./_candidates.ts";
 import type { DispatchContext } from "./_context.ts";
 import { computeApartMs, hasOutlastedStart, OUTLASTED_MS } from "./crash_loop.ts";
 import { placeUnit, type Candidate } from "./placement.ts";
-import { createUnitKey, type StepWork } from "./step_board.ts";
+import { createUnitKey, createUnitRef, type StepWork } from "./step_board.ts";
 import type { MemberRun, StepKey } from "./types.ts";
-import { hasRoomFor, type WorkerState } from "./worker_book.ts";
+import { hasRoomFor, NO_ROOM, type WorkerState } from "./worker_book.ts";
 
 /** A unit that finds no worker for itself within this time starts beside others, in ms. */
 const PATIENCE_MS = 3_000;
@@ -31,8 +31,6 @@
 /** Pause between two looks that ask whether runs have outlasted their starts, in ms. */
 const LOOK_AGAIN_MS = 250;
 
-const NOTHING: Resources = { cpu: 0, memoryMb: 0, gpu: 0 };
-
 /** The isolated starts of one leader. */
 export class Isolation {
     readonly #context: DispatchContext;
@@ -197,7 +195,7 @@
         const needs = computeRoom(step.spec);
         const [best] = this.#selectSteady(candidates)
             .filter(({ id }) => !this.#reservations.has(id) && !this.#closed.has(id))
-            .filter(({ id }) => hasRoomFor(book.findWorker(id)?.record.capacity ?? NOTHING, needs))
+            .filter(({ id }) => hasRoomFor(book.findWorker(id)?.record.capacity ?? NO_ROOM, needs))
             .sort((a, b) => this.#countMembers(a) - this.#countMembers(b));
         if (best !== undefined) {
             this.#reservations.set(best.id, step.key);
@@ -263,7 +261,3 @@
         isRackLocal,
     };
 }
-
-function createUnitRef(step: StepWork, unit: number): UnitRef {
-    return { job: step.job.id, occurrence: step.occurrence, step: step.step, unit };
-}
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -11,17 +11,15 @@
  * @module
  */
 
-import type { Resources } from "../job/mod.ts";
 import { MAX_START_TRIES, type Attempts } from "./_attempts.ts";
 import type { DispatchContext } from "./_context.ts";
 import type { WorkerLosses } from "./_worker_losses.ts";
 import { createStepKey } from "./step_board.ts";
 import type { MemberRun, OrderAnswer, PaceOrder, StartOrder, StopOrder } from "./types.ts";
-import { getFreeRoom, hasRoomFor, type WorkerState } from "./worker_book.ts";
+import { getFreeRoom, hasRoomFor, NO_ROOM, type WorkerState } from "./worker_book.ts";
 
 /** Pause of a step after a start of it was refused as unreadable, in ms. */
 const UNREADABLE_PAUSE_MS = 1_000;
-const NOTHING: Resources = { cpu: 0, memoryMb: 0, gpu: 0 };
 
 /** The orders of one leader. */
 export class Orders {
@@ -223,7 +221,7 @@
     #hasRoomStill(worker: WorkerState, now: number): boolean {
         return (
             this.#context.book.hasFreshReport(worker, now) &&
-            hasRoomFor(getFreeRoom(worker), NOTHING)
+            hasRoomFor(getFreeRoom(worker), NO_ROOM)
         );
     }
 
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -12,7 +12,7 @@
  */
 
 import type { QueueConfig } from "../configuration/mod.ts";
-import type { UnitRef, WorkerId } from "../job/mod.ts";
+import type { WorkerId } from "../job/mod.ts";
 import { computeRoom, type Attempts } from "./_attempts.ts";
 import { planAdvice, type AskedWorker } from "./advice_plan.ts";
 import { listCandidates, takeRoom, type StepCandidates } from "./_candidates.ts";
@@ -22,7 +22,7 @@
 import { countPlaces, placeUnit, type Candidate } from "./placement.ts";
 import { rankStep } from "./ranking.ts";
 import { selectForRepetition } from "./repetition.ts";
-import type { StepWork } from "./step_board.ts";
+import { createUnitRef, type StepWork } from "./step_board.ts";
 import type { Admission, AdviceCall } from "./types.ts";
 import type { WorkerState } from "./worker_book.ts";
 import { rankZones } from "./zone_choice.ts";
@@ -400,7 +400,3 @@
         .sort((a, b) => b.free.cpu - a.free.cpu)
         .map(({ id, free }) => ({ id, places: countPlaces(free, needs) }));
 }
-
-function createUnitRef(step: StepWork, unit: number): UnitRef {
-    return { job: step.job.id, occurrence: step.occurrence, step: step.step, unit };
-}
--- a/dispatch/capacity_test.ts
+++ b/dispatch/capacity_test.ts
@@ -2,7 +2,7 @@
 import fc from "fast-check";
 import type { Resources, WorkerId } from "../job/mod.ts";
 import { createRandom } from "../tools/seeded_random.ts";
-import { buildSpec, buildWorkerReport, FloorFixture } from "./_fixtures.ts";
+import { buildJobIds, buildSpec, buildWorkerReport, FloorFixture } from "./_fixtures.ts";
 import { mergeRoom } from "./room_reports.ts";
 
 const JOB = "00000000000000d1";
@@ -11,17 +11,10 @@
 const NONE: Resources = { cpu: 0, memoryMb: 0, gpu: 0 };
 const HEARTBEAT_MS = 1_500;
 
-function listJobIds(count: number): string[] {
-    return Array.from(
-        { length: count },
-        (_unused, i) => `0000000000${(1_048_576 + i).toString(16)}`,
-    );
-}
-
 /** Hands in jobs that would fill the floor several times over. */
 function submitFlood(floor: FloorFixture, jobs: number, everyMs: number): void {
     const needs = { cpu: 2_000, memoryMb: 1_000, gpu: 0 };
-    for (const id of listJobIds(jobs)) {
+    for (const id of buildJobIds(jobs)) {
         floor.submit(id, buildSpec({ count: 4, needs }));
         floor.runFor(everyMs);
     }
@@ -207,7 +200,7 @@
                 return draw < 0.03 ? { type: "lost" } : { type: "none" };
             },
         });
-        const ids = listJobIds(120);
+        const ids = buildJobIds(120);
         ids.forEach((id, i) => {
             const cpu = 500 + Math.floor(random() * 3_500);
             floor.submit(id, buildSpec({ count: 3, needs: { cpu, memoryMb: 500, gpu: 0 } }));
--- a/dispatch/crash_loop_test.ts
+++ b/dispatch/crash_loop_test.ts
@@ -2,7 +2,13 @@
 import fc from "fast-check";
 import type { Crash, CrashEvidence, JobId, TaskName, WorkerId } from "../job/mod.ts";
 import { createRandom } from "../tools/seeded_random.ts";
-import { buildQueue, buildSpec, FloorFixture, type FloorOptions } from "./_fixtures.ts";
+import {
+    buildJobIds,
+    buildQueue,
+    buildSpec,
+    FloorFixture,
+    type FloorOptions,
+} from "./_fixtures.ts";
 import { computeApartMs, computeEvidence, isCrashLoop, OUTLASTED_MS } from "./crash_loop.ts";
 import type { MemberRun } from "./types.ts";
 
@@ -22,13 +28,6 @@
     });
 }
 
-function listJobIds(count: number): string[] {
-    return Array.from(
-        { length: count },
-        (_unused, i) => `0000000000${(1_048_576 + i).toString(16)}`,
-    );
-}
-
 function buildHistory(...evidence: readonly CrashEvidence[]): Crash[] {
     return evidence.map((each, i) => ({ attempt: i + 1, evidence: each }));
 }
@@ -162,19 +161,19 @@
 
 // Guards against failing the tasks that only ran beside the one that crashes its workers.
 test("jobs beside tasks that crash their workers complete", (t) => {
-    const crashers = new Set(listJobIds(160).filter((_id, i) => i % 20 === 7));
+    const crashers = new Set(buildJobIds(160).filter((_id, i) => i % 20 === 7));
     const floor = buildCrashFloor({
         workers: 12,
         taskMs: 900,
         queues: [buildQueue({ maxAttempts: 3 })],
         getCrashAfterMs: (task) => (crashers.has(task.split(".")[0] ?? "") ? 10 : undefined),
     });
-    for (const id of listJobIds(160)) {
+    for (const id of buildJobIds(160)) {
         floor.submit(id, buildSpec({ count: crashers.has(id) ? 1 : 3 }));
         floor.runFor(60);
     }
     floor.runFor(40_000);
-    const states = listJobIds(160).map((id) => `${crashers.has(id)} ${floor.getState(id)}`);
+    const states = buildJobIds(160).map((id) => `${crashers.has(id)} ${floor.getState(id)}`);
     t.deepEqual([...new Set(states)].sort(), ["false complete", "true failed"]);
     t.true(floor.crashes.length <= 3 * crashers.size, `${floor.crashes.length} crashes`);
     t.deepEqual(floor.violations, []);
@@ -203,7 +202,7 @@
 test("jobs on workers that crash now and then by themselves complete", (t) => {
     const random = createRandom(5);
     const floor = new FloorFixture({ workers: 12, taskMs: 1_500 });
-    for (const id of listJobIds(200)) {
+    for (const id of buildJobIds(200)) {
         floor.submit(id, buildSpec({ count: 3 }));
         floor.runFor(100);
         if (random() < 0.08) {
@@ -213,7 +212,7 @@
     }
     floor.runFor(40_000);
     t.deepEqual(
-        listJobIds(200).filter((id) => floor.getState(id) !== "complete"),
+        buildJobIds(200).filter((id) => floor.getState(id) !== "complete"),
         [],
     );
     t.deepEqual(floor.violations, []);
@@ -224,7 +223,7 @@
     for (const seed of [1, 2, 3, 4, 5, 6]) {
         const random = createRandom(seed);
         const floor = new FloorFixture({ workers: 8, taskMs: 900, restartMs: 400 });
-        for (const id of listJobIds(200)) {
+        for (const id of buildJobIds(200)) {
             floor.submit(id, buildSpec({ count: 3, needs: { cpu: 4_000, memoryMb: 500, gpu: 0 } }));
             floor.runFor(100);
             for (const worker of ["w1", "w2"]) {
@@ -236,7 +235,7 @@
         }
         floor.runFor(40_000);
         t.deepEqual(
-            listJobIds(200).filter((id) => floor.getState(id) !== "complete"),
+            buildJobIds(200).filter((id) => floor.getState(id) !== "complete"),
             [],
             `seed ${seed}`,
         );
@@ -247,7 +246,7 @@
 test("beside other faults a task that crashes its workers is started within bounds, and others end", (t) => {
     const property = fc.property(fc.integer({ min: 1, max: 1_000_000 }), (seed) => {
         const random = createRandom(seed);
-        const ids = listJobIds(60);
+        const ids = buildJobIds(60);
         const crashers = new Set(ids.filter(() => random() < 0.08));
         let isCalm = false;
         const floor = new FloorFixture({
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -259,7 +259,7 @@
         if (durable === undefined) {
             return;
         }
-        const hadRoom = state === undefined ? undefined : state.record.capacity;
+        const hadRoom = state?.record.capacity;
         const worker = this.#context.book.ensureWorker(durable, now);
         const wasUsable = this.#context.book.isUsable(worker, now);
         worker.heartbeat = sequence;
--- a/dispatch/step_board.ts
+++ b/dispatch/step_board.ts
@@ -288,3 +288,14 @@
 export function createUnitKey(ref: UnitRef): string {
     return `${ref.job}.${ref.occurrence}.${ref.step}/${ref.unit}`;
 }
+
+/**
+ * Names a unit of a step.
+ *
+ * @param step The step.
+ * @param unit The unit's number.
+ * @returns The unit.
+ */
+export function createUnitRef(step: StepWork, unit: number): UnitRef {
+    return { job: step.job.id, occurrence: step.occurrence, step: step.step, unit };
+}
--- a/dispatch/worker_book.ts
+++ b/dispatch/worker_book.ts
@@ -35,6 +35,9 @@
 /** Pause after a worker refused an order, in ms: about the time between two heartbeats. */
 const REFUSAL_PAUSE_MS = 1_500;
 
+/** Room for nothing. */
+export const NO_ROOM: Resources = { cpu: 0, memoryMb: 0, gpu: 0 };
+
 /** One worker as its leader sees it. */
 export interface WorkerState {
     record: WorkerRecord;
