dispatch: log dropped shutdown notices and runs that vanish from their worker's lists

Sight for the incident of workers that restart under their ids, before any change of logic. No line told which ends a poll acknowledged beside those that had been read, or that a heartbeat which changes its worker's record was dropped as late; both tell the hypotheses in docs/incidents/restart-twice.md and restart-drain.md apart.

`run vanished` has the cursor of the poll, the newest end read and how long the run had lasted; `heartbeat outdated` the dropped and the newest number.

--- a/dispatch/_worker_poller.ts
+++ b/dispatch/_worker_poller.ts
@@ -208,6 +208,21 @@
         member.progressAtMs = now;
     }
 
+    /** Logs a run whose end was never listed although the worker had listed it as running. */
+    #recordMissing(worker: WorkerState, order: PollOrder, member: MemberRun): void {
+        if (member.observedRunMs > 0) {
+            this.#context.recordDecision("failure", "run vanished", {
+                request: member.unit.job,
+                task: member.name,
+                attempt: member.attempt,
+                worker: member.worker,
+                lastedMs: Math.round(member.observedRunMs),
+                cursor: order.cursor,
+                read: worker.readCursor,
+            });
+        }
+    }
+
     /** Ends members that should be in the worker's lists but are missing. */
     #resolveMissing(
         worker: WorkerState,
@@ -227,6 +242,7 @@
             const isResolved =
                 member.startResolvedAtMs !== undefined && member.startResolvedAtMs < sentAtMs;
             if (isFenced || isResolved) {
+                this.#recordMissing(worker, order, member);
                 this.#attempts.endMember(member, "void", "");
             }
         }
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -227,6 +227,7 @@
         const known = this.#context.stateStore.workers.get(report.id);
         const state = this.#context.registry.findWorker(report.id);
         if (state !== undefined && sequence <= state.lastSequence) {
+            this.#recordOutdatedHeartbeat(heartbeat, state);
             return;
         }
         // Draining is final for a worker id: a late heartbeat from before the drain must not bring
@@ -361,6 +362,18 @@
         }
     }
 
+    /** Logs a dropped heartbeat that would have changed the worker's record. */
+    #recordOutdatedHeartbeat({ record, sequence }: Heartbeat, state: WorkerState): void {
+        if (record.isDraining && !state.record.isDraining) {
+            this.#context.recordDecision("failure", "heartbeat outdated", {
+                worker: record.id,
+                draining: record.isDraining,
+                sequence,
+                newest: state.lastSequence,
+            });
+        }
+    }
+
     #isConflicting(state: WorkerState, report: WorkerReport, sequence: number): boolean {
         const pools = this.#context.stateStore.configuration?.pools ?? [];
         return isConflictingHeartbeat(state, report, {
