--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -74,6 +74,8 @@
     readonly getCrashAfterMs?: (task: string, worker: WorkerId) => number | undefined;
     /** Delay after a crash before the next incarnation joins at the same address, in ms. */
     readonly restartDelayMs?: number;
+    /** Whether a crashed worker restarts under the same id; by default it gets a new one. */
+    readonly isIdKept?: boolean;
     /** Returns the tail latency that a serving task reports, in ms. */
     readonly getTailLatencyMs?: (task: string) => number;
     /** Returns whether the advice service admits a worker to a step. */
@@ -99,7 +101,11 @@
     readonly workers = new Map<WorkerId, TaskWorker>();
     /** Pace orders sent so far. */
     readonly paceOrders: { task: string; percent: number; atMs: number }[] = [];
-    readonly #invariants = new InvariantChecker({ workers: this.workers, getNow: () => this.now });
+    readonly #invariants = new InvariantChecker({
+        workers: this.workers,
+        getNow: () => this.now,
+        getMaxAttempts: (task) => this.#getMaxAttempts(task),
+    });
     readonly #addresses = new Map<WorkerId, string>();
     readonly #workersWithoutHeartbeats = new Set<WorkerId>();
     #hasLeader = true;
@@ -109,6 +115,8 @@
     readonly #watchedWorkers = new Set<WorkerId>();
     readonly #time = new VirtualTime();
     #heartbeatSequence = 0;
+    /** Value of {@link SimulatedCluster.#heartbeatSequence} when each worker started. */
+    readonly #firstSequences = new Map<WorkerId, number>();
     #term = 1;
     /** Incremented when a leader stops; commits and answers of earlier epochs are dropped. */
     #epoch = 0;
@@ -155,6 +163,7 @@
         const { id, address, capacity } = record;
         this.#records.set(id, record);
         this.#addresses.set(id, address);
+        this.#firstSequences.set(id, this.#heartbeatSequence);
         this.#invariants.recordCapacity(id, capacity);
         this.workers.set(id, this.#createWorker(id, capacity));
     }
@@ -179,7 +188,8 @@
         this.#scheduleEvent(this.#options.restartDelayMs ?? DEFAULT_RESTART_DELAY_MS, () => {
             this.#incarnationCount += 1;
             const next = `${id.split("#")[0]}#${this.#incarnationCount}` as WorkerId;
-            this.#addIncarnation({ ...record, id: next, isDraining: false });
+            const nextId = this.#options.isIdKept === true ? id : next;
+            this.#addIncarnation({ ...record, id: nextId, isDraining: false });
             this.#sendHeartbeats(false);
         });
     }
@@ -211,6 +221,8 @@
             worker.isKilled = true;
             this.workers.delete(id);
             this.#records.delete(id);
+            this.#shutdownTimesMs.delete(id);
+            this.#invariants.recordExit(id);
         }
     }
 
@@ -320,6 +332,7 @@
             capacity,
             getNow: () => this.now,
             clockDrift: this.#options.clockDrift,
+            clockStartedAtMs: this.now,
             computeTaskMs: (task) =>
                 this.#options.computeTaskMs?.(task, id) ?? this.#options.taskMs ?? 300,
             getDemand: (task) => this.#findTaskResources(task),
@@ -330,6 +343,14 @@
         });
     }
 
+    #getMaxAttempts(task: string): number {
+        const [id = "", , step = "0"] = task.split(".");
+        const job = this.committedState.jobs.get(id as JobId);
+        const isPerpetual = job?.spec?.steps[Number(step)]?.isPerpetual ?? false;
+        const queue = job === undefined ? undefined : this.committedState.queues.get(job.queue);
+        return isPerpetual ? Number.POSITIVE_INFINITY : (queue?.maxAttempts ?? 1);
+    }
+
     #findTaskResources(task: string): Resources {
         const [job = "", , step = "0"] = task.split(".");
         const spec = this.committedState.jobs.get(job as JobId)?.spec?.steps[Number(step)];
@@ -365,10 +386,13 @@
             const shutdownAtMs = this.#shutdownTimesMs.get(id);
             this.dispatcher.handleHeartbeat({
                 record,
-                sequence: this.#heartbeatSequence,
+                sequence: this.#heartbeatSequence - (this.#firstSequences.get(id) ?? 0),
                 clockMs: this.workers.get(id)?.clockMs,
                 leavesInMs: shutdownAtMs === undefined ? undefined : shutdownAtMs - this.now,
             });
+            if (record.isDraining) {
+                this.#invariants.recordDrain(id);
+            }
         }
         this.#flush();
         if (isRepeated) {
@@ -516,8 +540,9 @@
         if (fault.type === "late") {
             reply(timeoutMs, noAnswer);
             this.#scheduleEvent(fault.afterMs, () => {
-                if (!worker.isKilled) {
-                    execute(worker);
+                const receiver = worker.isKilled ? this.workers.get(id) : worker;
+                if (receiver !== undefined) {
+                    execute(receiver);
                 }
             });
             return;
--- a/dispatch/_invariant_checker.ts
+++ b/dispatch/_invariant_checker.ts
@@ -1,11 +1,13 @@
 /**
  * Checks the safety invariants of a simulated cluster: a task runs on one worker at a time, never
- * again after its completion is acknowledged, and within its worker's capacity.
+ * again after its completion or its last allowed failure is acknowledged, within its worker's
+ * capacity, and not on a worker whose shutdown notice was acknowledged.
  *
  * @example
  * ```ts
  * import { InvariantChecker } from "./_invariant_checker.ts";
- * const invariants = new InvariantChecker({ workers, getNow: () => time.now });
+ * const getMaxAttempts = () => 3;
+ * const invariants = new InvariantChecker({ workers, getNow: () => time.now, getMaxAttempts });
  * invariants.recordRun(worker, run);
  * invariants.violations; // empty while the invariants hold
  * ```
@@ -22,12 +24,16 @@
  * heartbeat interval.
  */
 const CAPACITY_REDUCTION_GRACE_MS = 4_500;
+/** Time after an acknowledged shutdown notice from which a worker gets no start, in ms. */
+const DRAIN_GRACE_MS = 2_000;
 
 /** Options of {@link InvariantChecker}. */
 export interface InvariantCheckerOptions {
     /** Live workers. */
     readonly workers: ReadonlyMap<WorkerId, TaskWorker>;
     readonly getNow: () => number;
+    /** Returns how often a task may fail; infinite for a task without a limit. */
+    readonly getMaxAttempts: (task: string) => number;
 }
 
 /** The start of a task run. */
@@ -54,6 +60,10 @@
     readonly runs: RunRecord[] = [];
     readonly crashes: CrashRecord[] = [];
     readonly #completedTasks = new Set<string>();
+    /** Acknowledged failures by task. */
+    readonly #failureCounts = new Map<string, number>();
+    /** When the shutdown notice of a live worker was acknowledged, in ms. */
+    readonly #drainedAtMs = new Map<WorkerId, number>();
     readonly #capacityHistory = new Map<
         WorkerId,
         { readonly sinceMs: number; readonly capacity: Resources }[]
@@ -88,6 +98,15 @@
                 `${run.task} started again at ${nowMs} ms after its completion was acknowledged`,
             );
         }
+        const failures = this.#failureCounts.get(run.task) ?? 0;
+        if (failures >= this.#options.getMaxAttempts(run.task)) {
+            this.violations.push(
+                `${run.task} started again at ${nowMs} ms after ${failures} failures`,
+            );
+        }
+        if (nowMs - (this.#drainedAtMs.get(worker) ?? nowMs) > DRAIN_GRACE_MS) {
+            this.violations.push(`${run.task} started on the draining ${worker} at ${nowMs} ms`);
+        }
         this.runs.push({ task: run.task, attempt: run.attempt, worker, startedAtMs: nowMs });
         this.#checkStartCapacity(worker);
     }
@@ -102,9 +121,23 @@
     recordAcknowledgedEnd(end: EndReport): void {
         if (end.how === "done") {
             this.#completedTasks.add(end.task);
+        } else if (end.how === "failed") {
+            this.#failureCounts.set(end.task, (this.#failureCounts.get(end.task) ?? 0) + 1);
         }
     }
 
+    /** Records that a worker's shutdown notice was acknowledged. */
+    recordDrain(worker: WorkerId): void {
+        if (!this.#drainedAtMs.has(worker)) {
+            this.#drainedAtMs.set(worker, this.#options.getNow());
+        }
+    }
+
+    /** Records that a worker is gone; its successor may have the same id. */
+    recordExit(worker: WorkerId): void {
+        this.#drainedAtMs.delete(worker);
+    }
+
     /** Counts a task's starts after the given number of workers crashed while running it. */
     countStartsAfterCrashes(task: string, crashes: number): number {
         const crash = this.crashes.filter(({ tasks }) => tasks.includes(task))[crashes - 1];
--- a/standin/task_worker.ts
+++ b/standin/task_worker.ts
@@ -52,6 +52,8 @@
     readonly getLoad?: (task: string) => number;
     /** The fraction by which the worker's clock runs slow (0.02 for 2%). */
     readonly clockDrift?: number;
+    /** The time at which the worker's clock showed 0, in ms; 0 by default. */
+    readonly clockStartedAtMs?: number;
     /** The delay between a stop order and the end of the task, in ms. */
     readonly stopDelayMs?: number;
     /** The longest lease that the worker accepts, in ms. */
@@ -89,7 +91,8 @@
 
     /** The time of the worker's own clock, in ms. */
     get clockMs(): number {
-        return Math.floor(this.#options.getNow() * (1 - (this.#options.clockDrift ?? 0)));
+        const elapsedMs = this.#options.getNow() - (this.#options.clockStartedAtMs ?? 0);
+        return Math.floor(elapsedMs * (1 - (this.#options.clockDrift ?? 0)));
     }
 
     /** The running attempts. */
