--- a/control/_fixtures.ts
+++ b/control/_fixtures.ts
@@ -187,8 +187,7 @@
             start: (order): Promise<OrderAnswer> =>
                 Promise.resolve(find(order.worker).start(order)),
             stop: (order): Promise<OrderAnswer> => Promise.resolve(find(order.worker).stop(order)),
-            pace: (): Promise<OrderAnswer> =>
-                Promise.resolve({ type: "accepted", clockMs: undefined }),
+            pace: (): Promise<OrderAnswer> => Promise.resolve({ type: "accepted" }),
             poll: (order): Promise<PollAnswer> => waitForEnd(find(order.worker), order),
         };
     }
@@ -250,7 +249,7 @@
 }
 
 function createImmediateWorkerCalls(onStart: (task: string) => void): WorkerCalls {
-    const accepted: OrderAnswer = { type: "accepted", clockMs: undefined };
+    const accepted: OrderAnswer = { type: "accepted" };
     return {
         start: ({ task }) => {
             onStart(task);
@@ -260,7 +259,13 @@
         pace: () => Promise.resolve(accepted),
         poll: () => {
             const clockMs = Math.round(performance.now());
-            return Promise.resolve({ type: "state", clockMs, running: [], ended: [] });
+            return Promise.resolve({
+                type: "state",
+                incarnation: undefined,
+                clockMs,
+                running: [],
+                ended: [],
+            });
         },
     };
 }
--- a/control/calls.ts
+++ b/control/calls.ts
@@ -13,6 +13,7 @@
 import type {
     Admission,
     Heartbeat,
+    KeepAlive,
     PollAnswer,
     PollOrder,
     OrderAnswer,
@@ -20,7 +21,7 @@
     StartOrder,
     StopOrder,
 } from "../dispatch/mod.ts";
-import type { JobSpec, JobState, Resources, WorkerId } from "../job/mod.ts";
+import type { Incarnation, JobSpec, JobState, WorkerId } from "../job/mod.ts";
 
 /** JSON-RPC methods that control instances and fronts serve. */
 export const METHODS = {
@@ -70,13 +71,11 @@
     readonly signs: readonly KeepAlive[];
 }
 
-/** A heartbeat without changes since the worker's last full report. */
-export interface KeepAlive {
+/** A worker's notice that it has left. */
+export interface LeaveCall {
     readonly worker: WorkerId;
-    readonly sequence: number;
-    readonly clockMs: number | undefined;
-    /** The capacity that the worker reported. */
-    readonly capacity: Resources;
+    /** The incarnation that left, if the notice names it. */
+    readonly incarnation?: Incarnation | undefined;
 }
 
 /** A hello message: an instance announces itself to the leader. */
--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -20,7 +20,7 @@
 import { checkConfiguration, findQueue, type Configuration } from "../configuration/mod.ts";
 import { isSameReport, type DispatchLimits, type FrontId } from "../dispatch/mod.ts";
 import { GroupMember, LeaderClock, PeerNetwork, type PeerEnvelope } from "../group/mod.ts";
-import { StateStore, type FactBatch, type JobId, type WorkerId } from "../job/mod.ts";
+import { StateStore, type FactBatch, type JobId } from "../job/mod.ts";
 import {
     OutcomeUnknownError,
     type ConsensusTimings,
@@ -56,6 +56,7 @@
     type HelloAnswer,
     type HelloCall,
     type KeepAliveBatchCall,
+    type LeaveCall,
     type WorkerCalls,
 } from "./calls.ts";
 import { ClockJumpDetector } from "./clock_jump_detector.ts";
@@ -201,9 +202,7 @@
                     ),
                 [METHODS.readState]: (params) => this.#readState(params as CallerCall),
                 [METHODS.leave]: async (params) =>
-                    (await this.#getLeadership()).handleLeave(
-                        (params as { worker: WorkerId }).worker,
-                    ),
+                    (await this.#getLeadership()).handleLeave(params as LeaveCall),
                 [METHODS.configure]: async (params) =>
                     (await this.#getLeadership()).handleConfigure(params as Configuration),
                 [METHODS.readConfiguration]: () => this.#readConfigurationAsLeader(),
@@ -260,6 +259,7 @@
             const { record, sequence, clockMs } = call;
             this.#keepAliveBatcher.add({
                 worker: record.id,
+                incarnation: record.incarnation,
                 sequence,
                 clockMs,
                 capacity: record.capacity,
@@ -285,14 +285,12 @@
     /**
      * Handles the departure of a worker here or forwards it to the leader.
      *
-     * @param worker The worker.
+     * @param call The worker and its incarnation.
      * @returns Resolves after the departure is committed.
      * @throws {NoLeaderError} If no leader accepted it in time.
      */
-    async handleLeave(worker: WorkerId): Promise<void> {
-        await this.#runOrForward(METHODS.leave, { worker }, (leadership) =>
-            leadership.handleLeave(worker),
-        );
+    async handleLeave(call: LeaveCall): Promise<void> {
+        await this.#runOrForward(METHODS.leave, call, (leadership) => leadership.handleLeave(call));
     }
 
     /**
--- a/control/keep_alive_batcher.ts
+++ b/control/keep_alive_batcher.ts
@@ -14,8 +14,8 @@
  * @module
  */
 
+import type { KeepAlive } from "../dispatch/mod.ts";
 import type { WorkerId } from "../job/mod.ts";
-import type { KeepAlive } from "./calls.ts";
 
 /** Options of {@link KeepAliveBatcher}. */
 export interface KeepAliveBatcherOptions {
--- a/control/keep_alive_batcher_test.ts
+++ b/control/keep_alive_batcher_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import type { WorkerId } from "../job/mod.ts";
-import type { KeepAlive } from "./calls.ts";
+import type { KeepAlive } from "../dispatch/mod.ts";
 import { KeepAliveBatcher } from "./keep_alive_batcher.ts";
 
 function buildKeepAlive(worker: string, sequence: number): KeepAlive {
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -26,17 +26,11 @@
     type DispatchLimits,
     type Effect,
     type FrontId,
+    type KeepAlive,
     type MemberRun,
     type OrderAnswer,
 } from "../dispatch/mod.ts";
-import {
-    isJobId,
-    type StateStore,
-    type Fact,
-    type FactBatch,
-    type JobId,
-    type WorkerId,
-} from "../job/mod.ts";
+import { isJobId, type StateStore, type Fact, type FactBatch, type JobId } from "../job/mod.ts";
 import type { ControlMetrics } from "../telemetry/control_metrics.ts";
 import { DecisionLog } from "../telemetry/decision_log.ts";
 import type {
@@ -45,7 +39,7 @@
     CallerAnswer,
     CallerCall,
     HeartbeatCall,
-    KeepAlive,
+    LeaveCall,
     WorkerCalls,
 } from "./calls.ts";
 import { EffectQueue } from "./effect_queue.ts";
@@ -230,8 +224,10 @@
         // A drain must be committed before it is acknowledged, so that the next leader knows it.
         await this.#ensureCommitted(() => {
             const known = committedState.workers.get(record.id);
-            const isRecorded = known !== undefined && (known.isDraining || !record.isDraining);
-            return isRecorded || committedState.isRemovedWorker(record.id);
+            return known === undefined
+                ? committedState.hasRemovedIncarnation(record.id)
+                : (known.isDraining || !record.isDraining) &&
+                      known.incarnation === record.incarnation;
         });
     }
 
@@ -241,21 +237,19 @@
      * @param keepAlives The keep-alives.
      */
     handleKeepAlives(keepAlives: readonly KeepAlive[]): void {
-        for (const { worker, sequence, clockMs, capacity } of keepAlives) {
-            this.#dispatcher.handleKeepAlive(worker, sequence, clockMs, capacity);
-        }
+        keepAlives.forEach((keepAlive) => this.#dispatcher.handleKeepAlive(keepAlive));
         this.#flushInBackground();
     }
 
     /**
      * Handles the departure of a worker.
      *
-     * @param worker The worker.
+     * @param call The worker and its incarnation.
      * @returns Resolves after the departure is committed.
      * @throws {Error} If leadership ends before the change is committed.
      */
-    async handleLeave(worker: WorkerId): Promise<void> {
-        this.#dispatcher.handleLeave(worker);
+    async handleLeave({ worker, incarnation }: LeaveCall): Promise<void> {
+        this.#dispatcher.handleLeave(worker, incarnation);
         await this.#flush();
         this.#schedulePlacement();
     }
@@ -406,7 +400,7 @@
                 void this.#runAdvise(effect);
                 return;
             case "acknowledge":
-                this.#dispatcher.confirmEnds(effect.worker, effect.cursor);
+                this.#dispatcher.confirmEnds(effect.worker, effect.incarnation, effect.cursor);
                 return;
         }
     }
--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -114,6 +114,7 @@
             name: formatTaskName({ ...unit, index }),
             attempt: this.#context.stateStore.findUnit(unit)?.attempt ?? 0,
             worker,
+            incarnation: undefined,
             reserved: computeReservedResources(spec),
             priority: this.#context.findQueue(job.queue)?.priority ?? 0,
             state: "planned",
@@ -309,6 +310,22 @@
         this.#context.emit({ type: "stop", member });
     }
 
+    /**
+     * Marks the start of a member as unresolved after its worker restarted: the order may have been
+     * executed by either incarnation.
+     *
+     * @param member The member.
+     */
+    resetStart(member: MemberRun): void {
+        if (member.startSends === 0) {
+            return;
+        }
+        member.startResolvedAtMs = undefined;
+        if (member.state === "running") {
+            member.state = "ordered";
+        }
+    }
+
     /**
      * Ends members that were lost with their worker.
      *
--- a/dispatch/_builders.ts
+++ b/dispatch/_builders.ts
@@ -91,6 +91,7 @@
 export function buildWorkerReport(overrides: Partial<WorkerReport> = {}): WorkerReport {
     return {
         id: "w1" as WorkerId,
+        incarnation: undefined,
         address: "10.0.0.1:80",
         pool: POOL,
         zone: "z",
--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -43,6 +43,7 @@
     // Outlasts short partitions and outages. A dead worker's tasks may wait this long
     // for their restart.
     leaseMs: 8_500,
+    maxLeaseMs: 10_000,
     retentionMs: 240_000,
     // Bounds how long a lost poll goes unnoticed.
     pollWaitMs: 1_500,
@@ -76,6 +77,7 @@
         this.registry = new WorkerRegistry({
             firstFence: options.firstFence,
             leaseMs: this.limits.leaseMs,
+            maxLeaseMs: this.limits.maxLeaseMs,
             maxReportAgeMs: this.limits.maxReportAgeMs,
         });
         this.readySteps = new ReadySteps({ stateStore: this.stateStore, clock: this.clock });
--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -17,6 +17,7 @@
 import type { QueueConfig, QueueName } from "../configuration/mod.ts";
 import {
     StateStore,
+    type Incarnation,
     type MemberOutcome,
     type Fact,
     type JobId,
@@ -30,7 +31,7 @@
 import { buildQueue, POOL, QUEUE } from "./_builders.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import { InvariantChecker, type CrashRecord, type RunRecord } from "./_invariant_checker.ts";
-import type { AdviceCall, Effect, FrontId, PollAnswer, OrderAnswer } from "./types.ts";
+import type { AdviceCall, Effect, FrontId, Heartbeat, PollAnswer, OrderAnswer } from "./types.ts";
 
 export * from "./_builders.ts";
 
@@ -147,6 +148,7 @@
         const { capacity = { cpu: 16_000, memoryMb: 32_000, gpu: 0 } } = this.#options;
         const record = {
             id,
+            incarnation: this.#createIncarnation(),
             address,
             pool: POOL,
             zone: "hall-a",
@@ -165,7 +167,14 @@
         this.#addresses.set(id, address);
         this.#firstSequences.set(id, this.#heartbeatSequence);
         this.#invariants.recordCapacity(id, capacity);
-        this.workers.set(id, this.#createWorker(id, capacity));
+        this.workers.set(id, this.#createWorker(record));
+    }
+
+    /** Creates a value for a worker that starts now, if the workers report their incarnations. */
+    #createIncarnation(): Incarnation | undefined {
+        // Values in no order, as from clocks that are set back and forth.
+        const value = ((this.now + 1) * 7_919) % 1_000_003;
+        return this.#options.isIdKept === true ? (value as Incarnation) : undefined;
     }
 
     /** Changes a running worker's capacity, which its next heartbeat reports. */
@@ -189,7 +198,8 @@
             this.#incarnationCount += 1;
             const next = `${id.split("#")[0]}#${this.#incarnationCount}` as WorkerId;
             const nextId = this.#options.isIdKept === true ? id : next;
-            this.#addIncarnation({ ...record, id: nextId, isDraining: false });
+            const incarnation = this.#createIncarnation();
+            this.#addIncarnation({ ...record, id: nextId, incarnation, isDraining: false });
             this.#sendHeartbeats(false);
         });
     }
@@ -276,6 +286,20 @@
         this.#flush();
     }
 
+    /** Returns the heartbeat that a worker would send now. */
+    buildHeartbeat(id: WorkerId): Heartbeat | undefined {
+        const record = this.#records.get(id);
+        const shutdownAtMs = this.#shutdownTimesMs.get(id);
+        return record === undefined
+            ? undefined
+            : {
+                  record,
+                  sequence: this.#heartbeatSequence - (this.#firstSequences.get(id) ?? 0),
+                  clockMs: this.workers.get(id)?.clockMs,
+                  leavesInMs: shutdownAtMs === undefined ? undefined : shutdownAtMs - this.now,
+              };
+    }
+
     /** Drops a worker's heartbeats from now on; orders still reach it. */
     dropHeartbeats(id: WorkerId): void {
         this.#workersWithoutHeartbeats.add(id);
@@ -326,9 +350,10 @@
         };
     }
 
-    #createWorker(id: WorkerId, capacity: Resources): TaskWorker {
+    #createWorker({ id, incarnation, capacity }: WorkerReport): TaskWorker {
         return new TaskWorker({
             id,
+            incarnation,
             capacity,
             getNow: () => this.now,
             clockDrift: this.#options.clockDrift,
@@ -379,19 +404,18 @@
 
     #sendHeartbeats(isRepeated = true): void {
         this.#heartbeatSequence += 1;
-        for (const [id, record] of this.#records) {
-            if (!this.#hasLeader || this.#workersWithoutHeartbeats.has(id)) {
+        for (const id of this.#records.keys()) {
+            const heartbeat = this.buildHeartbeat(id);
+            if (
+                heartbeat === undefined ||
+                !this.#hasLeader ||
+                this.#workersWithoutHeartbeats.has(id)
+            ) {
                 continue;
             }
-            const shutdownAtMs = this.#shutdownTimesMs.get(id);
-            this.dispatcher.handleHeartbeat({
-                record,
-                sequence: this.#heartbeatSequence - (this.#firstSequences.get(id) ?? 0),
-                clockMs: this.workers.get(id)?.clockMs,
-                leavesInMs: shutdownAtMs === undefined ? undefined : shutdownAtMs - this.now,
-            });
-            if (record.isDraining) {
-                this.#invariants.recordDrain(id);
+            this.dispatcher.handleHeartbeat(heartbeat);
+            if (heartbeat.record.isDraining) {
+                this.#recordDrain(heartbeat.record);
             }
         }
         this.#flush();
@@ -400,6 +424,19 @@
         }
     }
 
+    /** Records the acknowledgement of a shutdown notice, which is sent once it is committed. */
+    #recordDrain({ id, incarnation }: WorkerReport): void {
+        const epoch = this.#epoch;
+        this.#scheduleEvent(COMMIT_DELAY_MS, () => {
+            const known = this.committedState.workers.get(id);
+            const isCommitted = known?.isDraining === true && known.incarnation === incarnation;
+            const isRunning = this.#records.get(id)?.incarnation === incarnation;
+            if (isCommitted && isRunning && epoch === this.#epoch) {
+                this.#invariants.recordDrain(id);
+            }
+        });
+    }
+
     /** Commits the dispatcher's pending facts after the commit delay, then runs its effects. */
     #flush(): void {
         const { facts, effects } = this.dispatcher.takeOutput();
@@ -468,7 +505,7 @@
                 this.#answerAdvice(effect.call);
                 return;
             case "acknowledge":
-                this.dispatcher.confirmEnds(effect.worker, effect.cursor);
+                this.dispatcher.confirmEnds(effect.worker, effect.incarnation, effect.cursor);
                 return;
         }
     }
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -15,7 +15,7 @@
 import { MAX_START_SENDS, type Attempts } from "./_attempts.ts";
 import type { DispatchContext } from "./_context.ts";
 import type { WorkerFailures } from "./_worker_failures.ts";
-import { createStepKey } from "./ready_steps.ts";
+import { createStepKey, EXPIRED_ADMISSION } from "./ready_steps.ts";
 import type { MemberRun, OrderAnswer, PaceOrder, StartOrder, StopOrder } from "./types.ts";
 import {
     getFreeResources,
@@ -71,6 +71,7 @@
         member.state = "ordered";
         member.startSends += 1;
         member.fence = worker.fence;
+        member.incarnation = worker.record.incarnation;
         const unit = this.#context.stateStore.findUnit(member.unit);
         return {
             worker: member.worker,
@@ -99,7 +100,7 @@
         const now = this.#context.clock.getNow();
         switch (answer.type) {
             case "accepted":
-                this.#context.registry.recordAnswer(worker, answer.clockMs, now);
+                this.#context.registry.recordAnswer(worker, now);
                 member.startResolvedAtMs = now;
                 if (member.state === "ordered") {
                     member.state = "running";
@@ -107,7 +108,7 @@
                 }
                 return;
             case "refused":
-                this.#context.registry.recordAnswer(worker, answer.clockMs, now);
+                this.#context.registry.recordAnswer(worker, now);
                 this.#handleRefusal(worker, member, answer.reason);
                 return;
             case "gone":
@@ -178,7 +179,7 @@
         }
         const now = this.#context.clock.getNow();
         if (answer.type === "accepted") {
-            this.#context.registry.recordAnswer(worker, answer.clockMs, now);
+            this.#context.registry.recordAnswer(worker, now);
             if (member.startResolvedAtMs === undefined) {
                 member.startResolvedAtMs = now;
                 this.#context.emit({ type: "look", worker: member.worker });
@@ -248,7 +249,7 @@
     #expireTicket(member: MemberRun, reason: string): void {
         if (reason === "ticket") {
             const step = this.#context.readySteps.findStep(createStepKey(member.unit));
-            step?.advice.admitted.set(member.worker, { ticket: "", validUntilMs: 0 });
+            step?.advice.admitted.set(member.worker, EXPIRED_ADMISSION);
         }
     }
 
@@ -274,6 +275,7 @@
             tries: member.startSends,
             cause,
         });
+        worker.mayHaveRestarted = true;
         if (member.startSends < MAX_START_SENDS && member.state === "ordered") {
             // Starts are idempotent: resending over another connection distinguishes a lost answer
             // from a lost worker.
--- a/dispatch/_worker_failures.ts
+++ b/dispatch/_worker_failures.ts
@@ -11,11 +11,11 @@
  * @module
  */
 
-import type { WorkerId } from "../job/mod.ts";
+import type { CrashedAttempt, WorkerId } from "../job/mod.ts";
 import type { Attempts } from "./_attempts.ts";
 import { computeCrashEvidence } from "./crash_loop.ts";
 import type { DispatchContext } from "./_context.ts";
-import type { MemberRun } from "./types.ts";
+import type { MemberRun, StateAnswer } from "./types.ts";
 import type { WorkerState } from "./worker_registry.ts";
 
 /** Records worker failures and ends the affected tasks, for one leader. */
@@ -39,6 +39,7 @@
      * @param cause Why its last order or poll failed.
      */
     setSuspect(worker: WorkerState, cause: string): void {
+        worker.mayHaveRestarted = true;
         if (!worker.isSuspect) {
             worker.isSuspect = true;
             this.#context.recordDecision("failure", "worker silent", {
@@ -49,22 +50,72 @@
     }
 
     /**
-     * Removes a worker after another incarnation has answered at its address. Unless the worker was
-     * draining, this counts as a crash, which its tasks may have caused.
+     * Removes a worker after a worker with another id has answered at its address. Unless the worker
+     * was draining, this counts as a crash, which its tasks may have caused.
      *
      * @param worker The worker.
      */
     handleReplacement(worker: WorkerState): void {
+        const crashedAttempts = this.#recordCrash(worker, [...worker.members.values()]);
+        this.removeWorker(worker.record.id, "replaced by another worker");
+        crashedAttempts.forEach(({ unit }) => this.#attempts.endJobIfUnitFailed(unit));
+    }
+
+    /**
+     * Handles an answer of an incarnation that started after the known one. Unless the worker was
+     * draining, this counts as a crash. Orders do not name the incarnation that they are meant for,
+     * so the new one may have executed some of them: its runs are resolved by a poll with a raised
+     * fencing token, which keeps it from executing others later.
+     *
+     * @param worker The worker.
+     * @param address The address at which it answered.
+     * @param answer The answer.
+     */
+    handleRestart(worker: WorkerState, address: string, answer: StateAnswer): void {
+        const { registry, clock, stateStore } = this.#context;
+        const { id } = worker.record;
+        const { incarnation } = answer;
+        this.#context.recordDecision("failure", "worker restarted", {
+            worker: id,
+            incarnation,
+            before: worker.record.incarnation,
+            members: worker.members.size,
+            silentMs: Math.round(clock.getNow() - worker.lastContactAtMs),
+            draining: worker.record.isDraining,
+        });
+        const listed = new Set(
+            [...answer.running, ...answer.ended].map(({ task, attempt }) => `${task}#${attempt}`),
+        );
+        const lost = [...worker.members.values()].filter(
+            (member) => !listed.has(`${member.name}#${member.attempt}`),
+        );
+        const crashedAttempts = this.#recordCrash(worker, lost);
+        this.#context.recordFact({
+            type: "workerSeen",
+            worker: { ...worker.record, address, incarnation, isDraining: false },
+        });
+        const record = stateStore.workers.get(id);
+        if (record !== undefined) {
+            const restarted = registry.resetWorker(worker, record, clock.getNow());
+            restarted.members.forEach((member) => this.#attempts.resetStart(member));
+            this.#context.readySteps.expireTickets(id);
+            this.#context.emit({ type: "look", worker: id });
+        }
+        crashedAttempts.forEach(({ unit }) => this.#attempts.endJobIfUnitFailed(unit));
+    }
+
+    /** Records the crash of a worker, with the attempts that may have caused it. */
+    #recordCrash(worker: WorkerState, members: readonly MemberRun[]): readonly CrashedAttempt[] {
         const { id, address, isDraining } = worker.record;
-        const { registry, clock } = this.#context;
-        const attemptsOnExpiredLease =
-            this.#context.stateStore.attemptsOnExpiredLeases.get(id) ?? [];
-        const crashedAttempts = isDraining
-            ? []
-            : [...attemptsOnExpiredLease, ...computeCrashEvidence([...worker.members.values()])];
-        if (!isDraining) {
-            registry.recordCrash(address, clock.getNow());
+        if (isDraining) {
+            return [];
         }
+        const { registry, clock, stateStore } = this.#context;
+        registry.recordCrash(address, clock.getNow());
+        const crashedAttempts = [
+            ...(stateStore.attemptsOnExpiredLeases.get(id) ?? []),
+            ...computeCrashEvidence(members),
+        ];
         if (crashedAttempts.length > 0) {
             this.#context.recordFact({ type: "workerCrashed", worker: id, under: crashedAttempts });
             this.#context.recordDecision("failure", "worker crashed", {
@@ -73,8 +124,7 @@
             });
         }
         crashedAttempts.forEach(({ unit }) => this.#context.readySteps.recordCrash(unit));
-        this.removeWorker(id, "replaced by another incarnation");
-        crashedAttempts.forEach(({ unit }) => this.#attempts.endJobIfUnitFailed(unit));
+        return crashedAttempts;
     }
 
     /**
--- a/dispatch/_worker_poller.ts
+++ b/dispatch/_worker_poller.ts
@@ -11,13 +11,20 @@
  * @module
  */
 
-import type { WorkerId } from "../job/mod.ts";
+import type { Incarnation, WorkerId } from "../job/mod.ts";
 import type { Attempts } from "./_attempts.ts";
 import type { DispatchContext } from "./_context.ts";
 import { Pacer } from "./_pacer.ts";
 import type { WorkerFailures } from "./_worker_failures.ts";
 import { createStepKey, createUnitKey } from "./ready_steps.ts";
-import type { EndReport, PollAnswer, PollOrder, MemberRun, RunningReport } from "./types.ts";
+import type {
+    EndReport,
+    PollAnswer,
+    PollOrder,
+    MemberRun,
+    RunningReport,
+    StateAnswer,
+} from "./types.ts";
 import type { WorkerState } from "./worker_registry.ts";
 
 /** Maximum number of ends in one answer; an answer with this many may be incomplete. */
@@ -68,9 +75,11 @@
         }
         return {
             worker: id,
-            address: worker.record.address,
+            // Only the worker itself can tell whether a pending heartbeat is its own.
+            address: (worker.pendingHeartbeat?.heartbeat.record ?? worker.record).address,
+            incarnation: worker.record.incarnation,
             fence: worker.fence,
-            cursor: worker.committedCursor,
+            cursor: selectCursor(worker),
             // An unanswered poll may still have been executed. Renewing the lease with each retry
             // would keep the tasks of an unreachable worker from ever expiring.
             untilMs: worker.isSuspect
@@ -113,6 +122,17 @@
             // carries it.
             return;
         }
+        if (this.#checkIncarnation(worker, order, sentAtMs, answer)) {
+            this.#handleState(worker, order, sentAtMs, answer);
+        }
+    }
+
+    #handleState(
+        worker: WorkerState,
+        order: PollOrder,
+        sentAtMs: number,
+        answer: StateAnswer,
+    ): void {
         const now = this.#context.clock.getNow();
         if (worker.isSuspect) {
             this.#context.recordDecision("decision", "worker answers again", {
@@ -120,30 +140,77 @@
             });
             this.#context.recordFreedCapacity(worker);
         }
-        this.#context.registry.recordAnswer(worker, answer.clockMs, now);
-        worker.pollAnsweredAtMs = now;
+        this.#context.registry.recordPollAnswer(worker, answer.clockMs, now);
         this.#failures.clearLeaseExpiry(order.worker);
-        worker.acknowledgedCursor = Math.max(worker.acknowledgedCursor, order.cursor);
+        const { incarnation } = worker.record;
+        if (order.incarnation === incarnation) {
+            worker.acknowledgedCursor = Math.max(worker.acknowledgedCursor, order.cursor);
+        }
         answer.ended.forEach((report) => this.#handleEnd(worker, report));
         if (worker.readCursor > worker.committedCursor) {
             const cursor = worker.readCursor;
-            this.#context.emit({ type: "acknowledge", worker: order.worker, cursor });
+            this.#context.emit({ type: "acknowledge", worker: order.worker, incarnation, cursor });
         }
         answer.running.forEach((report) => this.#handleRunning(worker, report));
         this.#pacer.update(worker);
         this.#resolveMissing(worker, order, sentAtMs, answer);
     }
 
+    /**
+     * Checks which incarnation answered, and handles a restart. Clocks may be set back, so only the
+     * order of calls tells which of two incarnations is the later one.
+     *
+     * @returns Whether the answer is that of the worker's known incarnation.
+     */
+    #checkIncarnation(
+        worker: WorkerState,
+        order: PollOrder,
+        sentAtMs: number,
+        answer: StateAnswer,
+    ): boolean {
+        const { id, incarnation } = worker.record;
+        if (answer.incarnation === incarnation) {
+            return true;
+        }
+        if (answer.incarnation === undefined) {
+            this.#failures.setSuspect(worker, "answer without an incarnation");
+            return false;
+        }
+        if (incarnation === undefined) {
+            this.#adoptIncarnation(worker, answer.incarnation);
+            return true;
+        }
+        if (this.#context.stateStore.isRemovedWorker(id, answer.incarnation)) {
+            return false;
+        }
+        if (sentAtMs < worker.pollAnsweredAtMs) {
+            this.#context.emit({ type: "look", worker: id });
+            return false;
+        }
+        this.#failures.handleRestart(worker, order.address, answer);
+        return false;
+    }
+
+    /** Completes the record of a worker whose heartbeats so far came without an incarnation. */
+    #adoptIncarnation({ record }: WorkerState, incarnation: Incarnation): void {
+        this.#context.recordFact({ type: "workerSeen", worker: { ...record, incarnation } });
+        const updated = this.#context.stateStore.workers.get(record.id);
+        if (updated !== undefined) {
+            this.#context.registry.ensureWorker(updated, this.#context.clock.getNow());
+        }
+    }
+
     /**
      * Records that task ends are committed. Only then may the worker discard them; otherwise a
      * later leader could start a finished task again.
      *
      * @param id The worker.
+     * @param incarnation The incarnation that listed the ends.
      * @param cursor Number of the newest committed end.
      */
-    confirmEnds(id: WorkerId, cursor: number): void {
+    confirmEnds(id: WorkerId, incarnation: Incarnation | undefined, cursor: number): void {
         const worker = this.#context.registry.findWorker(id);
-        if (worker !== undefined) {
+        if (worker !== undefined && worker.record.incarnation === incarnation) {
             worker.committedCursor = Math.max(worker.committedCursor, cursor);
         }
     }
@@ -188,6 +255,7 @@
         if (member.state === "ordered") {
             member.state = "running";
         }
+        member.incarnation = worker.record.incarnation;
         member.load = report.load;
         member.observedRunMs = now - member.startedAtMs;
         this.#recordProgress(worker, member, report.percent, now);
@@ -208,9 +276,11 @@
         member.progressAtMs = now;
     }
 
-    /** Logs a run whose end was never listed although the worker had listed it as running. */
-    #recordMissing(worker: WorkerState, order: PollOrder, member: MemberRun): void {
-        if (member.observedRunMs > 0) {
+    /** Ends a member that its worker does not list: it was lost in a restart or never ran. */
+    #endMissing(worker: WorkerState, order: PollOrder, member: MemberRun): void {
+        const isLost =
+            member.incarnation !== undefined && member.incarnation !== worker.record.incarnation;
+        if (!isLost && member.observedRunMs > 0) {
             this.#context.recordDecision("failure", "run vanished", {
                 request: member.unit.job,
                 task: member.name,
@@ -221,6 +291,7 @@
                 read: worker.readCursor,
             });
         }
+        this.#attempts.endMember(member, isLost ? "lost" : "void", "");
     }
 
     /** Ends members that should be in the worker's lists but are missing. */
@@ -228,7 +299,7 @@
         worker: WorkerState,
         order: PollOrder,
         sentAtMs: number,
-        answer: Extract<PollAnswer, { type: "state" }>,
+        answer: StateAnswer,
     ): void {
         if (answer.ended.length >= MAX_ENDS_LISTED) {
             return;
@@ -242,9 +313,17 @@
             const isResolved =
                 member.startResolvedAtMs !== undefined && member.startResolvedAtMs < sentAtMs;
             if (isFenced || isResolved) {
-                this.#recordMissing(worker, order, member);
-                this.#attempts.endMember(member, "void", "");
+                this.#endMissing(worker, order, member);
             }
         }
     }
 }
+
+/**
+ * Selects the ends that a poll acknowledges. Polls do not name the incarnation that they are meant
+ * for, and another one would discard ends that nobody has read.
+ */
+function selectCursor(worker: WorkerState): number {
+    const hasUnacknowledged = worker.committedCursor > worker.acknowledgedCursor;
+    return hasUnacknowledged && !worker.mayHaveRestarted ? worker.committedCursor : 0;
+}
--- a/dispatch/capacity_test.ts
+++ b/dispatch/capacity_test.ts
@@ -205,12 +205,12 @@
     cluster.dropHeartbeats("w1" as WorkerId);
     cluster.setCapacity("w1" as WorkerId, REDUCED_CAPACITY);
     for (let i = 0; i < 8; i++) {
-        cluster.dispatcher.handleKeepAlive(
-            "w1" as WorkerId,
-            100 + i,
-            cluster.now,
-            REDUCED_CAPACITY,
-        );
+        cluster.dispatcher.handleKeepAlive({
+            worker: "w1" as WorkerId,
+            sequence: 100 + i,
+            clockMs: cluster.now,
+            capacity: REDUCED_CAPACITY,
+        });
         submitBacklog(cluster, 10, 100);
     }
     t.deepEqual(cluster.violations, []);
--- a/dispatch/deployments_test.ts
+++ b/dispatch/deployments_test.ts
@@ -74,7 +74,7 @@
         first.start = (order) => {
             if (cluster.now < 2_000) {
                 refusals += 1;
-                return { type: "refused", reason: "no_room", clockMs: first.clockMs };
+                return { type: "refused", reason: "no_room" };
             }
             return originalStart(order);
         };
@@ -96,7 +96,7 @@
                 return start(order);
             }
             refusals += 1;
-            return { type: "refused", reason: "invalid", clockMs: worker.clockMs };
+            return { type: "refused", reason: "invalid" };
         };
     }
     cluster.submit(JOB, buildSpec({ count: 3 }));
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -16,9 +16,9 @@
 
 import type { Configuration, PoolName, QueueName } from "../configuration/mod.ts";
 import type {
+    Incarnation,
     JobId,
     JobSpec,
-    Resources,
     WorkerId,
     WorkerRecord,
     WorkerReport,
@@ -39,6 +39,7 @@
     AdviceCall,
     Heartbeat,
     FrontId,
+    KeepAlive,
     PollAnswer,
     PollOrder,
     MemberRun,
@@ -48,6 +49,7 @@
     StartOrder,
     StopOrder,
 } from "./types.ts";
+import { SLOWEST_CLOCK_FACTOR } from "./worker_clock.ts";
 import type { WorkerState } from "./worker_registry.ts";
 
 export { DEFAULT_DISPATCH_LIMITS } from "./_context.ts";
@@ -67,14 +69,20 @@
 const STOP_RETRY_MS = 400;
 /** Time between two cleanups of ended jobs, in ms. */
 const JOB_CLEANUP_INTERVAL_MS = 5_000;
+/** Time between two polls of a worker that may have restarted, in ms. */
+const RESTART_POLL_INTERVAL_MS = 200;
 /** A worker that runs nothing and has been silent for this long is removed, in ms. */
 const IDLE_WORKER_RETENTION_MS = 120_000;
 /**
  * Time between two facts that record the workers' clocks, in ms; a third of a heartbeat interval.
  */
 const CLOCK_RECORD_INTERVAL_MS = 500;
-/** Scales a lease to the leader's clock, for the slowest clock that `worker_clock.ts` allows. */
-const INHERITED_LEASE_FACTOR = 1 / 0.98;
+
+/** A worker's clock, in ms, in one of its incarnations. */
+interface ClockReading {
+    readonly incarnation: Incarnation | undefined;
+    readonly clockMs: number;
+}
 
 /** Makes the scheduling decisions of one leader. */
 export class Dispatcher {
@@ -86,7 +94,7 @@
     readonly #placer: StepPlacer;
     readonly #evacuator: Evacuator;
     /** Worker clock readings from heartbeats that are not recorded yet. */
-    readonly #unrecordedClocks = new Map<WorkerId, number>();
+    readonly #unrecordedClocks = new Map<WorkerId, ClockReading>();
     #clocksRecordedAtMs = Number.NEGATIVE_INFINITY;
     #cleanedUpAtMs: number;
     #tickedAtMs = Number.NEGATIVE_INFINITY;
@@ -220,18 +228,23 @@
      */
     handleHeartbeat(heartbeat: Heartbeat): void {
         const { record: report, sequence, clockMs, leavesInMs } = heartbeat;
-        if (this.#context.stateStore.isRemovedWorker(report.id)) {
+        const { stateStore } = this.#context;
+        if (stateStore.isRemovedWorker(report.id, report.incarnation)) {
             return;
         }
         const now = this.#context.clock.getNow();
-        const known = this.#context.stateStore.workers.get(report.id);
+        const known = stateStore.workers.get(report.id);
         const state = this.#context.registry.findWorker(report.id);
+        if (state !== undefined && hasOtherIncarnation(state.record, report)) {
+            this.#handleUnconfirmedHeartbeat(state, heartbeat);
+            return;
+        }
         if (state !== undefined && sequence <= state.lastSequence) {
             this.#recordOutdatedHeartbeat(heartbeat, state);
             return;
         }
-        // Draining is final for a worker id: a late heartbeat from before the drain must not bring
-        // new work to the worker.
+        // Draining is final for an incarnation: a late heartbeat from before the drain must not
+        // bring new work to the worker.
         const isDraining = report.isDraining || (known?.isDraining ?? false);
         const { capacity: confirmed, unconfirmed } = mergeCapacity(
             known?.capacity ?? report.capacity,
@@ -240,16 +253,7 @@
         );
         const updated = { ...report, capacity: confirmed, isDraining };
         if (state !== undefined && this.#isConflicting(state, updated, sequence)) {
-            this.#context.recordDecision(
-                "failure",
-                "heartbeat conflicts with its worker's record",
-                {
-                    worker: report.id,
-                    address: report.address,
-                    pool: report.pool,
-                    sequence,
-                },
-            );
+            this.#recordConflict(heartbeat);
             return;
         }
         if (known === undefined || !isSameReport(known, updated)) {
@@ -266,18 +270,25 @@
             );
             this.#pollSameAddress(updated);
         }
-        const recorded = this.#context.stateStore.workers.get(report.id);
+        const recorded = stateStore.workers.get(report.id);
         if (recorded === undefined) {
             return;
         }
         const previousCapacity = state?.record.capacity;
         const worker = this.#context.registry.ensureWorker(recorded, now);
         const wasUsable = this.#context.registry.isUsable(worker, now);
+        if (state === undefined && stateStore.hasRemovedIncarnation(report.id)) {
+            // The heartbeat may be a late one of an earlier incarnation, and late orders to the
+            // removed one may reach this one.
+            worker.isSuspect = true;
+            this.#context.registry.advanceFence(worker);
+        }
         worker.lastSequence = sequence;
         worker.lastContactAtMs = now;
         worker.lastReport = { arrivedAtMs: now, clockMs };
         if (clockMs !== undefined) {
-            this.#unrecordedClocks.set(report.id, clockMs);
+            const { incarnation } = recorded;
+            this.#unrecordedClocks.set(report.id, { incarnation, clockMs });
         }
         worker.unconfirmedCapacity = unconfirmed;
         worker.leavesAtMs = leavesInMs === undefined ? worker.leavesAtMs : now + leavesInMs;
@@ -299,33 +310,38 @@
     /**
      * Handles a keep-alive: a heartbeat whose report is unchanged.
      *
-     * @param id The worker.
-     * @param sequence Sequence number, which increases with each heartbeat of the worker.
-     * @param clockMs The worker's clock when the heartbeat was sent, in ms, if it was included.
-     * @param capacity The reported capacity, which may differ from what this leader has recorded.
+     * @param keepAlive The keep-alive; its capacity may differ from what this leader has recorded.
      */
-    handleKeepAlive(
-        id: WorkerId,
-        sequence: number,
-        clockMs: number | undefined,
-        capacity: Resources,
-    ): void {
-        const known = this.#context.stateStore.workers.get(id);
+    handleKeepAlive({ worker, incarnation, sequence, clockMs, capacity }: KeepAlive): void {
+        const known = this.#context.stateStore.workers.get(worker);
         if (known !== undefined) {
             const report = { ...createReport(known), capacity };
-            this.handleHeartbeat({ record: report, sequence, clockMs, leavesInMs: undefined });
+            const record = { ...report, incarnation: incarnation ?? known.incarnation };
+            this.handleHeartbeat({ record, sequence, clockMs, leavesInMs: undefined });
         }
     }
 
     /**
-     * Handles a worker's notice that it has left.
+     * Handles a worker's notice that it has left. A late notice of an earlier incarnation must not
+     * remove a worker that runs, so one that does not fit the worker's record only causes a poll.
      *
      * @param id The worker.
+     * @param incarnation The incarnation that left, if the notice names it.
      */
-    handleLeave(id: WorkerId): void {
-        if (this.#context.registry.findWorker(id) !== undefined) {
+    handleLeave(id: WorkerId, incarnation: Incarnation | undefined): void {
+        const worker = this.#context.registry.findWorker(id);
+        if (worker === undefined) {
+            return;
+        }
+        if (isOwnDeparture(worker.record, incarnation)) {
             this.#failures.removeWorker(id, "left");
+            return;
         }
+        this.#context.recordDecision("failure", "departure unconfirmed", {
+            worker: id,
+            incarnation,
+        });
+        this.#context.emit({ type: "look", worker: id });
     }
 
     /**
@@ -374,6 +390,50 @@
         }
     }
 
+    /**
+     * Keeps a heartbeat of another incarnation until the worker itself tells which one is running:
+     * the heartbeat may have been delayed since before a restart.
+     */
+    #handleUnconfirmedHeartbeat(worker: WorkerState, heartbeat: Heartbeat): void {
+        const { record } = heartbeat;
+        if (record.incarnation === undefined || this.#isConflicting(worker, record, 0)) {
+            this.#recordConflict(heartbeat);
+            return;
+        }
+        worker.pendingHeartbeat = { heartbeat, arrivedAtMs: this.#context.clock.getNow() };
+        this.#context.emit({ type: "look", worker: record.id });
+    }
+
+    /** Applies or drops a pending heartbeat once an answer tells which incarnation is running. */
+    #resolvePendingHeartbeat(id: WorkerId, sentAtMs: number, answer: PollAnswer): void {
+        const worker = this.#context.registry.findWorker(id);
+        const pending = worker?.pendingHeartbeat;
+        if (worker === undefined || pending === undefined || answer.type !== "state") {
+            return;
+        }
+        const { incarnation } = worker.record;
+        const isConfirmed = pending.heartbeat.record.incarnation === incarnation;
+        const isRefuted = answer.incarnation === incarnation && sentAtMs >= pending.arrivedAtMs;
+        if (!isConfirmed && !isRefuted) {
+            return;
+        }
+        worker.pendingHeartbeat = undefined;
+        this.#context.recordFreedCapacity(worker);
+        if (isConfirmed) {
+            this.handleHeartbeat(pending.heartbeat);
+        }
+    }
+
+    #recordConflict({ record, sequence }: Heartbeat): void {
+        this.#context.recordDecision("failure", "heartbeat conflicts with its worker's record", {
+            worker: record.id,
+            incarnation: record.incarnation,
+            address: record.address,
+            pool: record.pool,
+            sequence,
+        });
+    }
+
     #isConflicting(state: WorkerState, report: WorkerReport, sequence: number): boolean {
         const pools = this.#context.stateStore.configuration?.pools ?? [];
         return isConflictingHeartbeat(state, report, {
@@ -387,7 +447,7 @@
         for (const record of this.#context.stateStore.workers.values()) {
             const worker = this.#context.registry.ensureWorker(record, now);
             worker.inheritedLeaseEndsAtMs =
-                now + this.#context.limits.leaseMs * INHERITED_LEASE_FACTOR;
+                now + this.#context.limits.leaseMs * SLOWEST_CLOCK_FACTOR;
             worker.isSuspect = true;
             const clockMs = this.#context.stateStore.lastReportClocksMs.get(record.id);
             worker.lastReport = { arrivedAtMs: Number.NEGATIVE_INFINITY, clockMs };
@@ -420,7 +480,7 @@
                 this.#context.emit({ type: "stop", member });
             }
         }
-        if (hasOverdueTask(worker, now)) {
+        if (hasOverdueTask(worker, now) || isRestartPollDue(worker, now)) {
             worker.extraPollAtMs = now;
             this.#context.emit({ type: "look", worker: worker.record.id });
         }
@@ -450,8 +510,16 @@
             return;
         }
         this.#clocksRecordedAtMs = now;
-        this.#context.recordFact({ type: "workersHeard", reports: [...this.#unrecordedClocks] });
+        const reports = [...this.#unrecordedClocks]
+            .filter(([id, { incarnation }]) => {
+                const worker = this.#context.registry.findWorker(id);
+                return worker?.record.incarnation === incarnation;
+            })
+            .map(([id, { clockMs }]) => [id, clockMs] as const);
         this.#unrecordedClocks.clear();
+        if (reports.length > 0) {
+            this.#context.recordFact({ type: "workersHeard", reports });
+        }
     }
 
     #removeEndedJobs(): void {
@@ -502,11 +570,12 @@
     /** See {@link WorkerPoller.handlePollAnswer}. */
     handlePollAnswer(order: PollOrder, sentAtMs: number, answer: PollAnswer): void {
         this.#poller.handlePollAnswer(order, sentAtMs, answer);
+        this.#resolvePendingHeartbeat(order.worker, sentAtMs, answer);
     }
 
     /** See {@link WorkerPoller.confirmEnds}. */
-    confirmEnds(id: WorkerId, cursor: number): void {
-        this.#poller.confirmEnds(id, cursor);
+    confirmEnds(id: WorkerId, incarnation: Incarnation | undefined, cursor: number): void {
+        this.#poller.confirmEnds(id, incarnation, cursor);
     }
 
     /** See {@link StepPlacer.handleAdvice}. */
@@ -537,6 +606,30 @@
 
 /** Copies the fields that the worker itself reports. */
 function createReport(report: WorkerReport): WorkerReport {
-    const { id, address, pool, zone, capacity, labels, instance, isDraining } = report;
-    return { id, address, pool, zone, capacity, labels, instance, isDraining };
+    const { id, incarnation, address, pool, zone, capacity, labels, instance } = report;
+    const { isDraining } = report;
+    return { id, incarnation, address, pool, zone, capacity, labels, instance, isDraining };
+}
+
+/** Returns whether the poll that resolves a pending heartbeat is due again. */
+function isRestartPollDue(worker: WorkerState, now: number): boolean {
+    return (
+        worker.pendingHeartbeat !== undefined &&
+        now - Math.max(worker.pendingHeartbeat.arrivedAtMs, worker.extraPollAtMs) >=
+            RESTART_POLL_INTERVAL_MS
+    );
+}
+
+/** Returns whether a report is not from the incarnation that the record is known to describe. */
+function hasOtherIncarnation({ incarnation }: WorkerRecord, report: WorkerReport): boolean {
+    return incarnation !== undefined && incarnation !== report.incarnation;
+}
+
+/** Returns whether a notice of departure fits a worker's record. */
+function isOwnDeparture(record: WorkerRecord, incarnation: Incarnation | undefined): boolean {
+    if (record.incarnation === undefined || record.incarnation === incarnation) {
+        return true;
+    }
+    // A worker drains before it leaves, so the notice is probably its own.
+    return incarnation === undefined && record.isDraining;
 }
--- a/dispatch/matching_test.ts
+++ b/dispatch/matching_test.ts
@@ -19,6 +19,7 @@
 function buildRecord(id: string) {
     return {
         id: id as WorkerId,
+        incarnation: undefined,
         address: `${id}:80`,
         pool: buildQueue().pool,
         zone: "z",
@@ -31,7 +32,12 @@
 }
 
 test("lists only the workers that gained capacity since a version, newest first", (t) => {
-    const registry = new WorkerRegistry({ firstFence: 1, leaseMs: 1_000, maxReportAgeMs: 3_500 });
+    const registry = new WorkerRegistry({
+        firstFence: 1,
+        leaseMs: 1_000,
+        maxLeaseMs: 1_000,
+        maxReportAgeMs: 3_500,
+    });
     const [a, b, c] = ["a", "b", "c"].map((id) => registry.ensureWorker(buildRecord(id), 0));
     const initialVersion = registry.capacityVersion;
     t.deepEqual(registry.listChangedSince(initialVersion), []);
--- a/dispatch/ready_steps.ts
+++ b/dispatch/ready_steps.ts
@@ -26,12 +26,22 @@
 } from "../job/mod.ts";
 import type { DispatchClock, StepKey } from "./types.ts";
 
+/** A worker's newest ticket for a step. */
+export interface AdmissionState {
+    readonly ticket: string;
+    /** In ms. */
+    readonly validUntilMs: number;
+}
+
+/** The admission of a worker whose ticket is no longer valid. */
+export const EXPIRED_ADMISSION: AdmissionState = { ticket: "", validUntilMs: 0 };
+
 /** The advice service's answers about a step. */
 export interface StepAdvice {
     /** Workers in the answered calls; the answer for a worker never changes. */
     readonly queriedWorkers: Set<WorkerId>;
     /** Workers that may run the step, with their newest ticket and its expiry, in ms. */
-    readonly admitted: Map<WorkerId, { readonly ticket: string; readonly validUntilMs: number }>;
+    readonly admitted: Map<WorkerId, AdmissionState>;
     /** Ids of the calls that are queued or in progress. */
     readonly pendingCalls: Set<number>;
     /** No further call is made before this time, in ms. */
@@ -192,6 +202,19 @@
         }
     }
 
+    /**
+     * Expires the tickets for a worker that restarted, so that the advice service is asked again.
+     *
+     * @param worker The worker.
+     */
+    expireTickets(worker: WorkerId): void {
+        for (const { advice } of this.#steps.values()) {
+            if (advice.admitted.has(worker)) {
+                advice.admitted.set(worker, EXPIRED_ADMISSION);
+            }
+        }
+    }
+
     /**
      * Closes a step once all its units are done, and opens the steps that depend on it.
      *
--- a/dispatch/types.ts
+++ b/dispatch/types.ts
@@ -14,6 +14,7 @@
 import type { AdvicePolicy, QueueName } from "../configuration/mod.ts";
 import type { Brand } from "../inventory/mod.ts";
 import type {
+    Incarnation,
     MemberOutcome,
     Fact,
     Resources,
@@ -50,6 +51,8 @@
     readonly name: TaskName;
     readonly attempt: number;
     readonly worker: WorkerId;
+    /** The worker's incarnation when the start was last sent or the run was last listed. */
+    incarnation: Incarnation | undefined;
     /** Resources reserved on the worker until the member's end is known. */
     readonly reserved: Resources;
     readonly priority: number;
@@ -130,7 +133,9 @@
     readonly worker: WorkerId;
     readonly address: string;
     readonly fence: number;
-    /** Ends up to this number are committed; the worker may discard them. */
+    /** The worker's known incarnation, which `cursor` refers to; another one may answer. */
+    readonly incarnation: Incarnation | undefined;
+    /** Ends up to this number are committed; the worker may discard them. 0 for none. */
     readonly cursor: number;
     /** The lease's end on the worker's clock, in ms; `undefined` to leave the lease as it is. */
     readonly untilMs: number | undefined;
@@ -140,14 +145,10 @@
 
 /** A worker's answer to a start, stop or pace order. */
 export type OrderAnswer =
-    | { readonly type: "accepted"; readonly clockMs: number | undefined }
+    | { readonly type: "accepted" }
     /** The worker refused the order. */
-    | {
-          readonly type: "refused";
-          readonly reason: RefusalReason;
-          readonly clockMs: number | undefined;
-      }
-    /** Another incarnation answered: the addressed worker is gone. */
+    | { readonly type: "refused"; readonly reason: RefusalReason }
+    /** A worker with another id answered: the addressed worker is gone. */
     | { readonly type: "gone" }
     /** No connection could be opened, so the order was not sent. */
     | { readonly type: "undelivered"; readonly cause: string }
@@ -178,14 +179,19 @@
     readonly checkpoint: string;
 }
 
+/** A worker's task lists, as its answer to a poll. */
+export interface StateAnswer {
+    readonly type: "state";
+    /** The incarnation that answered; `undefined` if the worker does not report it. */
+    readonly incarnation: Incarnation | undefined;
+    readonly clockMs: number;
+    readonly running: readonly RunningReport[];
+    readonly ended: readonly EndReport[];
+}
+
 /** A worker's answer to a poll. */
 export type PollAnswer =
-    | {
-          readonly type: "state";
-          readonly clockMs: number;
-          readonly running: readonly RunningReport[];
-          readonly ended: readonly EndReport[];
-      }
+    | StateAnswer
     | { readonly type: "refused"; readonly reason: RefusalReason }
     | { readonly type: "gone" }
     | { readonly type: "undelivered"; readonly cause: string }
@@ -219,7 +225,12 @@
     | { readonly type: "look"; readonly worker: WorkerId }
     | { readonly type: "advise"; readonly front: FrontId; readonly call: AdviceCall }
     /** Confirms that the ends up to this number are committed, so the worker may discard them. */
-    | { readonly type: "acknowledge"; readonly worker: WorkerId; readonly cursor: number };
+    | {
+          readonly type: "acknowledge";
+          readonly worker: WorkerId;
+          readonly incarnation: Incarnation | undefined;
+          readonly cursor: number;
+      };
 
 /** A worker's heartbeat. */
 export interface Heartbeat {
@@ -235,6 +246,17 @@
     readonly leavesInMs: number | undefined;
 }
 
+/** A heartbeat without changes since the worker's last full report. */
+export interface KeepAlive {
+    readonly worker: WorkerId;
+    /** Absent in keep-alives that instances of earlier releases forward. */
+    readonly incarnation?: Incarnation | undefined;
+    readonly sequence: number;
+    readonly clockMs: number | undefined;
+    /** The capacity that the worker reported. */
+    readonly capacity: Resources;
+}
+
 /** Facts to replicate, and effects to run after they are committed. */
 export interface DispatchOutput {
     readonly facts: readonly Fact[];
@@ -255,6 +277,8 @@
 export interface DispatchLimits {
     /** How long a worker runs tasks without a lease renewal, in ms. */
     readonly leaseMs: number;
+    /** The longest lease that a worker accepts, in ms. */
+    readonly maxLeaseMs: number;
     /** How long ended jobs are retained, in ms. */
     readonly retentionMs: number;
     /** How long a worker may delay its answer to a poll until a task ends, in ms. */
--- a/dispatch/worker_clock.ts
+++ b/dispatch/worker_clock.ts
@@ -14,6 +14,8 @@
 
 /** Maximum rate by which the worker API allows a worker's clock to run slower than the leader's. */
 const MAX_CLOCK_DRIFT = 0.02;
+/** Scales a duration on the slowest allowed clock of a worker to the leader's clock. */
+export const SLOWEST_CLOCK_FACTOR = 1 / (1 - MAX_CLOCK_DRIFT);
 
 /** The best sample of a worker's clock. */
 export class WorkerClock {
--- a/dispatch/worker_registry.ts
+++ b/dispatch/worker_registry.ts
@@ -5,7 +5,8 @@
  * @example
  * ```ts
  * import { WorkerRegistry } from "./worker_registry.ts";
- * const registry = new WorkerRegistry({ firstFence: 7_000_000, leaseMs: 6_000, maxReportAgeMs: 3_500 });
+ * const leases = { leaseMs: 6_000, maxLeaseMs: 10_000 };
+ * const registry = new WorkerRegistry({ firstFence: 7_000_000, ...leases, maxReportAgeMs: 3_500 });
  * const worker = registry.ensureWorker(record, now);
  * ```
  *
@@ -13,8 +14,8 @@
  */
 
 import type { Resources, TaskName, WorkerId, WorkerRecord } from "../job/mod.ts";
-import type { MemberRun } from "./types.ts";
-import { WorkerClock } from "./worker_clock.ts";
+import type { Heartbeat, MemberRun } from "./types.ts";
+import { SLOWEST_CLOCK_FACTOR, WorkerClock } from "./worker_clock.ts";
 import { WorkerSpeed } from "./worker_speed.ts";
 
 /**
@@ -40,7 +41,16 @@
 /** An empty amount of resources. */
 export const NO_RESOURCES: Resources = { cpu: 0, memoryMb: 0, gpu: 0 };
 
-/** The leader's view of one worker. */
+/** A heartbeat of an incarnation that no answer of the worker has confirmed. */
+export interface PendingHeartbeat {
+    readonly heartbeat: Heartbeat;
+    /** In ms. */
+    readonly arrivedAtMs: number;
+}
+
+/**
+ * The leader's view of one worker. All counts and times are those of the incarnation in its record.
+ */
 export interface WorkerState {
     record: WorkerRecord;
     readonly clock: WorkerClock;
@@ -64,6 +74,13 @@
     lastReport: { readonly arrivedAtMs: number; readonly clockMs: number | undefined };
     /** Larger capacity from the newest heartbeat that the next one has to confirm. */
     unconfirmedCapacity: Resources | undefined;
+    /**
+     * Newest heartbeat of another incarnation. It may be outdated, so the worker gets no new work
+     * until an answer tells which incarnation is running.
+     */
+    pendingHeartbeat: PendingHeartbeat | undefined;
+    /** Whether a call was left unanswered since the worker last answered a poll. */
+    mayHaveRestarted: boolean;
     /** When the worker last answered a poll, in ms. */
     pollAnsweredAtMs: number;
     /** When the worker last got an extra poll, for an overdue or a starting task, in ms. */
@@ -97,6 +114,8 @@
     readonly firstFence: number;
     /** Duration of one lease, in ms. */
     readonly leaseMs: number;
+    /** The longest lease that a worker accepts, in ms. */
+    readonly maxLeaseMs: number;
     /** A worker whose newest heartbeat is older gets no new work, in ms. */
     readonly maxReportAgeMs: number;
 }
@@ -155,7 +174,38 @@
             known.record = record;
             return known;
         }
-        const state: WorkerState = {
+        const state = this.#createState(record, now);
+        this.#workers.set(record.id, state);
+        this.recordCapacityGain(state);
+        return state;
+    }
+
+    /**
+     * Replaces the state of a worker that restarted. Its members stay until an answer tells whether
+     * the new incarnation has executed their orders, and so does the fencing token, which is raised.
+     *
+     * @param previous The state of the previous incarnation.
+     * @param record The record of the new one.
+     * @param now The current monotonic time, in ms.
+     * @returns The new state.
+     */
+    resetWorker(previous: WorkerState, record: WorkerRecord, now: number): WorkerState {
+        const state = this.#createState(record, now);
+        // An order with a lease in the previous clock may have reached the new incarnation.
+        state.inheritedLeaseEndsAtMs = now + this.#options.maxLeaseMs * SLOWEST_CLOCK_FACTOR;
+        state.isSuspect = true;
+        state.pendingHeartbeat = previous.pendingHeartbeat;
+        Object.assign(state.reserved, previous.reserved);
+        previous.members.forEach((member, name) => state.members.set(name, member));
+        this.removeWorker(record.id);
+        this.#workers.set(record.id, state);
+        this.recordCapacityGain(state);
+        this.advanceFence(state);
+        return state;
+    }
+
+    #createState(record: WorkerRecord, now: number): WorkerState {
+        return {
             record,
             clock: new WorkerClock(),
             speed: new WorkerSpeed(),
@@ -170,6 +220,8 @@
             lastContactAtMs: Number.NEGATIVE_INFINITY,
             lastReport: { arrivedAtMs: Number.NEGATIVE_INFINITY, clockMs: undefined },
             unconfirmedCapacity: undefined,
+            pendingHeartbeat: undefined,
+            mayHaveRestarted: false,
             pollAnsweredAtMs: Number.NEGATIVE_INFINITY,
             extraPollAtMs: Number.NEGATIVE_INFINITY,
             isSuspect: false,
@@ -182,9 +234,6 @@
             leavesAtMs: undefined,
             capacityVersion: 0,
         };
-        this.#workers.set(record.id, state);
-        this.recordCapacityGain(state);
-        return state;
     }
 
     /**
@@ -361,18 +410,29 @@
     }
 
     /**
-     * Records that a worker answered.
+     * Records that a worker answered. Its clock is taken from heartbeats and polls only, since
+     * answers to orders do not tell which incarnation sent them.
      *
      * @param worker The worker.
-     * @param clockMs The worker's clock, in ms, if the answer included it.
      * @param now The current monotonic time, in ms.
      */
-    recordAnswer(worker: WorkerState, clockMs: number | undefined, now: number): void {
+    recordAnswer(worker: WorkerState, now: number): void {
         worker.lastContactAtMs = now;
         worker.isSuspect = false;
-        if (clockMs !== undefined) {
-            worker.clock.record(clockMs, now);
-        }
+    }
+
+    /**
+     * Records that a worker's known incarnation answered a poll.
+     *
+     * @param worker The worker.
+     * @param clockMs The worker's clock, in ms.
+     * @param now The current monotonic time, in ms.
+     */
+    recordPollAnswer(worker: WorkerState, clockMs: number, now: number): void {
+        this.recordAnswer(worker, now);
+        worker.clock.record(clockMs, now);
+        worker.pollAnsweredAtMs = now;
+        worker.mayHaveRestarted = false;
     }
 
     /**
@@ -437,13 +497,14 @@
      *
      * @param worker The worker.
      * @param now The current monotonic time, in ms.
-     * @returns False if the worker is draining, suspect, silent or paused, its report is too old,
-     * or its clock is unknown.
+     * @returns False if the worker is draining, suspect, silent or paused, may have restarted, its
+     * report is too old, or its clock is unknown.
      */
     isUsable(worker: WorkerState, now: number): boolean {
         return (
             !worker.record.isDraining &&
             !worker.isSuspect &&
+            worker.pendingHeartbeat === undefined &&
             now >= worker.pausedUntilMs &&
             now - worker.lastContactAtMs < CONTACT_TIMEOUT_MS &&
             this.hasFreshReport(worker, now) &&
--- a/job/state_store.ts
+++ b/job/state_store.ts
@@ -17,6 +17,7 @@
 import { addCrash, type Crash, type CrashedAttempt } from "./crash_history.ts";
 import type { Fact, FactBatch } from "./facts.ts";
 import type {
+    Incarnation,
     Job,
     JobId,
     JobState,
@@ -50,6 +51,9 @@
     (readonly Crash[])?,
 ];
 
+/** A removed worker in a snapshot: its id, or the id and the removed incarnations. */
+type EncodedRemoval = WorkerId | readonly [WorkerId, ...(readonly (Incarnation | null)[])];
+
 interface EncodedState {
     readonly at: number;
     readonly configuration: Configuration | undefined;
@@ -57,7 +61,7 @@
     readonly workers: readonly (WorkerReport & Partial<WorkerRecord>)[];
     readonly reports?: readonly (readonly [WorkerId, number])[];
     readonly lapses?: readonly (readonly [WorkerId, readonly CrashedAttempt[]])[];
-    readonly gone: readonly WorkerId[];
+    readonly gone: readonly EncodedRemoval[];
     readonly jobs: readonly {
         readonly job: Omit<Job, "occurrences">;
         readonly occurrences: readonly (readonly [number, readonly (readonly EncodedUnit[])[]])[];
@@ -69,6 +73,8 @@
  * again. Enough for a day of 1,100 workers that are replaced three times.
  */
 const MAX_REMOVED_WORKERS = 4_096;
+/** Number of removed incarnations to keep for each of them. */
+const MAX_REMOVED_INCARNATIONS = 16;
 
 /** Holds the replicated state and applies facts to it. */
 export class StateStore {
@@ -86,7 +92,8 @@
     readonly lastReportClocksMs = new Map<WorkerId, number>();
     /** Attempts by worker whose lease expired, until it is known whether the worker crashed. */
     readonly attemptsOnExpiredLeases = new Map<WorkerId, readonly CrashedAttempt[]>();
-    readonly #removedWorkers = new Set<WorkerId>();
+    /** The removed incarnations by worker, those removed last at the end. */
+    readonly #removedWorkers = new Map<WorkerId, readonly (Incarnation | undefined)[]>();
 
     /**
      * Applies a batch of facts in order.
@@ -111,12 +118,23 @@
     }
 
     /**
-     * Returns whether a worker was removed; its id is never used again.
+     * Returns whether an incarnation of a worker was removed; it is never used again.
      *
      * @param id The worker's id.
+     * @param incarnation The incarnation; `undefined` if the worker does not report it.
      * @returns True if its removal was applied and is still remembered.
      */
-    isRemovedWorker(id: WorkerId): boolean {
+    isRemovedWorker(id: WorkerId, incarnation: Incarnation | undefined): boolean {
+        return this.#removedWorkers.get(id)?.includes(incarnation) ?? false;
+    }
+
+    /**
+     * Returns whether any incarnation of a worker was removed.
+     *
+     * @param id The worker's id.
+     * @returns True if such a removal was applied and is still remembered.
+     */
+    hasRemovedIncarnation(id: WorkerId): boolean {
         return this.#removedWorkers.has(id);
     }
 
@@ -149,7 +167,7 @@
             workers: [...this.workers.values()],
             reports: [...this.lastReportClocksMs],
             lapses: [...this.attemptsOnExpiredLeases],
-            gone: [...this.#removedWorkers],
+            gone: [...this.#removedWorkers].map(([id, removed]) => encodeRemoval(id, removed)),
             jobs: [...this.jobs.values()].map(({ occurrences, ...job }) => ({
                 job,
                 occurrences: [...occurrences].map(
@@ -174,9 +192,10 @@
         state.queues.forEach((queue) => this.queues.set(queue.name, queue));
         this.workers.clear();
         for (const worker of state.workers) {
-            // Snapshots of earlier releases have no `fullCapacity`.
+            // Snapshots of earlier releases have no `fullCapacity` and no `incarnation`.
             this.workers.set(worker.id, {
                 ...worker,
+                incarnation: worker.incarnation,
                 fullCapacity: worker.fullCapacity ?? worker.capacity,
             });
         }
@@ -185,7 +204,7 @@
         this.attemptsOnExpiredLeases.clear();
         state.lapses?.forEach(([id, attempts]) => this.attemptsOnExpiredLeases.set(id, attempts));
         this.#removedWorkers.clear();
-        state.gone.forEach((id) => this.#removedWorkers.add(id));
+        state.gone.forEach((removal) => this.#removedWorkers.set(...decodeRemoval(removal)));
         this.jobs.clear();
         for (const { job, occurrences } of state.jobs) {
             const decoded = occurrences.map(
@@ -213,7 +232,7 @@
         this.attemptsOnExpiredLeases.forEach((attempts, id) =>
             copy.attemptsOnExpiredLeases.set(id, attempts),
         );
-        this.#removedWorkers.forEach((id) => copy.#removedWorkers.add(id));
+        this.#removedWorkers.forEach((removed, id) => copy.#removedWorkers.set(id, removed));
         this.jobs.forEach((job, id) => copy.jobs.set(id, isImmutable(job) ? job : copyJob(job)));
         return copy;
     }
@@ -357,14 +376,21 @@
     }
 
     #setWorker(report: WorkerReport): void {
-        const { capacity } = report;
-        const previousCapacity = this.workers.get(report.id)?.fullCapacity ?? capacity;
+        const { id, capacity } = report;
+        const known = this.workers.get(id);
+        // Leaders of earlier releases leave the incarnation out.
+        const incarnation = report.incarnation ?? known?.incarnation;
+        const hasRestarted = known?.incarnation !== undefined && known.incarnation !== incarnation;
+        if (hasRestarted) {
+            this.#removeWorker(id);
+        }
+        const previousCapacity = hasRestarted ? capacity : (known?.fullCapacity ?? capacity);
         const fullCapacity = {
             cpu: Math.max(previousCapacity.cpu, capacity.cpu),
             memoryMb: Math.max(previousCapacity.memoryMb, capacity.memoryMb),
             gpu: Math.max(previousCapacity.gpu, capacity.gpu),
         };
-        this.workers.set(report.id, { ...report, fullCapacity });
+        this.workers.set(id, { ...report, incarnation, fullCapacity });
     }
 
     #recordExpiredLease(id: WorkerId, attempts: readonly CrashedAttempt[]): void {
@@ -383,11 +409,14 @@
     }
 
     #removeWorker(id: WorkerId): void {
+        const removed = [...(this.#removedWorkers.get(id) ?? [])];
+        removed.push(this.workers.get(id)?.incarnation);
         this.workers.delete(id);
         this.lastReportClocksMs.delete(id);
         this.attemptsOnExpiredLeases.delete(id);
-        this.#removedWorkers.add(id);
-        for (const oldest of this.#removedWorkers) {
+        this.#removedWorkers.delete(id);
+        this.#removedWorkers.set(id, removed.slice(-MAX_REMOVED_INCARNATIONS));
+        for (const oldest of this.#removedWorkers.keys()) {
             if (this.#removedWorkers.size <= MAX_REMOVED_WORKERS) {
                 break;
             }
@@ -487,6 +516,22 @@
     }));
 }
 
+function encodeRemoval(
+    id: WorkerId,
+    removed: readonly (Incarnation | undefined)[],
+): EncodedRemoval {
+    const isWithoutIncarnation = removed.length === 1 && removed[0] === undefined;
+    return isWithoutIncarnation ? id : [id, ...removed.map((incarnation) => incarnation ?? null)];
+}
+
+function decodeRemoval(removal: EncodedRemoval): [WorkerId, readonly (Incarnation | undefined)[]] {
+    if (typeof removal === "string") {
+        return [removal, [undefined]];
+    }
+    const [id, ...removed] = removal;
+    return [id, removed.map((incarnation) => incarnation ?? undefined)];
+}
+
 function encodeUnit(unit: Unit): EncodedUnit {
     const { attempt, failures, checkpoint, isDone, hasFailedMember, crashes } = unit;
     const members = [...unit.members];
--- a/job/state_store_test.ts
+++ b/job/state_store_test.ts
@@ -3,7 +3,7 @@
 import { addCrash } from "./crash_history.ts";
 import type { Fact } from "./facts.ts";
 import { StateStore } from "./state_store.ts";
-import type { MemberOutcome, JobId, UnitRef, WorkerId } from "./types.ts";
+import type { Incarnation, MemberOutcome, JobId, UnitRef, WorkerId } from "./types.ts";
 
 const JOB = "00000000000000a1" as JobId;
 const UNIT: UnitRef = { job: JOB, occurrence: 0, step: 0, unit: 0 };
@@ -168,7 +168,7 @@
     const copy = store.copy();
     t.is(copy.encode(), store.encode());
     t.is(copy.jobs.get(endedJob), store.jobs.get(endedJob));
-    t.true(copy.isRemovedWorker(WORKER));
+    t.true(copy.isRemovedWorker(WORKER, undefined));
     copy.apply({ at: 3, facts: [buildEnd(1, "failed")] });
     t.is(copy.findUnit(UNIT)?.failures, 1);
     t.is(store.findUnit(UNIT)?.failures, 0);
@@ -208,3 +208,52 @@
     store.apply({ at: 200, facts: [{ type: "jobsForgotten", before: 101 }] });
     t.false(store.jobs.has(JOB));
 });
+
+function buildSeen(incarnation: number | undefined, isDraining = false): Fact {
+    const worker = { incarnation: incarnation as Incarnation | undefined, isDraining };
+    return { type: "workerSeen", worker: buildWorkerReport(worker) };
+}
+
+// Guards against facts of a previous incarnation that a later leader takes for the running one's.
+test("a restart replaces a worker's incarnation and what was recorded of the previous one", (t) => {
+    const store = buildStore();
+    const under = [{ unit: UNIT, attempt: 1, evidence: "early" as const }];
+    store.apply({
+        at: 2,
+        facts: [
+            buildSeen(9, true),
+            buildAttempt(1),
+            { type: "workersHeard", reports: [[WORKER, 500]] },
+            { type: "workerLapsed", worker: WORKER, under },
+            buildSeen(4),
+        ],
+    });
+    const restored = new StateStore();
+    restored.restore(store.encode());
+    for (const state of [store, store.copy(), restored]) {
+        t.is(state.workers.get(WORKER)?.incarnation as number, 4);
+        t.false(state.workers.get(WORKER)?.isDraining);
+        t.false(state.lastReportClocksMs.has(WORKER));
+        t.false(state.attemptsOnExpiredLeases.has(WORKER));
+        t.true(state.isRemovedWorker(WORKER, 9 as Incarnation));
+        t.false(state.isRemovedWorker(WORKER, 4 as Incarnation));
+    }
+    t.is(restored.encode(), store.encode());
+});
+
+// Guards against losing the incarnation to a leader of an earlier release.
+test("a record keeps its incarnation when a report leaves it out, and adopts the first one", (t) => {
+    const store = buildStore();
+    store.apply({
+        at: 2,
+        facts: [buildSeen(undefined, true), buildSeen(9, true), buildSeen(undefined)],
+    });
+    t.is(store.workers.get(WORKER)?.incarnation as number, 9);
+    t.false(store.hasRemovedIncarnation(WORKER));
+    const encoded = JSON.parse(store.encode()) as { gone: unknown[] };
+    const restored = new StateStore();
+    restored.restore(JSON.stringify({ ...encoded, gone: ["w7"] }));
+    t.true(restored.isRemovedWorker("w7" as WorkerId, undefined));
+    t.false(restored.isRemovedWorker("w7" as WorkerId, 1 as Incarnation));
+    t.true(restored.hasRemovedIncarnation("w7" as WorkerId));
+});
--- a/job/types.ts
+++ b/job/types.ts
@@ -16,8 +16,13 @@
 
 /** A job's id, chosen by its caller: 16 hexadecimal digits. */
 export type JobId = Brand<string, "JobId">;
-/** The id of one incarnation of a worker. */
+/** The id of a worker, which may restart under the same id; see {@link Incarnation}. */
 export type WorkerId = Brand<string, "WorkerId">;
+/**
+ * Identifies one incarnation of a worker among all with the same id: the time of its start, in ms
+ * since the Unix epoch. A later incarnation may have a smaller value, since clocks may be set back.
+ */
+export type Incarnation = Brand<number, "Incarnation">;
 /** A task's full name, `JOB.OCCURRENCE.STEP.INDEX`. */
 export type TaskName = Brand<string, "TaskName">;
 
@@ -149,6 +154,8 @@
 /** What a worker reports about itself. */
 export interface WorkerReport {
     readonly id: WorkerId;
+    /** `undefined` if the worker does not report it; such a worker gets a new id when it restarts. */
+    readonly incarnation: Incarnation | undefined;
     readonly address: string;
     readonly pool: PoolName;
     readonly zone: string;
--- a/standin/task_worker.ts
+++ b/standin/task_worker.ts
@@ -22,7 +22,7 @@
     StartOrder,
     StopOrder,
 } from "../dispatch/mod.ts";
-import type { MemberOutcome, Resources, WorkerId } from "../job/mod.ts";
+import type { Incarnation, MemberOutcome, Resources, WorkerId } from "../job/mod.ts";
 
 /** One attempt of a task on a worker; times are those of {@link TaskWorkerOptions.getNow}. */
 export interface TaskRun {
@@ -39,6 +39,8 @@
 /** Options of {@link TaskWorker}. */
 export interface TaskWorkerOptions {
     readonly id: WorkerId;
+    /** Reported with the task lists; none by default. */
+    readonly incarnation?: Incarnation | undefined;
     readonly capacity: Resources;
     /** Returns the current time, in ms. */
     readonly getNow: () => number;
@@ -138,18 +140,18 @@
             return refusal;
         }
         if (order.untilMs <= this.clockMs) {
-            return { type: "refused", reason: "lease_over", clockMs: this.clockMs };
+            return { type: "refused", reason: "lease_over" };
         }
         this.#extendLease(order.untilMs);
         const running = this.#runs.get(order.task);
         if (running?.attempt === order.attempt) {
-            return { type: "accepted", clockMs: this.clockMs };
+            return { type: "accepted" };
         }
         const isSuperseded =
             order.attempt <= (this.#highestEndedAttempt.get(order.task) ?? 0) ||
             order.attempt < (running?.attempt ?? 0);
         if (isSuperseded) {
-            return { type: "refused", reason: "superseded", clockMs: this.clockMs };
+            return { type: "refused", reason: "superseded" };
         }
         const now = this.#options.getNow();
         const run: TaskRun = {
@@ -162,7 +164,7 @@
         };
         this.#runs.set(order.task, run);
         this.#options.onStart?.(run);
-        return { type: "accepted", clockMs: this.clockMs };
+        return { type: "accepted" };
     }
 
     /**
@@ -185,7 +187,7 @@
             const highestEnded = this.#highestEndedAttempt.get(order.task) ?? 0;
             this.#highestEndedAttempt.set(order.task, Math.max(highestEnded, order.attempt));
         }
-        return { type: "accepted", clockMs: this.clockMs };
+        return { type: "accepted" };
     }
 
     /**
@@ -212,6 +214,7 @@
         );
         return {
             type: "state",
+            incarnation: this.#options.incarnation,
             clockMs: this.clockMs,
             running: this.runs.map((run) => ({
                 task: run.task,
@@ -229,7 +232,7 @@
             return { type: "gone" };
         }
         if (fence < this.#highestFence) {
-            return { type: "refused", reason: "fence", clockMs: this.clockMs };
+            return { type: "refused", reason: "fence" };
         }
         this.#highestFence = fence;
         return undefined;
