--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -30,7 +30,15 @@
     type MemberRun,
     type OrderAnswer,
 } from "../dispatch/mod.ts";
-import { isJobId, type StateStore, type Fact, type FactBatch, type JobId } from "../job/mod.ts";
+import {
+    isJobId,
+    type Job,
+    type StateStore,
+    type Fact,
+    type FactBatch,
+    type JobId,
+} from "../job/mod.ts";
+import { MethodError } from "../rpc/mod.ts";
 import type { ControlMetrics } from "../telemetry/control_metrics.ts";
 import { DecisionLog } from "../telemetry/decision_log.ts";
 import type {
@@ -97,6 +105,14 @@
 /** The `retryAfterMs` for a job that exceeds the capacity of every registered worker, in ms. */
 const INFEASIBLE_RETRY_AFTER_MS = 60_000;
 
+/** A report that was not recorded, so that its sender has to repeat it. */
+export class NotRecordedError extends MethodError {
+    constructor() {
+        super("not recorded; send it again");
+        this.name = "NotRecordedError";
+    }
+}
+
 /** The leadership of one term. */
 export class Leadership {
     readonly #options: LeadershipOptions;
@@ -215,6 +231,8 @@
      *
      * @param call The heartbeat.
      * @returns Resolves after its changes are committed.
+     * @throws {NotRecordedError} If the heartbeat was dropped and says more than the record, or is
+     * that of an incarnation which the worker has not confirmed yet.
      * @throws {Error} If leadership ends before the change is committed.
      */
     async handleHeartbeat(call: HeartbeatCall): Promise<void> {
@@ -246,12 +264,18 @@
      *
      * @param call The worker and its incarnation.
      * @returns Resolves after the departure is committed.
+     * @throws {NotRecordedError} If the notice does not fit the worker's record.
      * @throws {Error} If leadership ends before the change is committed.
      */
     async handleLeave({ worker, incarnation }: LeaveCall): Promise<void> {
-        this.#dispatcher.handleLeave(worker, incarnation);
+        const isRemoved = this.#dispatcher.handleLeave(worker, incarnation);
         await this.#flush();
         this.#schedulePlacement();
+        if (!isRemoved) {
+            throw new NotRecordedError();
+        }
+        // An earlier call may have proposed the removal; an empty batch completes after it.
+        await this.#propose([]);
     }
 
     /**
@@ -292,15 +316,15 @@
         if (!this.#dispatcher.cancel(job)) {
             return { type: "unknownJob" };
         }
-        await this.#ensureCommitted(
-            () => this.#options.committedState.jobs.get(job)?.endedAt !== undefined,
-        );
+        await this.#ensureCommitted(() => hasEnded(this.#options.committedState.jobs.get(job)));
         return { type: "cancelled" };
     }
 
     /**
      * Commits pending decisions. If an earlier call has already proposed the decision, commits an
      * empty batch, which completes only after that call's batch.
+     *
+     * @throws {NotRecordedError} If the decision was not made, so that it must not be acknowledged.
      */
     async #ensureCommitted(isCommitted: () => boolean): Promise<void> {
         await this.#flush();
@@ -308,6 +332,9 @@
         if (!isCommitted()) {
             await this.#propose([]);
         }
+        if (!isCommitted()) {
+            throw new NotRecordedError();
+        }
     }
 
     #schedulePlacement(): void {
@@ -479,6 +506,11 @@
     }
 }
 
+/** Returns whether a job has ended; one that is no longer kept ended long ago. */
+function hasEnded(job: Job | undefined): boolean {
+    return job === undefined || job.endedAt !== undefined;
+}
+
 /**
  * The maximum age that is deducted from the validity of advice, in ms. It covers the return path
  * through the front, but no time in queues.
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -327,21 +327,23 @@
      *
      * @param id The worker.
      * @param incarnation The incarnation that left, if the notice names it.
+     * @returns Whether that incarnation is removed.
      */
-    handleLeave(id: WorkerId, incarnation: Incarnation | undefined): void {
+    handleLeave(id: WorkerId, incarnation: Incarnation | undefined): boolean {
         const worker = this.#context.registry.findWorker(id);
-        if (worker === undefined) {
-            return;
+        if (worker === undefined || this.#context.stateStore.isRemovedWorker(id, incarnation)) {
+            return true;
         }
         if (isOwnDeparture(worker.record, incarnation)) {
             this.#failures.removeWorker(id, "left");
-            return;
+            return true;
         }
         this.#context.recordDecision("failure", "departure unconfirmed", {
             worker: id,
             incarnation,
         });
         this.#context.emit({ type: "look", worker: id });
+        return false;
     }
 
     /**
