--- a/dispatch/_workload_simulation.ts
+++ b/dispatch/_workload_simulation.ts
@@ -144,6 +144,8 @@
     readonly workers: number;
     readonly seed: number;
     readonly faultRates?: Partial<FaultRates>;
+    /** Whether crashed workers restart under the same id (default). */
+    readonly isIdKept?: boolean;
 }
 
 /** Effects of the injected faults. */
@@ -203,6 +205,7 @@
             fronts: Math.max(3, Math.round((BASELINE_FRONTS * workers) / BASELINE_WORKERS)),
             queues: WORKLOADS.map(({ queue }) => queue),
             capacity: WORKER_CAPACITY,
+            isIdKept: options.isIdKept ?? true,
             getCrashAfterMs: (task) => (this.#isCrashingTask(task) ? CRASH_DELAY_MS : undefined),
             getWorkerOverrides: (number) => ({ zone: `zone-${number % 5}` }),
             computeTaskMs: (task, worker) => this.#computeTaskMs(task, worker),
