dispatch: the first report of a restarted worker replaces its record

Where a poll told of the restart before its first heartbeat did, the record still named the pool of the process before, and the heartbeat was dropped as another writer's from then on, a shutdown notice included; the worker was never used again.

The record of a restarted worker is provisional until it reports. Test in dispatch/worker_restart_test: failed before, passes; another for keep-alives that an earlier release forwards without an incarnation. dispatch, control, job, codec: 193 passed.

--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -283,6 +283,7 @@
             worker.isSuspect = true;
             this.#context.registry.advanceFence(worker);
         }
+        worker.isReportMissing = false;
         worker.lastSequence = sequence;
         worker.lastContactAtMs = now;
         worker.lastReport = { arrivedAtMs: now, clockMs };
@@ -437,6 +438,9 @@
     }
 
     #isConflicting(state: WorkerState, report: WorkerReport, sequence: number): boolean {
+        if (state.isReportMissing) {
+            return false;
+        }
         const pools = this.#context.stateStore.configuration?.pools ?? [];
         return isConflictingHeartbeat(state, report, {
             sequence,
--- a/dispatch/worker_registry.ts
+++ b/dispatch/worker_registry.ts
@@ -79,6 +79,11 @@
      * until an answer tells which incarnation is running.
      */
     pendingHeartbeat: PendingHeartbeat | undefined;
+    /**
+     * Whether the incarnation has not reported yet, so that the record, but for the incarnation,
+     * still describes the previous one.
+     */
+    isReportMissing: boolean;
     /** Whether a call was left unanswered since the worker last answered a poll. */
     mayHaveRestarted: boolean;
     /** When the worker last answered a poll, in ms. */
@@ -194,6 +199,7 @@
         // An order with a lease in the previous clock may have reached the new incarnation.
         state.inheritedLeaseEndsAtMs = now + this.#options.maxLeaseMs * SLOWEST_CLOCK_FACTOR;
         state.isSuspect = true;
+        state.isReportMissing = true;
         state.pendingHeartbeat = previous.pendingHeartbeat;
         Object.assign(state.reserved, previous.reserved);
         previous.members.forEach((member, name) => state.members.set(name, member));
@@ -221,6 +227,7 @@
             lastReport: { arrivedAtMs: Number.NEGATIVE_INFINITY, clockMs: undefined },
             unconfirmedCapacity: undefined,
             pendingHeartbeat: undefined,
+            isReportMissing: false,
             mayHaveRestarted: false,
             pollAnsweredAtMs: Number.NEGATIVE_INFINITY,
             extraPollAtMs: Number.NEGATIVE_INFINITY,
--- a/dispatch/worker_restart_test.ts
+++ b/dispatch/worker_restart_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import fc from "fast-check";
+import type { PoolName } from "../configuration/mod.ts";
 import type { Incarnation, WorkerId } from "../job/mod.ts";
 import { createRandom } from "../tools/seeded_random.ts";
 import {
@@ -176,6 +177,42 @@
     t.is(cluster.getJobState(id), "complete");
 });
 
+// Guards against a restarted worker whose reports contradict what its previous process reported.
+test("a worker that restarted in another pool is used for that pool only", (t) => {
+    const cluster = buildRestartingCluster({ workers: 1 });
+    const [first = "", second = ""] = buildJobIds(2);
+    cluster.runFor(3_000);
+    cluster.dropHeartbeats(W1);
+    cluster.crashWorker(W1);
+    cluster.runFor(RESTART_DELAY_MS);
+    cluster.submit(first, buildSpec({}));
+    cluster.runFor(2_000);
+    const heartbeat = getHeartbeat(cluster);
+    const pool = "archive" as PoolName;
+    sendHeartbeat(cluster, { ...heartbeat, sequence: 1 }, { pool });
+    cluster.runFor(300);
+    t.is(cluster.committedState.workers.get(W1)?.pool, pool);
+    cluster.submit(second, buildSpec({}));
+    cluster.runFor(2_000);
+    t.is(cluster.getJobState(second), "queued");
+});
+
+// Guards against a rolling upgrade in which no report names the incarnation for a while.
+test("a keep-alive that an earlier release forwards counts for the known incarnation", (t) => {
+    const cluster = buildRestartingCluster({ workers: 1 });
+    cluster.runFor(1_600);
+    cluster.dropHeartbeats(W1);
+    const { capacity } = getHeartbeat(cluster).record;
+    for (let sequence = 10; sequence < 16; sequence++) {
+        const clockMs = cluster.workers.get(W1)?.clockMs;
+        cluster.dispatcher.handleKeepAlive({ worker: W1, sequence, clockMs, capacity });
+        cluster.runFor(1_000);
+    }
+    submitJobs(cluster, buildJobIds(1));
+    cluster.runFor(1_000);
+    t.is(cluster.getJobState(buildJobIds(1)[0] ?? ""), "complete");
+});
+
 // Guards against reports that another writer sends, or an instance of an earlier release forwards.
 test("a heartbeat without an incarnation changes nothing once the worker reports one", (t) => {
     const cluster = buildRestartingCluster({ workers: 1 });
