Status lines of control instances, outcomes of calls by kind: sight for the leader that is behind

The lines of a leader could not tell a quorum that is missing, leads that change and a leader that is behind apart: nothing said who answers the leader, which calls wait in front of it, and for how long. Now each control instance logs its status each half second at notice, which a busy leader doesn't give up, and each front the outcomes of its calls each second. poplarhead logs calls tabulates these, cancels and configurations included. lead gained says how long taking over took. No decision reads any of it.

--- a/cli/operator_commands.ts
+++ b/cli/operator_commands.ts
@@ -18,9 +18,11 @@
 import { FindingsError, formatFindings } from "../settings/findings.ts";
 import {
     explainRequest,
+    formatCallRows,
     formatCauses,
     formatEvent,
     formatStages,
+    listCallRows,
     listCauseRows,
     listStageRows,
     mergeTimeline,
@@ -261,6 +263,26 @@
     }
 }
 
+/** `poplarhead logs calls`: tabulates the outcomes of calls by kind. */
+export class LogsCallsCommand extends Command {
+    static override paths = [["logs", "calls"]];
+    static override usage = Command.Usage({
+        description:
+            "Tabulate how many calls of each kind were answered, late, refused or failed per time span.",
+    });
+    span = Option.String("--span", "1", { description: "length of a time span in seconds" });
+    files = Option.Rest({ required: 1 });
+
+    /** @returns The exit code. */
+    async execute(): Promise<number> {
+        const spanMs = parseSpanMs(this.span);
+        const texts = this.files.map((file) => readFileSync(file, "utf8"));
+        const rows = listCallRows(mergeTimeline(texts), { spanMs });
+        this.context.stdout.write(`${formatCallRows(rows)}\n`);
+        return 0;
+    }
+}
+
 /** `poplarhead logs stages`: tabulates the waiting time of jobs per stage. */
 export class LogsStagesCommand extends Command {
     static override paths = [["logs", "stages"]];
--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -39,6 +39,7 @@
     type GroupLayout,
 } from "../membership/mod.ts";
 import {
+    CallTracker,
     MethodError,
     parseAddress,
     RpcClientPool,
@@ -66,6 +67,7 @@
 import { InstanceRegistry } from "./instance_registry.ts";
 import { KeepAliveBatcher } from "./keep_alive_batcher.ts";
 import { StateReader } from "./state_reader.ts";
+import { StatusReporter, type GroupStatus } from "./status_reporter.ts";
 import { selectFailoverTimeoutMs, selectTimings } from "./timings.ts";
 import { VoterPlanner } from "./voter_planner.ts";
 
@@ -91,6 +93,8 @@
     readonly restoreWorkspaces?: (configuration: Configuration) => Configuration;
     readonly limits?: Partial<DispatchLimits>;
     readonly batchesPerSnapshot?: number;
+    /** Takes the longest delay of the event loop since the last call, in ms. */
+    readonly takeLongestDelayMs?: () => number;
     readonly metrics?: ControlMetrics;
     readonly log: Logger;
 }
@@ -143,6 +147,8 @@
     });
     readonly #instances = new InstanceRegistry();
     readonly #voterPlanner: VoterPlanner;
+    readonly #callTracker = new CallTracker();
+    readonly #statusReporter: StatusReporter;
     #member: GroupMember<FactBatch, void> | undefined;
     #leadership: Leadership | undefined;
     #server: RpcServer | undefined;
@@ -174,6 +180,12 @@
             targetSize: 2 * options.toleratedFailures + 1,
             listSeeds: options.listSeeds,
         });
+        this.#statusReporter = new StatusReporter({
+            tracker: this.#callTracker,
+            describeGroup: () => this.#describeGroup(),
+            takeLongestDelayMs: options.takeLongestDelayMs,
+            log: options.log,
+        });
         this.#clockJumpDetector = new ClockJumpDetector(() =>
             this.#member?.replica.invalidateLease(),
         );
@@ -202,6 +214,7 @@
         this.#server = await startRpcServer({
             host,
             port,
+            tracker: this.#callTracker,
             methods: {
                 "peer.group": (params) => this.#handlePeerMessage(params as PeerEnvelope),
                 "peer.subscribe": (params) =>
@@ -244,9 +257,11 @@
                 this.#options.batchesPerSnapshot ?? DEFAULT_BATCHES_PER_SNAPSHOT,
             onLeadershipGained: () => this.#startLeading(),
             onLeadershipLost: (cause) => this.#stopLeading(cause),
+            onPersisted: (durationMs) => this.#statusReporter.recordPersisted(durationMs),
             log: this.#options.log,
         });
         this.#member.start();
+        this.#statusReporter.start();
         this.#ensurePrivateDataDir();
         this.#helloSubscription = interval(HELLO_INTERVAL_MS).subscribe(
             () => void this.#sendHello(),
@@ -267,6 +282,7 @@
     /** Transfers leadership and stops. */
     async stop(): Promise<void> {
         this.#helloSubscription?.unsubscribe();
+        this.#statusReporter.stop();
         await this.#member?.stop();
         this.#stopLeading("stopped");
         this.#network.close();
@@ -489,18 +505,29 @@
         return (await this.#member?.receive(from, to, message)) ?? null;
     }
 
+    #describeGroup(): GroupStatus | undefined {
+        const replica = this.#member?.replica;
+        return (
+            replica && {
+                role: replica.role,
+                term: replica.term,
+                leader: this.#member?.leader,
+                voters: replica.voters.length,
+                activeVoters: replica.countActiveVoters(),
+                jobs: this.#committedState.jobs.size,
+                appliedIndex: replica.appliedIndex,
+            }
+        );
+    }
+
     #startLeading(): void {
         const replica = this.#member?.replica;
         if (replica === undefined) {
             return;
         }
+        const startedAtMs = performance.now();
         this.#clock.start(this.#committedState.lastBatchAtMs);
         this.#voterPlanner.startLeading(performance.now());
-        this.#options.log.notice("lead gained", {
-            term: replica.term,
-            voters: replica.voters.length,
-            jobs: this.#committedState.jobs.size,
-        });
         this.#leadership = new Leadership({
             committedState: this.#committedState,
             stateReader: this.#stateReader,
@@ -521,6 +548,12 @@
         this.#options.metrics?.leading.set(1);
         this.#leadership.start();
         this.#updateFronts();
+        this.#options.log.notice("lead gained", {
+            term: replica.term,
+            voters: replica.voters.length,
+            jobs: this.#committedState.jobs.size,
+            tookMs: Math.round(performance.now() - startedAtMs),
+        });
     }
 
     #stopLeading(cause: ResignCause | "stopped"): void {
--- a/control/mod.ts
+++ b/control/mod.ts
@@ -14,4 +14,5 @@
 export * from "./daemon.ts";
 export * from "./leadership.ts";
 export * from "./state_reader.ts";
+export * from "./status_reporter.ts";
 export * from "./worker_poller.ts";
--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -47,6 +47,7 @@
     startRpcServer,
     type RpcServer,
 } from "../rpc/mod.ts";
+import { CallSummaryLog } from "./call_summary_log.ts";
 import { LEADER_TIMEOUT_MS, LeaderReachability } from "./leader_reachability.ts";
 
 /** Options of {@link FrontDaemon}. */
@@ -123,6 +124,7 @@
     readonly #router: LeaderRouter;
     #server: RpcServer | undefined;
     readonly #reachability: LeaderReachability;
+    readonly #callSummaryLog: CallSummaryLog;
     readonly #peerClients = new RpcClientPool({ timeoutMs: PEER_PROBE_TIMEOUT_MS });
     #helloTimer: Subscription | undefined;
     #reachabilityTimer: Subscription | undefined;
@@ -141,6 +143,7 @@
      */
     constructor(options: FrontDaemonOptions) {
         this.#options = options;
+        this.#callSummaryLog = new CallSummaryLog(options.log);
         this.#router = new LeaderRouter({
             listSeeds: options.listSeeds,
             inactivityTimeoutMs: selectFailoverTimeoutMs(options.toleratedFailures ?? 1),
@@ -194,6 +197,7 @@
         this.#reachabilityTimer = interval(REACHABILITY_CHECK_INTERVAL_MS).subscribe(
             () => void this.#updateReachability(),
         );
+        this.#callSummaryLog.start();
         void this.#sendHello();
     }
 
@@ -206,6 +210,7 @@
     async stop(): Promise<void> {
         this.#helloTimer?.unsubscribe();
         this.#reachabilityTimer?.unsubscribe();
+        this.#callSummaryLog.stop();
         await this.#server?.close();
     }
 
@@ -223,9 +228,11 @@
             ? budgetMs
             : Math.min(budgetMs, QUEUE_QUERY_TIMEOUT_MS);
         const outcome = await this.#forwardCall(call, effectiveBudgetMs);
+        const durationMs = performance.now() - startedAtMs;
+        this.#callSummaryLog.recordOutcome(call.type, outcome.type, durationMs);
         this.#options.metrics?.callSeconds.observe(
             { call: call.type, outcome: outcome.type },
-            (performance.now() - startedAtMs) / 1_000,
+            durationMs / 1_000,
         );
         return outcome;
     }
--- a/log/consensus.ts
+++ b/log/consensus.ts
@@ -205,6 +205,23 @@
         return this.#voters;
     }
 
+    /**
+     * Counts the voters, including this member, that acknowledged a message of this leader within
+     * an election timeout.
+     *
+     * @param now The time in ms.
+     * @returns The count; 0 if this member is not the leader.
+     */
+    countActiveVoters(now: number): number {
+        if (this.#role !== "leader") {
+            return 0;
+        }
+        return this.#voters.filter((voter) => {
+            const ackedSentAtMs = this.#followers.find(voter)?.ackedSentAtMs ?? -Infinity;
+            return voter === this.#self || now - ackedSentAtMs <= this.#timings.electionMs;
+        }).length;
+    }
+
     /** The last index of the log. */
     get lastIndex(): number {
         return this.#log.lastIndex;
--- a/log/replica.ts
+++ b/log/replica.ts
@@ -251,6 +251,11 @@
         return this.#consensus.campaign;
     }
 
+    /** See {@link Consensus.countActiveVoters}. */
+    countActiveVoters(): number {
+        return this.#consensus.countActiveVoters(this.#getNow());
+    }
+
     /** The last applied index. */
     get appliedIndex(): number {
         return this.#appliedIndex;
--- a/rpc/http_rpc.ts
+++ b/rpc/http_rpc.ts
@@ -27,6 +27,7 @@
     createJSONRPCErrorResponse,
     type JSONRPCRequest,
 } from "json-rpc-2.0";
+import type { CallTracker } from "./call_tracker.ts";
 
 /** Handles one JSON-RPC method: takes the params and returns the result or a promise of it. */
 export type RpcMethod = (params: unknown) => unknown;
@@ -48,6 +49,8 @@
     readonly routes?: Readonly<Record<string, RouteHandler>>;
     /** The largest accepted request body, in bytes (default 64 MiB: a snapshot is one message). */
     readonly maxBodyBytes?: number;
+    /** Tracks the calls that are being handled. */
+    readonly tracker?: CallTracker;
 }
 
 /** How often a closing server closes connections that have become idle, in ms. */
@@ -116,7 +119,11 @@
 export async function startRpcServer(options: RpcServerOptions): Promise<RpcServer> {
     const rpc = new JSONRPCServer({ errorListener: () => {} });
     for (const [name, method] of Object.entries(options.methods)) {
-        rpc.addMethod(name, (params: unknown) => method(params));
+        rpc.addMethod(name, (params: unknown) =>
+            options.tracker === undefined
+                ? method(params)
+                : options.tracker.run(name, () => method(params)),
+        );
     }
     rpc.applyMiddleware(async (next, request, serverParams) => {
         try {
--- a/rpc/mod.ts
+++ b/rpc/mod.ts
@@ -11,4 +11,5 @@
 
 export * from "./http_rpc.ts";
 export * from "./client_pool.ts";
+export * from "./call_tracker.ts";
 export * from "./timeout.ts";
--- a/telemetry/event_loop_monitor.ts
+++ b/telemetry/event_loop_monitor.ts
@@ -32,6 +32,7 @@
     readonly #getNow: () => number;
     #dueAtMs = 0;
     #timer: NodeJS.Timeout | undefined;
+    #longestDelayMs = 0;
 
     /**
      * @param options The callback and the clock.
@@ -53,11 +54,23 @@
         clearInterval(this.#timer);
     }
 
+    /**
+     * Takes the longest delay of the event loop since the last call, including one in progress.
+     *
+     * @returns The delay, in ms.
+     */
+    takeLongestDelayMs(): number {
+        const delayMs = Math.max(this.#longestDelayMs, this.#getNow() - this.#dueAtMs, 0);
+        this.#longestDelayMs = 0;
+        return delayMs;
+    }
+
     /** Reports the event loop as blocked if the timer fired too late. */
     checkDelay(): void {
         const nowMs = this.#getNow();
         const blockedMs = nowMs - this.#dueAtMs;
         this.#dueAtMs = nowMs + PROBE_INTERVAL_MS;
+        this.#longestDelayMs = Math.max(this.#longestDelayMs, blockedMs);
         if (blockedMs >= MIN_BLOCKED_MS) {
             this.#options.onBlocked(blockedMs);
         }
--- a/telemetry/mod.ts
+++ b/telemetry/mod.ts
@@ -18,6 +18,7 @@
 export * from "./event_loop_monitor.ts";
 export * from "./log_sink.ts";
 export * from "./causes.ts";
+export * from "./call_rows.ts";
 export * from "./explain.ts";
 export * from "./decision_log.ts";
 export * from "./request_sampler.ts";
