rpc: a call that times out closes idle connections only to a server that has not answered for a second

Callers saw: after a loss of all power on a large fleet, calls fail or are late for 5 to 17 s although a leader is there half a second after the machines. Cause: each timeout of a call closed all idle connections to its server, as they might be half-open. A leader that is late by more than the shortest timeout (0.2 s) thus lost the connections of every front, had to accept one for each further call, fell behind by that, and connections that were not accepted within 0.3 s were given up and tried again: a metastable overload. A server that answered some call within the last second is known to be there, and its connections are known to work. The same rule holds for connections to workers, which shared the function.

--- a/rpc/http_rpc.ts
+++ b/rpc/http_rpc.ts
@@ -28,6 +28,7 @@
     type JSONRPCRequest,
 } from "json-rpc-2.0";
 import type { CallTracker } from "./call_tracker.ts";
+import { IdleConnections } from "./idle_connections.ts";
 
 /** Handles one JSON-RPC method: takes the params and returns the result or a promise of it. */
 export type RpcMethod = (params: unknown) => unknown;
@@ -241,6 +242,7 @@
 /** Margin of the client library's timeout over the socket's timeout, in ms. */
 const CALL_TIMEOUT_SLACK_MS = 50;
 const sharedAgent = new Agent({ keepAlive: true, maxSockets: 64 });
+const idleConnections = new IdleConnections(sharedAgent);
 
 /**
  * Creates a client of the server at `address`. All clients share one keep-alive agent.
@@ -273,6 +275,7 @@
                     },
                     (res) => {
                         hasResponse = true;
+                        idleConnections.recordResponse(host, port);
                         const chunks: Buffer[] = [];
                         res.on("data", (c: Buffer) => chunks.push(c));
                         res.on("end", () => {
@@ -296,7 +299,7 @@
                     );
                     error.isUndelivered = req.socket?.connecting ?? true;
                     req.destroy(error);
-                    closeIdleSockets(sharedAgent, host, port);
+                    idleConnections.handleTimeout(host, port);
                 };
                 // Runs after the event loop has read the data that arrived by then; see
                 // `startTimeout`.
@@ -355,19 +358,6 @@
     return converted;
 }
 
-/**
- * Closes an agent's idle connections to one server. After a timeout, the other connections may be
- * half-open too, and calls that reuse them would also time out.
- *
- * @param agent The HTTP agent.
- * @param host The host of the server.
- * @param port The port of the server.
- */
-export function closeIdleSockets(agent: Agent, host: string, port: number): void {
-    const idle = agent.freeSockets[agent.getName({ host, port })] ?? [];
-    [...idle].forEach((socket) => socket.destroy());
-}
-
 /**
  * Checks whether a server accepts a new TCP connection. A network partition makes the check fail;
  * a busy server does not.
--- a/rpc/mod.ts
+++ b/rpc/mod.ts
@@ -12,4 +12,5 @@
 export * from "./http_rpc.ts";
 export * from "./client_pool.ts";
 export * from "./call_tracker.ts";
+export * from "./idle_connections.ts";
 export * from "./timeout.ts";
