membership: a call to a leader that others hear is not sent again

Callers saw: submissions and reads fail with their outcome open for seconds after a loss of all power, though the leader answers others. Cause: a process that got no response from the leader for an election timeout and 0.1 s gave up all its calls, searched, and sent them again, while the leader still had the first ones in front of it. No answer was taken for no leader, and what was late was done twice or more. Change: before that time is over, two other members are asked which leader they hear, and when. What they heard counts like a response. If they hear it no more, the timeout ends as before, so a failover isn't noticed later; members of earlier releases don't know the method and are no evidence. The limit of a call is looked at again while it waits, so that a front that finds a relay doesn't wait on. The test failed before (100 calls of 20 ms each, at once: some fail within 5 s; now each is carried out once). Its follower tells which leader it hears, which it had no way to do before; nothing else in it changed.

--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -30,8 +30,10 @@
     type ResignCause,
 } from "../log/mod.ts";
 import {
+    LEADER_STATUS_METHOD,
     LeaderRouter,
     loadIncarnation,
+    type LeaderStatus,
     NOT_LEADER_CODE,
     OUTCOME_UNKNOWN_CODE,
     parseEntryId,
@@ -217,6 +219,7 @@
             tracker: this.#callTracker,
             methods: {
                 "peer.group": (params) => this.#handlePeerMessage(params as PeerEnvelope),
+                [LEADER_STATUS_METHOD]: () => this.#getLeaderStatus(),
                 "peer.subscribe": (params) =>
                     this.#member?.addLearner((params as { member: MemberId }).member) ?? {},
                 [METHODS.callers]: async (params) =>
@@ -481,6 +484,15 @@
         });
     }
 
+    #getLeaderStatus(): LeaderStatus {
+        const leader = this.#member?.leader;
+        if (leader === this.#self) {
+            return { leader, heardMsAgo: 0 };
+        }
+        const sinceMessageMs = this.#member?.sinceLeaderMessageMs ?? Number.POSITIVE_INFINITY;
+        return { leader, heardMsAgo: Number.isFinite(sinceMessageMs) ? sinceMessageMs : undefined };
+    }
+
     /** Waits for the leader lease if it has expired, and counts the calls that have to wait. */
     async #waitForLease(): Promise<boolean> {
         if (this.isServing || this.#leadership === undefined) {
--- a/group/group_member.ts
+++ b/group/group_member.ts
@@ -138,6 +138,11 @@
         return this.#freshness.computeStalenessMs(this.#replica.appliedIndex, performance.now());
     }
 
+    /** Time since the leader's last message, in ms; infinite if there was none. */
+    get sinceLeaderMessageMs(): number {
+        return performance.now() - this.#freshness.lastMessageAtMs;
+    }
+
     /** Entry instance of the leader, if this replica knows it. */
     get leader(): EntryId | undefined {
         const { leader } = this.#replica;
--- a/membership/busy_leader_test.ts
+++ b/membership/busy_leader_test.ts
@@ -1,6 +1,6 @@
 import test, { type ExecutionContext } from "ava";
 import { MethodError, startRpcServer } from "../rpc/mod.ts";
-import { LeaderRouter, NOT_LEADER_CODE } from "./leader_router.ts";
+import { LEADER_STATUS_METHOD, LeaderRouter, NOT_LEADER_CODE } from "./leader_router.ts";
 
 const INACTIVITY_TIMEOUT_MS = 300;
 const SERVICE_MS = 20;
@@ -38,6 +38,7 @@
     });
     const followerServer = await startRpcServer({
         methods: {
+            [LEADER_STATUS_METHOD]: () => ({ leader: leaderServer.address, heardMsAgo: 10 }),
             x: () => {
                 throw new MethodError("no", NOT_LEADER_CODE, { leader: leaderServer.address });
             },
@@ -69,3 +70,22 @@
     const repeated = [...leader.executions.values()].filter((count) => count > 1).length;
     t.is(repeated, 0);
 });
+
+test.serial("a leader that no member hears is given up after the timeout", async (t) => {
+    // Guards against calls that wait for a leader that is gone because a member remembers it.
+    const silentServer = await startRpcServer({ methods: { x: () => new Promise(() => {}) } });
+    const nextServer = await startRpcServer({
+        methods: {
+            [LEADER_STATUS_METHOD]: () => ({ leader: silentServer.address, heardMsAgo: 2_000 }),
+            x: () => "next",
+        },
+    });
+    t.teardown(() => Promise.all([silentServer.close(), nextServer.close()]));
+    const router = new LeaderRouter({
+        listSeeds: () => [silentServer.address, nextServer.address],
+        inactivityTimeoutMs: INACTIVITY_TIMEOUT_MS,
+    });
+    const startedAtMs = performance.now();
+    t.is(await router.call("x", {}, CALL_BUDGET_MS), "next");
+    t.true(performance.now() - startedAtMs < 3 * INACTIVITY_TIMEOUT_MS);
+});
--- a/membership/leader_router.ts
+++ b/membership/leader_router.ts
@@ -26,6 +26,17 @@
     readonly leader: string | undefined;
 }
 
+/** JSON-RPC method by which a member tells which leader it hears. */
+export const LEADER_STATUS_METHOD = "group.leaderStatus";
+
+/** Which leader a member hears. */
+export interface LeaderStatus {
+    /** Address of the leader, if known. */
+    readonly leader?: string | undefined;
+    /** Time since the member last received a message from it, in ms; absent if it never did. */
+    readonly heardMsAgo?: number | undefined;
+}
+
 /** Thrown when no leader responds before the deadline. */
 export class NoLeaderError extends Error {
     /** Whether a leader may have executed the call although its response was lost. */
@@ -45,7 +56,10 @@
 export interface LeaderRouterOptions {
     /** Returns the configured seed addresses; some may be stale or unreachable. */
     readonly listSeeds: () => readonly string[];
-    /** Time without any response after which calls to an instance fail, in ms. */
+    /**
+     * Time after which calls to an instance fail, in ms, if neither this process got a response
+     * from it nor another member has heard it as the leader.
+     */
     readonly inactivityTimeoutMs?: number;
     /** Returns the time of a monotonic clock, in ms. */
     readonly getNow?: () => number;
@@ -67,6 +81,8 @@
 const DEFAULT_INACTIVITY_TIMEOUT_MS = 350;
 /** Interval at which a pending call checks its instance for inactivity, in ms. */
 const INACTIVITY_CHECK_INTERVAL_MS = 50;
+/** Number of members that are asked about a silent instance; one of them may be down. */
+const WITNESSES = 2;
 /**
  * Interval between attempts while no leader is known, in ms; a tenth of an election. It is shared
  * by all pending calls: hundreds of calls that retried on their own would send thousands of
@@ -80,11 +96,17 @@
     readonly #clientPool: RpcClientPool;
     readonly #getNow: () => number;
     readonly #inactivityTimeoutMs: number;
-    /** Time of the last response of each instance, errors included. */
-    readonly #lastResponseAtMs = new Map<string, number>();
+    /**
+     * Time of the last sign of life of each instance: a response to this process, errors included,
+     * or a message to another member.
+     */
+    readonly #lastActivityAtMs = new Map<string, number>();
+    /** Silent instances that other members are being asked about. */
+    readonly #checkedTargets = new Set<string>();
     #knownMembers: readonly string[] = [];
     #leader: string | undefined;
     #nextMemberIndex = 0;
+    #nextWitnessIndex = 0;
     #nextSearchAtMs = Number.NEGATIVE_INFINITY;
     readonly #waiters = new Set<() => void>();
 
@@ -167,8 +189,14 @@
             }
             try {
                 // The attempt may use the longer limit, which applies as soon as it is delivered.
-                const remainingMs = startedAtMs + computeDeliveredMs() - this.#getNow();
-                const answer = await this.#callInstance<T>(target, method, params, remainingMs);
+                const computeRemainingMs = (): number =>
+                    startedAtMs + computeDeliveredMs() - this.#getNow();
+                const answer = await this.#callInstance<T>(
+                    target,
+                    method,
+                    params,
+                    computeRemainingMs,
+                );
                 this.#setLeader(target);
                 if (!mayHaveExecuted || isConclusive(answer)) {
                     return answer;
@@ -182,28 +210,31 @@
     }
 
     /**
-     * Calls an instance, and fails early if the instance responds to no call for the inactivity
-     * timeout. A slow instance that responds to other calls is not retried, to avoid overload.
+     * Calls an instance, and fails early if nobody hears the instance for the inactivity timeout, or
+     * once the limit has shrunk below the elapsed time. A call to a slow leader is not sent again:
+     * that would add to its load.
      */
     async #callInstance<T>(
         target: string,
         method: string,
         params: object,
-        timeoutMs: number,
+        computeRemainingMs: () => number,
     ): Promise<T> {
         const startedAtMs = this.#getNow();
-        const call = this.#clientPool
-            .getClient(target)
-            .call<T>(method, params, Math.max(1, Math.ceil(timeoutMs)));
+        const timeoutMs = Math.max(1, Math.ceil(computeRemainingMs()));
+        const call = this.#clientPool.getClient(target).call<T>(method, params, timeoutMs);
         let timer: NodeJS.Timeout | undefined;
         const inactivity = new Promise<never>((_resolve, reject) => {
             const checkInactivity = (): void => {
                 const lastActivityAtMs = Math.max(
                     startedAtMs,
-                    this.#lastResponseAtMs.get(target) ?? 0,
+                    this.#lastActivityAtMs.get(target) ?? 0,
                 );
-                if (this.#getNow() - lastActivityAtMs > this.#inactivityTimeoutMs) {
+                const silentMs = this.#getNow() - lastActivityAtMs;
+                if (silentMs > this.#inactivityTimeoutMs || computeRemainingMs() <= 0) {
                     reject(new RpcError(`${target} did not respond: timeout`, 0));
+                } else if (silentMs > this.#inactivityTimeoutMs / 2) {
+                    void this.#collectStatus(target);
                 }
             };
             // Lets a busy event loop process received responses before checking for inactivity.
@@ -226,7 +257,41 @@
     }
 
     #recordResponse(target: string): void {
-        this.#lastResponseAtMs.set(target, this.#getNow());
+        this.#recordActivity(target, this.#getNow());
+    }
+
+    #recordActivity(target: string, atMs: number): void {
+        this.#lastActivityAtMs.set(target, Math.max(atMs, this.#lastActivityAtMs.get(target) ?? 0));
+    }
+
+    /** Asks other members whether they hear an instance as the leader. */
+    async #collectStatus(target: string): Promise<void> {
+        if (this.#checkedTargets.has(target)) {
+            return;
+        }
+        this.#checkedTargets.add(target);
+        const others = this.listMembers().filter((member) => member !== target);
+        const witnesses = Array.from({ length: Math.min(WITNESSES, others.length) }, () =>
+            selectNext(others, this.#nextWitnessIndex++),
+        ).filter((witness) => witness !== undefined);
+        await Promise.all(witnesses.map((witness) => this.#readStatus(witness, target)));
+        this.#checkedTargets.delete(target);
+    }
+
+    async #readStatus(witness: string, target: string): Promise<void> {
+        try {
+            const { leader, heardMsAgo } = await this.#clientPool
+                .getClient(witness)
+                .call<LeaderStatus>(LEADER_STATUS_METHOD, {}, this.#inactivityTimeoutMs / 2);
+            if (leader === target && heardMsAgo !== undefined) {
+                this.#recordActivity(target, this.#getNow() - heardMsAgo);
+            }
+        } catch (error) {
+            // A member that is down, or of an earlier release, is no evidence of either.
+            if (!(error instanceof RpcError)) {
+                throw error;
+            }
+        }
     }
 
     /** @returns Whether the instance may have executed the failed call. */
@@ -286,7 +351,10 @@
     }
 
     #selectNextMember(): string | undefined {
-        const members = this.listMembers();
-        return members[this.#nextMemberIndex++ % Math.max(1, members.length)];
+        return selectNext(this.listMembers(), this.#nextMemberIndex++);
     }
 }
+
+function selectNext<T>(values: readonly T[], index: number): T | undefined {
+    return values[index % Math.max(1, values.length)];
+}
