control: heartbeats are batched while the leader is behind, too

Cause: a follower that had not reached the leader lately forwarded each worker's heartbeat as a call of its own, with tries of up to 0.9 s. Change: unchanged heartbeats of known workers are always batched. Without contact to the leader their acknowledgement waits for the batch, collected for 50 ms; if it doesn't get through, they are refused as before. The new test fails on the code before, which has no such acknowledgement.

--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -302,7 +302,7 @@
     async handleHeartbeat(call: HeartbeatCall): Promise<void> {
         if (this.#isKeepAlive(call)) {
             const { record, sequence, clockMs } = call;
-            this.#keepAliveBatcher.add({
+            await this.#keepAliveBatcher.add({
                 worker: record.id,
                 incarnation: record.incarnation,
                 sequence,
@@ -383,13 +383,15 @@
         return this.#committedState.workers.size >= LARGE_DEPLOYMENT_WORKERS;
     }
 
-    /** Returns whether a heartbeat carries no changes and can be batched for the leader. */
+    /**
+     * Returns whether a heartbeat carries no changes and can be batched for the leader. Batches are
+     * used in an outage too: single calls would hold up a new leader when it is busiest.
+     */
     #isKeepAlive(call: HeartbeatCall): boolean {
         const known = this.#committedState.workers.get(call.record.id);
         return (
             this.#isLargeDeployment() &&
             !this.isServing &&
-            this.#keepAliveBatcher.isLeaderReachable &&
             !call.record.isDraining &&
             known !== undefined &&
             isSameReport(known, call.record)
--- a/control/keep_alive_batcher.ts
+++ b/control/keep_alive_batcher.ts
@@ -30,6 +30,11 @@
  * interval.
  */
 const BATCH_WINDOW_MS = 300;
+/**
+ * How long keep-alives are collected while their senders wait for the leader, in ms. A worker tries
+ * another instance after a second without an acknowledgement.
+ */
+const WAITING_BATCH_WINDOW_MS = 50;
 /** The leader counts as unreachable after this time without contact, in ms. */
 const LEADER_CONTACT_TIMEOUT_MS = 1_500;
 
@@ -39,7 +44,7 @@
     readonly #getNow: () => number;
     readonly #pending = new Map<WorkerId, KeepAlive>();
     #lastContactAtMs = Number.NEGATIVE_INFINITY;
-    #isSendScheduled = false;
+    #nextBatch: Promise<Error | undefined> | undefined;
 
     /**
      * @param options The send function and the clock.
@@ -50,8 +55,8 @@
     }
 
     /**
-     * Whether the leader was reached recently. Otherwise the instance must not acknowledge
-     * heartbeats: the leader would consider the workers lost.
+     * Whether the leader was reached recently. Otherwise heartbeats must not be acknowledged before
+     * the leader has received them: it would consider the workers lost.
      */
     get isLeaderReachable(): boolean {
         return this.#getNow() - this.#lastContactAtMs < LEADER_CONTACT_TIMEOUT_MS;
@@ -66,25 +71,41 @@
      * Adds a keep-alive to the next batch, replacing an older one of the same worker.
      *
      * @param keepAlive The keep-alive.
+     * @returns Resolves once the keep-alive may be acknowledged: at once if the leader was reached
+     *     recently, otherwise when it has received the batch.
+     * @throws {Error} If the leader was not reached recently and does not receive the batch.
      */
-    add(keepAlive: KeepAlive): void {
+    async add(keepAlive: KeepAlive): Promise<void> {
         this.#pending.set(keepAlive.worker, keepAlive);
-        if (!this.#isSendScheduled) {
-            this.#isSendScheduled = true;
-            setTimeout(() => void this.#send(), BATCH_WINDOW_MS);
+        const windowMs = this.isLeaderReachable ? BATCH_WINDOW_MS : WAITING_BATCH_WINDOW_MS;
+        this.#nextBatch ??= this.#sendAfter(windowMs);
+        if (this.isLeaderReachable) {
+            return;
+        }
+        const error = await this.#nextBatch;
+        if (error !== undefined) {
+            throw error;
         }
     }
 
-    async #send(): Promise<void> {
-        this.#isSendScheduled = false;
+    /**
+     * Collects keep-alives for a while, then sends them. If that fails, no retry is needed: until
+     * the leader is reached, workers get no acknowledgement and repeat their heartbeats.
+     *
+     * @returns Why the batch did not reach the leader, if so.
+     */
+    async #sendAfter(windowMs: number): Promise<Error | undefined> {
+        await new Promise((resolve) => setTimeout(resolve, windowMs));
+        this.#nextBatch = undefined;
         const keepAlives = [...this.#pending.values()];
         this.#pending.clear();
         try {
             await this.#options.send(keepAlives);
             this.recordLeaderContact();
-        } catch {
-            // The workers' next heartbeats are forwarded one by one, so no retry is needed.
+            return undefined;
+        } catch (error) {
             this.#lastContactAtMs = Number.NEGATIVE_INFINITY;
+            return error as Error;
         }
     }
 }
--- a/control/keep_alive_batcher_test.ts
+++ b/control/keep_alive_batcher_test.ts
@@ -20,9 +20,11 @@
             return Promise.resolve();
         },
     });
-    batcher.add(buildKeepAlive("w1", 1));
-    batcher.add(buildKeepAlive("w2", 1));
-    batcher.add(buildKeepAlive("w1", 2));
+    batcher.recordLeaderContact();
+    await batcher.add(buildKeepAlive("w1", 1));
+    await batcher.add(buildKeepAlive("w2", 1));
+    await batcher.add(buildKeepAlive("w1", 2));
+    t.deepEqual(sent, []);
     await new Promise((resolve) => setTimeout(resolve, 400));
     t.deepEqual(sent, [[buildKeepAlive("w1", 2), buildKeepAlive("w2", 1)]]);
     t.true(batcher.isLeaderReachable);
@@ -34,7 +36,27 @@
     t.false(batcher.isLeaderReachable);
     batcher.recordLeaderContact();
     t.true(batcher.isLeaderReachable);
-    batcher.add(buildKeepAlive("w1", 1));
+    await batcher.add(buildKeepAlive("w1", 1));
     await new Promise((resolve) => setTimeout(resolve, 400));
     t.false(batcher.isLeaderReachable);
 });
+
+test("without contact to the leader a keep-alive is acknowledged only with its batch", async (t) => {
+    // Guards against heartbeats that are forwarded one by one to a leader that is behind.
+    const sent: number[] = [];
+    let isLeaderUp = false;
+    const batcher = new KeepAliveBatcher({
+        send: (keepAlives) => {
+            sent.push(keepAlives.length);
+            return isLeaderUp ? Promise.resolve() : Promise.reject(new Error("no leader"));
+        },
+    });
+    const workers = Array.from({ length: 50 }, (_, i) => `w${i}`);
+    const outcomes = await Promise.allSettled(
+        workers.map((worker) => batcher.add(buildKeepAlive(worker, 1))),
+    );
+    t.true(outcomes.every(({ status }) => status === "rejected"));
+    isLeaderUp = true;
+    await Promise.all(workers.map((worker) => batcher.add(buildKeepAlive(worker, 2))));
+    t.deepEqual(sent, [50, 50]);
+});
