membership: a silent leader is given up only after other members were asked

The process was late itself, beside the other tests, so that the time-out ended before the answers of the members that were asked. Not noise: a front with a third of a core is late after a restart, too. Now the time-out waits for the answers, which take half of it at most, and each time that something was heard leads to one more question.

--- a/membership/leader_router.ts
+++ b/membership/leader_router.ts
@@ -101,8 +101,8 @@
      * or a message to another member.
      */
     readonly #lastActivityAtMs = new Map<string, number>();
-    /** Silent instances that other members are being asked about. */
-    readonly #checkedTargets = new Set<string>();
+    /** Requests to other members about silent instances. */
+    readonly #pendingStatus = new Map<string, Promise<void>>();
     #knownMembers: readonly string[] = [];
     #leader: string | undefined;
     #nextMemberIndex = 0;
@@ -225,16 +225,27 @@
         const call = this.#clientPool.getClient(target).call<T>(method, params, timeoutMs);
         let timer: NodeJS.Timeout | undefined;
         const inactivity = new Promise<never>((_resolve, reject) => {
+            let askedForActivityAtMs: number | undefined;
+            let hasStatus = false;
             const checkInactivity = (): void => {
                 const lastActivityAtMs = Math.max(
                     startedAtMs,
                     this.#lastActivityAtMs.get(target) ?? 0,
                 );
                 const silentMs = this.#getNow() - lastActivityAtMs;
-                if (silentMs > this.#inactivityTimeoutMs || computeRemainingMs() <= 0) {
+                if (
+                    silentMs > this.#inactivityTimeoutMs / 2 &&
+                    askedForActivityAtMs !== lastActivityAtMs
+                ) {
+                    askedForActivityAtMs = lastActivityAtMs;
+                    hasStatus = false;
+                    void this.#collectStatus(target).then(() => {
+                        hasStatus = true;
+                    });
+                }
+                const isSilent = silentMs > this.#inactivityTimeoutMs && hasStatus;
+                if (isSilent || computeRemainingMs() <= 0) {
                     reject(new RpcError(`${target} did not respond: timeout`, 0));
-                } else if (silentMs > this.#inactivityTimeoutMs / 2) {
-                    void this.#collectStatus(target);
                 }
             };
             // Lets a busy event loop process received responses before checking for inactivity.
@@ -265,17 +276,20 @@
     }
 
     /** Asks other members whether they hear an instance as the leader. */
-    async #collectStatus(target: string): Promise<void> {
-        if (this.#checkedTargets.has(target)) {
-            return;
+    #collectStatus(target: string): Promise<void> {
+        const pending = this.#pendingStatus.get(target);
+        if (pending !== undefined) {
+            return pending;
         }
-        this.#checkedTargets.add(target);
         const others = this.listMembers().filter((member) => member !== target);
         const witnesses = Array.from({ length: Math.min(WITNESSES, others.length) }, () =>
             selectNext(others, this.#nextWitnessIndex++),
         ).filter((witness) => witness !== undefined);
-        await Promise.all(witnesses.map((witness) => this.#readStatus(witness, target)));
-        this.#checkedTargets.delete(target);
+        const status = Promise.all(
+            witnesses.map((witness) => this.#readStatus(witness, target)),
+        ).then(() => void this.#pendingStatus.delete(target));
+        this.#pendingStatus.set(target, status);
+        return status;
     }
 
     async #readStatus(witness: string, target: string): Promise<void> {
