Connections and calls in the status lines of control instances and fronts: sight for calls that get no answer

The lines didn't tell whether a call waits for a connection, for the server or for neither. Now: connections opened, opened in vain, accepted; the longest time to open one and to get an answer; calls abandoned after they were sent; answers whose caller had gone.

--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -42,6 +42,7 @@
 } from "../membership/mod.ts";
 import {
     CallTracker,
+    connectionTracker,
     MethodError,
     parseAddress,
     RpcClientPool,
@@ -184,6 +185,7 @@
         });
         this.#statusReporter = new StatusReporter({
             tracker: this.#callTracker,
+            connectionTracker,
             describeGroup: () => this.#describeGroup(),
             takeLongestDelayMs: options.takeLongestDelayMs,
             log: options.log,
--- a/control/status_reporter.ts
+++ b/control/status_reporter.ts
@@ -1,6 +1,6 @@
 /**
  * Logs at short intervals what a control instance does: its role in the group, the voters that
- * answer it, the longest delay of its event loop and the calls that wait in it.
+ * answer it, the longest delay of its event loop, its connections and the calls that wait in it.
  *
  * @example
  * ```ts
@@ -14,7 +14,7 @@
 
 import { interval, type Subscription } from "rxjs";
 import type { Logger } from "winston";
-import type { CallTracker } from "../rpc/mod.ts";
+import type { CallTracker, ConnectionTracker } from "../rpc/mod.ts";
 
 /** A control instance's view of its group. */
 export interface GroupStatus {
@@ -31,6 +31,7 @@
 /** Options of {@link StatusReporter}. */
 export interface StatusReporterOptions {
     readonly tracker: CallTracker;
+    readonly connectionTracker: ConnectionTracker;
     /** Describes the group; `undefined` before this instance has joined it. */
     readonly describeGroup: () => GroupStatus | undefined;
     /** Takes the longest delay of the event loop since the last call, in ms. */
@@ -74,7 +75,8 @@
 
     /** Logs the status since the last report. */
     reportStatus(): void {
-        const { tracker, describeGroup, takeLongestDelayMs, log } = this.#options;
+        const { tracker, connectionTracker, describeGroup, takeLongestDelayMs, log } =
+            this.#options;
         const group = describeGroup();
         if (group === undefined) {
             return;
@@ -83,6 +85,7 @@
             ...group,
             delayMs: Math.round(takeLongestDelayMs?.() ?? 0),
             persistMs: Math.round(this.#longestPersistMs),
+            connections: connectionTracker.takeSummary(),
             calls: tracker.takeSummary(),
         });
         this.#longestPersistMs = 0;
--- a/control/status_reporter_test.ts
+++ b/control/status_reporter_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { CallTracker } from "../rpc/mod.ts";
+import { CallTracker, ConnectionTracker } from "../rpc/mod.ts";
 import { createLogger, LogSink } from "../telemetry/mod.ts";
 import { StatusReporter, type GroupStatus } from "./status_reporter.ts";
 
@@ -22,8 +22,11 @@
         },
     });
     const tracker = new CallTracker();
+    const connectionTracker = new ConnectionTracker();
+    connectionTracker.recordAccepted();
     const reporter = new StatusReporter({
         tracker,
+        connectionTracker,
         describeGroup: () => GROUP_STATUS,
         takeLongestDelayMs: () => 120.4,
         log: createLogger({ process: "c1", zone: "z", sink }),
@@ -38,5 +41,6 @@
     const [first, second] = lines.map((line) => JSON.parse(line) as Record<string, unknown>);
     t.like(first, { message: "control status", level: "notice", ...GROUP_STATUS });
     t.like(first, { delayMs: 120, persistMs: 31, calls: { "control.hello": { ended: 1 } } });
+    t.like(first, { connections: { accepted: 1 } });
     t.like(second, { persistMs: 0, calls: {} });
 });
--- a/front/call_summary_log.ts
+++ b/front/call_summary_log.ts
@@ -1,10 +1,11 @@
 /**
- * Logs once a second how many calls of each kind a front answered, late, refused or failed.
+ * Logs once a second how many calls of each kind a front answered, late, refused or failed, and the
+ * connections and calls to other processes that this took.
  *
  * @example
  * ```ts
  * import { CallSummaryLog } from "./call_summary_log.ts";
- * const summaryLog = new CallSummaryLog(log);
+ * const summaryLog = new CallSummaryLog({ connectionTracker, log });
  * summaryLog.start();
  * summaryLog.recordOutcome("cancel", "cancelled", 12);
  * ```
@@ -15,6 +16,7 @@
 import { interval, type Subscription } from "rxjs";
 import type { Logger } from "winston";
 import type { CallerCall } from "../control/calls.ts";
+import type { ConnectionTracker } from "../rpc/mod.ts";
 import { CALLS_ANSWERED_MESSAGE, type CallCounts } from "../telemetry/call_rows.ts";
 import type { CallOutcome } from "./daemon.ts";
 
@@ -22,17 +24,23 @@
 /** The duration above which an answered call counts as late, in ms. */
 const LATE_MS = 1_000;
 
+/** Options of {@link CallSummaryLog}. */
+export interface CallSummaryLogOptions {
+    readonly connectionTracker: ConnectionTracker;
+    readonly log: Logger;
+}
+
 /** Counts the outcomes of calls and logs them. */
 export class CallSummaryLog {
-    readonly #log: Logger;
+    readonly #options: CallSummaryLogOptions;
     #counts = new Map<CallerCall["type"], CallCounts>();
     #subscription: Subscription | undefined;
 
     /**
-     * @param log The log to write to.
+     * @param options The connections to report and the log.
      */
-    constructor(log: Logger) {
-        this.#log = log;
+    constructor(options: CallSummaryLogOptions) {
+        this.#options = options;
     }
 
     /** Starts logging. */
@@ -66,7 +74,11 @@
     /** Logs the counts since the last line, if there were any calls. */
     flush(): void {
         if (this.#counts.size > 0) {
-            this.#log.info(CALLS_ANSWERED_MESSAGE, { calls: Object.fromEntries(this.#counts) });
+            const { connectionTracker, log } = this.#options;
+            log.info(CALLS_ANSWERED_MESSAGE, {
+                calls: Object.fromEntries(this.#counts),
+                connections: connectionTracker.takeSummary(),
+            });
             this.#counts = new Map();
         }
     }
--- a/front/call_summary_log_test.ts
+++ b/front/call_summary_log_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { ConnectionTracker } from "../rpc/mod.ts";
 import { createLogger, LogSink } from "../telemetry/mod.ts";
 import { CallSummaryLog } from "./call_summary_log.ts";
 
@@ -10,7 +11,12 @@
             done(null, bytes.length);
         },
     });
-    const summaryLog = new CallSummaryLog(createLogger({ process: "f1", zone: "z", sink }));
+    const connectionTracker = new ConnectionTracker();
+    const summaryLog = new CallSummaryLog({
+        connectionTracker,
+        log: createLogger({ process: "f1", zone: "z", sink }),
+    });
+    connectionTracker.recordOpened(5);
     summaryLog.recordOutcome("submit", "accepted", 20);
     summaryLog.recordOutcome("submit", "accepted", 1_200);
     summaryLog.recordOutcome("submit", "unreached", 300);
@@ -26,5 +32,6 @@
             submit: { answered: 1, late: 1, refused: 1, failed: 0 },
             cancel: { answered: 0, late: 0, refused: 0, failed: 1 },
         },
+        connections: { opened: 1, connectMs: 5 },
     });
 });
--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -39,6 +39,7 @@
     OUTCOME_UNKNOWN_CODE,
 } from "../membership/mod.ts";
 import {
+    connectionTracker,
     isReachable,
     MethodError,
     parseAddress,
@@ -143,7 +144,7 @@
      */
     constructor(options: FrontDaemonOptions) {
         this.#options = options;
-        this.#callSummaryLog = new CallSummaryLog(options.log);
+        this.#callSummaryLog = new CallSummaryLog({ connectionTracker, log: options.log });
         this.#router = new LeaderRouter({
             listSeeds: options.listSeeds,
             inactivityTimeoutMs: selectFailoverTimeoutMs(options.toleratedFailures ?? 1),
--- a/rpc/http_rpc.ts
+++ b/rpc/http_rpc.ts
@@ -28,6 +28,7 @@
     type JSONRPCRequest,
 } from "json-rpc-2.0";
 import type { CallTracker } from "./call_tracker.ts";
+import { connectionTracker } from "./connection_tracker.ts";
 import { IdleConnections } from "./idle_connections.ts";
 
 /** Handles one JSON-RPC method: takes the params and returns the result or a promise of it. */
@@ -170,10 +171,14 @@
             }
             void handleRpcBody(rpc, Buffer.concat(chunks).toString("utf8")).then((body) => {
                 sent += Buffer.byteLength(body);
+                if (res.destroyed) {
+                    connectionTracker.recordUnsent();
+                }
                 res.writeHead(200, { "content-type": "application/json" }).end(body);
             });
         });
     });
+    server.on("connection", () => connectionTracker.recordAccepted());
     server.keepAliveTimeout = 5_000;
     await new Promise<void>((resolve) =>
         server.listen(options.port ?? 0, options.host ?? "127.0.0.1", resolve),
@@ -261,6 +266,7 @@
                 const body = JSON.stringify(payload);
                 sent += Buffer.byteLength(body);
                 let hasResponse = false;
+                const sentAtMs = performance.now();
                 const req = sendHttp(
                     {
                         host,
@@ -275,6 +281,7 @@
                     },
                     (res) => {
                         hasResponse = true;
+                        connectionTracker.recordAnswered(performance.now() - sentAtMs);
                         idleConnections.recordResponse(host, port);
                         const chunks: Buffer[] = [];
                         res.on("data", (c: Buffer) => chunks.push(c));
@@ -298,6 +305,9 @@
                         0,
                     );
                     error.isUndelivered = req.socket?.connecting ?? true;
+                    if (!error.isUndelivered) {
+                        connectionTracker.recordAbandoned();
+                    }
                     req.destroy(error);
                     idleConnections.handleTimeout(host, port);
                 };
@@ -340,12 +350,17 @@
     if (!socket.connecting) {
         return;
     }
+    const startedAtMs = performance.now();
     const timer = setTimeout(() => {
+        connectionTracker.recordOpenFailed();
         const error = new RpcError(`${address}: no connection within ${CONNECT_TIMEOUT_MS} ms`, 0);
         error.isUndelivered = true;
         socket.destroy(error);
     }, CONNECT_TIMEOUT_MS);
-    socket.once("connect", () => clearTimeout(timer));
+    socket.once("connect", () => {
+        clearTimeout(timer);
+        connectionTracker.recordOpened(performance.now() - startedAtMs);
+    });
     socket.once("close", () => clearTimeout(timer));
 }
 
--- a/rpc/mod.ts
+++ b/rpc/mod.ts
@@ -12,5 +12,6 @@
 export * from "./http_rpc.ts";
 export * from "./client_pool.ts";
 export * from "./call_tracker.ts";
+export * from "./connection_tracker.ts";
 export * from "./idle_connections.ts";
 export * from "./timeout.ts";
