rpc: one multiplexed connection for each pair of processes; a call that is given up is cancelled on it

Cause: over HTTP/1.1 a call can only be given up with its connection, and a busy event loop accepts one connection a turn. The leader accepted connections up to 3 s after they were opened, worked on calls whose callers had gone, and each call given up asked for one more (a metastable overload). Why this works: the load of connections no longer depends on how calls end. A connection is replaced only when pings on it stay unanswered, by one attempt at a time; while it is silent calls wait and are undelivered after 0.3 s (503 instead of 504); what is cancelled before it is read isn't begun. Servers of earlier releases refuse the upgrade and are called as before; large messages go in HTTP requests of their own.

rpc/slow_server_test stands for servers of earlier releases now: its server refuses the upgrade, and the connection on which that is asked is counted besides; what it asserts is as strict. RPC client, errors and addresses moved to files of their own.

--- a/rpc/_slow_server_fixture.ts
+++ b/rpc/_slow_server_fixture.ts
@@ -14,7 +14,9 @@
 
 function runFor(durationMs: number): void {
     const endMs = performance.now() + durationMs;
-    while (performance.now() < endMs);
+    while (performance.now() < endMs) {
+        // Occupies the event loop.
+    }
 }
 
 const server = await startRpcServer({
--- a/rpc/client_pool.ts
+++ b/rpc/client_pool.ts
@@ -11,7 +11,7 @@
  * @module
  */
 
-import { createRpcClient, type RpcClient } from "./http_rpc.ts";
+import { createRpcClient, type RpcClient } from "./rpc_client.ts";
 
 /** Bytes of JSON-RPC message bodies. */
 export interface ByteCounts {
--- a/rpc/mod.ts
+++ b/rpc/mod.ts
@@ -9,7 +9,10 @@
  * @module
  */
 
+export * from "./address.ts";
 export * from "./http_rpc.ts";
+export * from "./rpc_client.ts";
+export * from "./rpc_error.ts";
 export * from "./client_pool.ts";
 export * from "./call_tracker.ts";
 export * from "./connection_tracker.ts";
--- a/rpc/slow_server_test.ts
+++ b/rpc/slow_server_test.ts
@@ -1,9 +1,11 @@
 import { createServer, type IncomingMessage } from "node:http";
 import type { AddressInfo } from "node:net";
 import test, { type ExecutionContext } from "ava";
-import { createRpcClient, RpcError } from "./http_rpc.ts";
+import { createRpcClient, RpcError } from "./mod.ts";
 
 const PARALLEL_CALLS = 4;
+/** The connection on which a client asks for an upgrade, which servers of earlier releases refuse. */
+const UPGRADE_CONNECTIONS = 1;
 
 interface CountingServer {
     readonly address: string;
@@ -18,9 +20,16 @@
     return Buffer.concat(chunks).toString("utf8");
 }
 
-/** Starts a server that counts its connections and answers every method except `held`. */
+/**
+ * Starts a server of an earlier release, which knows no upgrade. It counts its connections and
+ * answers every method except `held`.
+ */
 async function startServer(t: ExecutionContext): Promise<CountingServer> {
     const server = createServer((req, res) => {
+        if (req.method !== "POST") {
+            res.writeHead(404).end();
+            return;
+        }
         void readText(req).then((text) => {
             const { id, method } = JSON.parse(text) as { id: number; method: string };
             if (method !== "held") {
@@ -45,9 +54,9 @@
     const runCalls = (): Promise<unknown[]> =>
         Promise.all(Array.from({ length: PARALLEL_CALLS }, () => client.call("quick", {})));
     await runCalls();
-    t.is(server.connections, PARALLEL_CALLS);
+    t.is(server.connections, UPGRADE_CONNECTIONS + PARALLEL_CALLS);
     await t.throwsAsync(client.call("held", {}, 100), { instanceOf: RpcError });
     await runCalls();
     // The call that timed out used one of the connections and closed it.
-    t.is(server.connections, PARALLEL_CALLS + 1);
+    t.is(server.connections, UPGRADE_CONNECTIONS + PARALLEL_CALLS + 1);
 });
--- a/rpc/stalled_server_test.ts
+++ b/rpc/stalled_server_test.ts
@@ -37,6 +37,20 @@
     t.is(connectionTracker.takeSummary().accepted, 1);
 });
 
+test.serial("a server that has stalled keeps its connection", async (t) => {
+    // Guards against clients that replace their connection whenever a server answers late.
+    const server = await startSlowServer(t);
+    const client = createRpcClient(server.address);
+    await client.call("x", {});
+    connectionTracker.takeSummary();
+    server.stall(STALL_MS);
+    const calls = Array.from({ length: 10 }, () => client.call("x", {}, 2 * STALL_MS));
+    await Promise.all(calls);
+    await client.call("x", {});
+    // The one that was to replace the silent connection and wasn't needed.
+    t.true(connectionTracker.takeSummary().opened <= 1);
+});
+
 test.serial("callers are served again soon after their server has stalled", async (t) => {
     // Guards against a backlog of connections that outlasts the stall and keeps itself going.
     const server = await startSlowServer(t);
--- a/standin/fault_relay.ts
+++ b/standin/fault_relay.ts
@@ -23,6 +23,7 @@
 export class FaultRelay {
     readonly #server: Server;
     readonly #sockets = new Set<Socket>();
+    readonly #frozenSockets = new WeakSet<Socket>();
     #target: { host: string; port: number } | undefined;
     #mode: RelayMode = "open";
     #bytes = 0;
@@ -79,6 +80,11 @@
         }
     }
 
+    /** Drops all further bytes of the present connections; new connections are not affected. */
+    killSilently(): void {
+        this.#sockets.forEach((socket) => this.#frozenSockets.add(socket));
+    }
+
     /** Closes the relay and all its connections. */
     close(): void {
         this.#server.close();
@@ -100,7 +106,7 @@
 
     #relayBytes(from: Socket, to: Socket): void {
         from.on("data", (chunk: Buffer) => {
-            if (this.#mode === "open") {
+            if (this.#mode === "open" && !this.#frozenSockets.has(from)) {
                 this.#bytes += chunk.length;
                 to.write(chunk);
             }
