--- a/rpc/multiplexed_transport.ts
+++ b/rpc/multiplexed_transport.ts
@@ -18,6 +18,7 @@
 import { connectionTracker } from "./connection_tracker.ts";
 import { CONNECT_TIMEOUT_MS, HttpTransport, toRpcError } from "./http_transport.ts";
 import { RpcError } from "./rpc_error.ts";
+import { startTimeout } from "./timeout.ts";
 import { RPC_PATH, UPGRADE_PROTOCOL } from "./_upgrade.ts";
 import type { OutgoingCall, ReceivedResponse, Transport } from "./transport.ts";
 
@@ -75,7 +76,7 @@
             const waitMs = Math.min(CONNECT_TIMEOUT_MS, call.timeoutMs);
             const startedAtMs = performance.now();
             const finish = (): void => {
-                clearTimeout(timer);
+                cancelTimeout();
                 this.#waiting.delete(waiting);
             };
             const waiting: WaitingCall = {
@@ -90,14 +91,14 @@
                     reject(error);
                 },
             };
-            const timer = setTimeout(() => {
+            const cancelTimeout = startTimeout(waitMs, () => {
                 const error = new RpcError(
                     `${this.#address}: no connection within ${waitMs} ms`,
                     0,
                 );
                 error.isUndelivered = true;
                 waiting.fail(error);
-            }, waitMs);
+            });
             this.#waiting.add(waiting);
             this.#openConnection();
         });
@@ -118,12 +119,11 @@
             headers: { connection: "Upgrade", upgrade: UPGRADE_PROTOCOL },
         });
         this.#attempt = attempt;
-        const timer = setTimeout(
-            () => attempt.destroy(new Error("no connection in time")),
-            this.#computeOpenTimeoutMs(),
+        const cancelTimeout = startTimeout(this.#computeOpenTimeoutMs(), () =>
+            attempt.destroy(new Error("no connection in time")),
         );
         const finish = (): void => {
-            clearTimeout(timer);
+            cancelTimeout();
             this.#attempt = undefined;
         };
         attempt.on("upgrade", (_response, socket, head) => {
@@ -186,7 +186,7 @@
                 this.#connection.drop();
             }
             [...this.#waiting].forEach((waiting) => waiting.fail(failure));
-        } else if (this.#waiting.size > 0 || this.#connection?.isSilent === true) {
+        } else if (this.#waiting.size > 0) {
             this.#openConnection();
         }
     }
