membership: hints to an instance that has just refused a call are followed by one call in each search

What callers saw: right after a loss, beside a leader that had just lost its lead, hundreds of calls a second to instances that don't lead. Cause: each hint sent all pending calls to the hinted instance, and members name a former leader until they hear the next; a late refusal also made a process forget the leader that it had found since.

--- a/membership/leader_router.ts
+++ b/membership/leader_router.ts
@@ -89,6 +89,11 @@
  * requests a second and keep the instances from electing a leader.
  */
 const LEADER_SEARCH_INTERVAL_MS = 60;
+/**
+ * How long other members' hints to an instance that has refused a call are followed by one call in
+ * each search only, in ms; about an election. Members name a former leader until they hear the next.
+ */
+const REFUSAL_MEMORY_MS = 500;
 
 /** Routes calls to the current leader of the control group. */
 export class LeaderRouter {
@@ -103,6 +108,8 @@
     readonly #lastActivityAtMs = new Map<string, number>();
     /** Requests to other members about silent instances. */
     readonly #pendingStatus = new Map<string, Promise<void>>();
+    /** Time at which each instance last said that it is not the leader. */
+    readonly #refusedAtMs = new Map<string, number>();
     #knownMembers: readonly string[] = [];
     #leader: string | undefined;
     #nextMemberIndex = 0;
@@ -144,12 +151,13 @@
     }
 
     /**
-     * Adopts a leader that other instances reported, unless one is known, and wakes pending calls.
+     * Adopts a leader that other instances reported and wakes pending calls, unless one is known or
+     * the reported one has just refused a call.
      *
      * @param leader The leader's address.
      */
     adoptLeader(leader: string): void {
-        if (this.#leader === undefined) {
+        if (this.#leader === undefined && !this.#hasRefused(leader)) {
             this.#setLeader(leader);
         }
     }
@@ -179,11 +187,14 @@
                 : budget;
         const startedAtMs = this.#getNow();
         let mayHaveExecuted = false;
+        let hint: string | undefined;
         for (;;) {
             const budgetMs = mayHaveExecuted ? computeDeliveredMs() : computeUndeliveredMs();
             const deadlineMs = startedAtMs + budgetMs;
-            await this.#waitForSearchSlot(deadlineMs);
-            const target = this.#leader ?? this.#selectNextMember();
+            if (hint === undefined) {
+                await this.#waitForSearchSlot(deadlineMs);
+            }
+            const target = hint ?? this.#leader ?? this.#selectNextMember();
             if (this.#getNow() >= deadlineMs || target === undefined) {
                 throw new NoLeaderError(mayHaveExecuted);
             }
@@ -203,6 +214,8 @@
                 }
             } catch (error) {
                 mayHaveExecuted = this.#handleFailure(target, error as Error) || mayHaveExecuted;
+                // A call follows one hint in each search.
+                hint = hint === undefined ? this.#selectHint(target, error as Error) : undefined;
                 continue;
             }
             throw new NoLeaderError(true);
@@ -310,28 +323,46 @@
 
     /** @returns Whether the instance may have executed the failed call. */
     #handleFailure(target: string, error: Error): boolean {
-        const { code, data } = error as RpcError;
+        const { code } = error as RpcError;
         if (error instanceof RpcError && code === NOT_LEADER_CODE) {
-            const leaderHint = (data as NotLeaderData | undefined)?.leader;
-            this.#leader = undefined;
-            if (leaderHint !== undefined && leaderHint !== target) {
-                this.#setLeader(leaderHint);
-            }
+            this.#refusedAtMs.set(target, this.#getNow());
+            this.#dropLeader(target);
             return false;
         }
         if (error instanceof RpcError && code === OUTCOME_UNKNOWN_CODE) {
-            this.#leader = undefined;
+            this.#dropLeader(target);
             return true;
         }
         if (error instanceof RpcError && code !== 0) {
             throw error;
         }
-        if (this.#leader === target) {
-            this.#leader = undefined;
-        }
+        this.#dropLeader(target);
         return !(error instanceof RpcError && error.isUndelivered);
     }
 
+    /**
+     * Handles the hint of an instance that refused a call. All pending calls follow it, unless its
+     * leader has refused a call itself.
+     *
+     * @returns The instance to call next, if only this call should follow the hint.
+     */
+    #selectHint(target: string, error: Error): string | undefined {
+        if (!(error instanceof RpcError && error.code === NOT_LEADER_CODE)) {
+            return undefined;
+        }
+        const leader = (error.data as NotLeaderData | undefined)?.leader;
+        if (leader === undefined || leader === target) {
+            return undefined;
+        }
+        this.adoptLeader(leader);
+        return this.#leader === undefined ? leader : undefined;
+    }
+
+    #hasRefused(instance: string): boolean {
+        const refusedAtMs = this.#refusedAtMs.get(instance) ?? Number.NEGATIVE_INFINITY;
+        return this.#getNow() - refusedAtMs < REFUSAL_MEMORY_MS;
+    }
+
     /** Waits until a leader is known or this call may make the next search attempt. */
     async #waitForSearchSlot(deadlineMs: number): Promise<void> {
         for (;;) {
@@ -359,6 +390,13 @@
         });
     }
 
+    /** Forgets the leader, unless another one has been found since the call to `target`. */
+    #dropLeader(target: string): void {
+        if (this.#leader === target) {
+            this.#leader = undefined;
+        }
+    }
+
     #setLeader(leader: string): void {
         this.#leader = leader;
         [...this.#waiters].forEach((wake) => wake());
--- a/membership/leader_router_test.ts
+++ b/membership/leader_router_test.ts
@@ -73,6 +73,31 @@
     t.true(callCount <= 140, `${callCount} attempts`);
 });
 
+test("calls don't follow a stale hint to an instance that has just refused one", async (t) => {
+    // Guards against all pending calls going round a group that has no leader in each search.
+    let callCount = 0;
+    let isLeader = false;
+    const formerLeader = await startMember(t, () => {
+        callCount += 1;
+        if (!isLeader) {
+            throw new MethodError("no", NOT_LEADER_CODE, { leader: undefined });
+        }
+        return "yes";
+    });
+    const follower = await startMember(t, () => {
+        throw new MethodError("no", NOT_LEADER_CODE, { leader: formerLeader.address });
+    });
+    const router = new LeaderRouter({
+        listSeeds: () => [follower.address, formerLeader.address],
+    });
+    const pendingCalls = Array.from({ length: 100 }, () => router.call("x", {}, 3_000));
+    await new Promise((resolve) => setTimeout(resolve, 600));
+    // All calls once, then one for each search.
+    t.true(callCount <= 120, `${callCount} attempts`);
+    isLeader = true;
+    t.true((await Promise.all(pendingCalls)).every((answer) => answer === "yes"));
+});
+
 test("a slow call is not retried while the leader responds to other calls", async (t) => {
     // A fixed timeout per attempt would multiply the load of an overloaded leader.
     let callCount = 0;
