rpc: malformed messages are answered, errors of a lost connection are kept, a silent one lets its process exit

Found when the change was read again: a connection that was lost said no reason, and one that stayed silent after its calls had been given up kept a command line's process running.

--- a/rpc/_connection.ts
+++ b/rpc/_connection.ts
@@ -58,6 +58,8 @@
      */
     #expectingSinceMs: number | undefined;
     #pingedAtMs: number | undefined;
+    /** Why the connection was lost. */
+    #failure = "connection closed";
     #isSilent = false;
     #isDraining = false;
 
@@ -75,7 +77,7 @@
             socket.unshift(head);
         }
         socket.on("data", (chunk: Buffer) => this.#receive(chunk));
-        socket.on("error", () => socket.destroy());
+        socket.on("error", (error) => this.drop(error.message));
         socket.on("close", () => this.#handleClose());
         socket.unref();
     }
@@ -118,8 +120,13 @@
         }
     }
 
-    /** Closes the connection now; its pending calls fail. */
-    drop(): void {
+    /**
+     * Closes the connection now; its pending calls fail.
+     *
+     * @param reason Why, for the errors of the calls.
+     */
+    drop(reason = "connection closed"): void {
+        this.#failure = reason;
         this.#socket.destroy();
     }
 
@@ -162,9 +169,9 @@
         }
         try {
             this.#decoder.decode(chunk).forEach((line) => this.#handleLine(line));
-        } catch {
+        } catch (error) {
             // The stream is unusable after a malformed message.
-            this.#socket.destroy();
+            this.drop((error as Error).message);
             return;
         }
         if (this.#pending.size > 0) {
@@ -186,6 +193,11 @@
             }
             return;
         }
+        if (message.id === null) {
+            // The server could not read a message.
+            this.drop(message.error?.message ?? "message without an id");
+            return;
+        }
         const call = this.#takePending(Number(message.id));
         if (call !== undefined) {
             connectionTracker.recordAnswered(performance.now() - call.sentAtMs);
@@ -213,6 +225,9 @@
     }
 
     #checkSilence(): void {
+        if (this.#isSilent && this.#pending.size === 0) {
+            this.#stopChecking();
+        }
         if (this.#expectingSinceMs === undefined || this.#isSilent) {
             return;
         }
@@ -247,7 +262,7 @@
         const ids = [...this.#pending.keys()];
         ids.forEach((id) =>
             this.#takePending(id)?.reject(
-                new RpcError(`${this.#options.address}: connection closed`, 0),
+                new RpcError(`${this.#options.address}: ${this.#failure}`, 0),
             ),
         );
         this.#isDraining = true;
--- a/rpc/_upgraded_server.ts
+++ b/rpc/_upgraded_server.ts
@@ -6,7 +6,7 @@
 
 import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
-import type { JSONRPCRequest } from "json-rpc-2.0";
+import { createJSONRPCErrorResponse, type JSONRPCRequest } from "json-rpc-2.0";
 import { connectionTracker } from "./connection_tracker.ts";
 import { LineDecoder } from "./_line_decoder.ts";
 import {
@@ -29,6 +29,7 @@
 }
 
 const SWITCHING_PROTOCOLS = `HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: ${UPGRADE_PROTOCOL}\r\n\r\n`;
+const PARSE_ERROR = createJSONRPCErrorResponse(null, -32700, "parse error");
 const BAD_REQUEST = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n";
 /** A connection without any traffic is closed after this time, in ms; clients close theirs sooner. */
 const IDLE_TIMEOUT_MS = 60_000;
@@ -58,6 +59,7 @@
         const socket = this.#socket;
         socket.setNoDelay(true);
         socket.setTimeout(IDLE_TIMEOUT_MS, () => socket.destroy());
+        // The client sees the end of the connection, and the calls in progress end by themselves.
         socket.on("error", () => socket.destroy());
         socket.write(SWITCHING_PROTOCOLS);
         if (head.length > 0) {
@@ -66,7 +68,7 @@
         socket.on("data", (chunk: Buffer) => this.#receive(chunk));
     }
 
-    /** Asks the client for no further calls; closes the connection once it has none. */
+    /** Asks the client to make no further calls and to close the connection after the last one. */
     close(): void {
         if (!this.#isClosing) {
             this.#isClosing = true;
@@ -83,8 +85,8 @@
         try {
             this.#handleLines(this.#decoder.decode(chunk));
         } catch {
-            // The stream is unusable after a malformed message. The client sees its end.
-            this.#socket.destroy();
+            // The stream is unusable after a malformed message.
+            this.#socket.end(`${JSON.stringify(PARSE_ERROR)}\n`);
         }
     }
 
--- a/rpc/multiplexed_transport_test.ts
+++ b/rpc/multiplexed_transport_test.ts
@@ -1,4 +1,4 @@
-import { connect, createServer, type AddressInfo } from "node:net";
+import { connect, createServer, type AddressInfo, type Socket } from "node:net";
 import test, { type ExecutionContext } from "ava";
 import fc from "fast-check";
 import { FaultRelay } from "../standin/fault_relay.ts";
@@ -28,6 +28,16 @@
     return relay;
 }
 
+/** Opens a connection and upgrades it as a client does. */
+async function openUpgradedSocket(t: ExecutionContext, address: string): Promise<Socket> {
+    const [host, port] = parseAddress(address);
+    const socket = connect({ host, port });
+    t.teardown(() => socket.destroy());
+    socket.write("GET /rpc HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: json-rpc-lines\r\n\r\n");
+    await new Promise((resolve) => socket.once("data", resolve));
+    return socket;
+}
+
 function wait(durationMs: number): Promise<void> {
     return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
@@ -55,14 +65,10 @@
     const server = await startServer(t, {
         x: (params) => begun.push((params as { call: number }).call),
     });
-    const [host, port] = parseAddress(server.address);
-    const socket = connect({ host, port });
-    t.teardown(() => socket.destroy());
+    const socket = await openUpgradedSocket(t, server.address);
     const createCall = (id: number): string =>
         `${JSON.stringify({ jsonrpc: "2.0", id, method: "x", params: { call: id } })}\n`;
     const cancellation = { jsonrpc: "2.0", method: "$/cancel", params: { id: 1 } };
-    socket.write("GET /rpc HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: json-rpc-lines\r\n\r\n");
-    await new Promise((resolve) => socket.once("data", resolve));
     socket.write(`${createCall(1)}${createCall(2)}${JSON.stringify(cancellation)}\n`);
     const answer = await new Promise<Buffer>((resolve) => socket.once("data", resolve));
     t.is((JSON.parse(answer.toString()) as { id: number }).id, 2);
@@ -112,6 +118,18 @@
     await closed;
 });
 
+test.serial("a malformed message is answered and ends the connection", async (t) => {
+    // Guards against clients that wait for a server that could not read their message.
+    const server = await startServer(t, {});
+    const socket = await openUpgradedSocket(t, server.address);
+    const received: Buffer[] = [];
+    socket.on("data", (chunk: Buffer) => received.push(chunk));
+    const ended = new Promise((resolve) => socket.once("end", resolve));
+    socket.write("{\n");
+    await ended;
+    t.like(JSON.parse(Buffer.concat(received).toString()), { id: null, error: { code: -32700 } });
+});
+
 test("lines are the same however their bytes are split", (t) => {
     const lineArbitrary = fc.string({ unit: "binary" }).map((text) => text.replaceAll("\n", ""));
     fc.assert(
