--- a/rpc/mod.ts
+++ b/rpc/mod.ts
@@ -10,7 +10,7 @@
  */
 
 export * from "./address.ts";
-export * from "./http_rpc.ts";
+export * from "./rpc_server.ts";
 export * from "./rpc_client.ts";
 export * from "./rpc_error.ts";
 export * from "./client_pool.ts";
--- a/rpc/http_rpc.ts
+++ b/rpc/rpc_server.ts
@@ -5,7 +5,7 @@
  *
  * @example
  * ```ts
- * import { startRpcServer } from "./http_rpc.ts";
+ * import { startRpcServer } from "./rpc_server.ts";
  * const server = await startRpcServer({ methods: { "cell.status": () => ({ ok: true }) } });
  * ```
  *
