group: a leader is found although no process that callers know has heard of it

All processes had restarted, so they knew the seeds alone, and the seeds knew no leader: an emptied voter answered null to the leader's messages, since they name its former incarnation, and forgot their sender; a former voter asked the seeds only.

A hint selects whom to ask for the log, it changes no term and counts as no vote. - Control instances ask the voters of their own log beside the seeds. - A member that hears no leader asks for the log in any role, since a former voter may not know of its removal. Malformed announcements are ignored and counted; earlier releases answer with an unknown method, which is ignored.

--- a/control/_fixtures.ts
+++ b/control/_fixtures.ts
@@ -40,6 +40,8 @@
     readonly timings?: ConsensusTimings;
     /** The number of members that are seeds at first; all by default. */
     readonly seedCount?: number;
+    /** How many members may fail at once; 1 by default. */
+    readonly toleratedFailures?: number;
 }
 
 /** How often a simulated worker checks for ended tasks during a long poll, in ms. */
@@ -58,7 +60,8 @@
     /** The log output of all processes. */
     readonly logLines: string[] = [];
     readonly #options: ClusterOptions;
-    readonly front: FrontDaemon;
+    readonly #frontAddress: string;
+    front: FrontDaemon;
     #heartbeatTimer: NodeJS.Timeout | undefined;
     #sequence = 0;
 
@@ -66,16 +69,8 @@
         this.#options = options;
         this.#addresses = addresses.slice(0, options.memberCount);
         this.seeds = this.#addresses.slice(0, options.seedCount);
-        this.front = new FrontDaemon({
-            address: addresses[options.memberCount] ?? "",
-            zone: "z",
-            listSeeds: () => this.seeds,
-            adviceCalls: {
-                advise: (call) =>
-                    Promise.resolve(call.workers.map((worker) => ({ worker, ticket: "t" }))),
-            },
-            log: this.#createLog("front"),
-        });
+        this.#frontAddress = addresses[options.memberCount] ?? "";
+        this.front = this.#createFront();
     }
 
     /** Starts a cluster. */
@@ -102,7 +97,7 @@
             listSeeds: () => this.seeds,
             bootstrap,
             dataDir: this.getDataDir(address),
-            toleratedFailures: 1,
+            toleratedFailures: this.#options.toleratedFailures ?? 1,
             timings: this.#options.timings,
             workerCalls: this.#createWorkerCalls(),
             log: this.#createLog(address),
@@ -111,6 +106,13 @@
         this.daemons.set(address, daemon);
     }
 
+    /** Replaces the front by a new process, which knows only the seeds. */
+    async replaceFront(): Promise<void> {
+        await this.front.stop();
+        this.front = this.#createFront();
+        await this.front.start();
+    }
+
     /** Stops a member; `wipe` also deletes its data folder. */
     async stopMember(address: string, wipe = false): Promise<void> {
         await this.daemons.get(address)?.stop();
@@ -148,6 +150,20 @@
         rmSync(this.#dir, { recursive: true });
     }
 
+    #createFront(): FrontDaemon {
+        return new FrontDaemon({
+            address: this.#frontAddress,
+            zone: "z",
+            listSeeds: () => this.seeds,
+            toleratedFailures: this.#options.toleratedFailures,
+            adviceCalls: {
+                advise: (call) =>
+                    Promise.resolve(call.workers.map((worker) => ({ worker, ticket: "t" }))),
+            },
+            log: this.#createLog("front"),
+        });
+    }
+
     #addWorker(id: WorkerId): void {
         const worker = new TaskWorker({
             id,
--- a/control/calls.ts
+++ b/control/calls.ts
@@ -33,6 +33,7 @@
     configure: "control.configure",
     readConfiguration: "control.readConfiguration",
     hello: "control.hello",
+    announceLeader: "control.announceLeader",
     advise: "front.advise",
     relay: "front.relay",
     reach: "front.reach",
@@ -138,6 +139,16 @@
     readonly leader?: string;
 }
 
+/**
+ * A leader's announcement to an instance in its settings that has sent it no hello message. It is a
+ * hint whom to ask, and no proof of the lead.
+ */
+export interface LeaderAnnouncement {
+    /** The RPC address of the leader, `host:port`. */
+    readonly leader: string;
+    readonly term: number;
+}
+
 /** Limits that fronts enforce on callers' requests. */
 export interface CallerLimits {
     readonly maxBodyBytes: number;
--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -62,11 +62,13 @@
     type HelloAnswer,
     type HelloCall,
     type KeepAliveBatchCall,
+    type LeaderAnnouncement,
     type LeaveCall,
     type WorkerCalls,
 } from "./calls.ts";
 import { ClockJumpDetector } from "./clock_jump_detector.ts";
 import { Leadership, type ConfigureAnswer } from "./leadership.ts";
+import { LeaderAnnouncer, parseLeaderAnnouncement } from "./leader_announcer.ts";
 import { InstanceRegistry } from "./instance_registry.ts";
 import { KeepAliveBatcher } from "./keep_alive_batcher.ts";
 import { StateReader } from "./state_reader.ts";
@@ -151,6 +153,7 @@
     readonly #instances = new InstanceRegistry();
     readonly #voterPlanner: VoterPlanner;
     readonly #callTracker = new CallTracker();
+    readonly #announcer: LeaderAnnouncer;
     readonly #statusReporter: StatusReporter;
     #member: GroupMember<FactBatch, void> | undefined;
     #leadership: Leadership | undefined;
@@ -158,6 +161,9 @@
     #helloSubscription: Subscription | undefined;
     #leaderPublicAddress: string | undefined;
     /** Limits the log lines about calls and orders that arrive while the lease is expired. */
+    readonly #malformedAnnouncementLog = new RateLimitedLog((fields) =>
+        this.#options.log.warn("malformed leader announcement ignored", fields),
+    );
     readonly #expiredLeaseLog = new RateLimitedLog((fields) =>
         this.#options.log.warn("calls arrived after leader lease expired", fields),
     );
@@ -174,9 +180,14 @@
         this.#stateReader = new StateReader(this.#committedState);
         this.#network = new PeerNetwork({ findAddress: (id) => id, timeoutMs: PEER_TIMEOUT_MS });
         this.#router = new LeaderRouter({
-            listSeeds: options.listSeeds,
+            // The voters on disk are asked too: the seeds may all be gone.
+            listSeeds: () => [...options.listSeeds(), ...this.#listVotingInstances()],
             inactivityTimeoutMs: selectFailoverTimeoutMs(options.toleratedFailures),
         });
+        this.#announcer = new LeaderAnnouncer({
+            self: this.#self,
+            send: (instance, announcement) => void this.#sendAnnouncement(instance, announcement),
+        });
         this.#voterPlanner = new VoterPlanner({
             self: this.#self,
             zone: options.zone,
@@ -239,6 +250,7 @@
                     (await this.#getLeadership()).handleConfigure(params as Configuration),
                 [METHODS.readConfiguration]: () => this.#readConfigurationAsLeader(),
                 [METHODS.hello]: (params) => this.#handleHello(params as HelloCall),
+                [METHODS.announceLeader]: (params) => this.#handleLeaderAnnouncement(params),
             },
         });
         this.#member = new GroupMember<FactBatch, void>({
@@ -482,7 +494,7 @@
         if (hasLease && this.#leadership !== undefined) {
             return this.#leadership;
         }
-        const leader = this.#member?.leader;
+        const leader = this.#member?.leaderOrHint;
         throw new MethodError("not the leader", NOT_LEADER_CODE, {
             leader: leader === this.#self ? undefined : leader,
         });
@@ -639,11 +651,38 @@
         }
     }
 
+    async #sendAnnouncement(instance: string, announcement: LeaderAnnouncement): Promise<void> {
+        this.#options.metrics?.leaderAnnouncements.inc();
+        await this.#network
+            .getClient(instance as EntryId)
+            ?.call(METHODS.announceLeader, announcement)
+            .catch((error: Error) => {
+                // The instance may be down, or of a release without this method.
+                this.#options.log.debug("leader announcement failed", {
+                    instance,
+                    error: error.message,
+                });
+            });
+    }
+
+    #handleLeaderAnnouncement(params: unknown): Record<string, never> {
+        const announcement = parseLeaderAnnouncement(params);
+        if (announcement === undefined) {
+            this.#options.metrics?.malformedAnnouncements.inc();
+            this.#malformedAnnouncementLog.add();
+            return {};
+        }
+        this.#member?.recordLeaderHint(announcement.leader as EntryId, announcement.term);
+        this.#router.adoptLeader(announcement.leader);
+        return {};
+    }
+
     /** Updates the leader's view of the live fronts and control instances, and plans the voters. */
     #updateInstances(): void {
         const nowMs = performance.now();
         this.#instances.removeExpired(nowMs);
         this.#updateFronts();
+        this.#announceLeader(nowMs);
         this.#voterPlanner.planVoters(
             nowMs,
             this.#listVotingInstances(),
@@ -651,6 +690,16 @@
         );
     }
 
+    #announceLeader(nowMs: number): void {
+        const term = this.#member?.replica.term;
+        if (term !== undefined && this.isServing) {
+            const followers = this.#instances.listAddresses("control");
+            this.#options.metrics?.followingInstances.set(followers.length);
+            const seeds = this.#options.listSeeds();
+            this.#announcer.announce({ term, seeds, followers, nowMs });
+        }
+    }
+
     #updateFronts(): void {
         const fronts = this.#instances.listAddresses("front");
         this.#leadership?.setFronts(fronts as unknown as FrontId[]);
--- a/group/group_member.ts
+++ b/group/group_member.ts
@@ -28,6 +28,7 @@
     type StateMachine,
 } from "../log/mod.ts";
 import { createMemberId, parseEntryId, type EntryId, type GroupLayout } from "../membership/mod.ts";
+import { LeaderHint } from "./leader_hint.ts";
 import type { PeerNetwork } from "./peer_network.ts";
 import { ReplicaFreshness } from "./replica_freshness.ts";
 
@@ -65,8 +66,10 @@
     readonly #memberId: MemberId;
     #maintenanceSubscription: Subscription | undefined;
     #nextPeerIndex = 0;
+    #subscribeSentAtMs = Number.NEGATIVE_INFINITY;
     #warningIntervalStartMs: number | undefined;
     readonly #freshness = new ReplicaFreshness();
+    readonly #leaderHint = new LeaderHint();
 
     /**
      * @param options Group, identity, state machine and network; see {@link GroupMemberOptions}.
@@ -149,6 +152,25 @@
         return leader === undefined ? undefined : parseEntryId(leader);
     }
 
+    /** The instance to ask for the leader: the leader, or one that lately claimed to lead. */
+    get leaderOrHint(): EntryId | undefined {
+        return this.leader ?? this.#leaderHint.find(performance.now());
+    }
+
+    /**
+     * Records that an instance claims to lead, which is no proof of it, and asks it for the log if
+     * this replica hears no leader.
+     *
+     * @param leader The instance.
+     * @param term The term in which it claims to lead.
+     */
+    recordLeaderHint(leader: EntryId, term: number): void {
+        const isRecorded = this.#leaderHint.record(leader, term, performance.now());
+        if (isRecorded && leader !== this.#options.self && this.#replica.role !== "leader") {
+            void this.#sendSubscribe();
+        }
+    }
+
     /**
      * Handles a consensus message of the group.
      *
@@ -162,10 +184,13 @@
         to: MemberId,
         message: GroupMessage,
     ): Promise<GroupMessage | null> {
+        const isOfLeader = message.type === "append" || message.type === "snapshot";
         if (to !== this.#memberId) {
+            if (isOfLeader) {
+                this.recordLeaderHint(parseEntryId(from), message.term);
+            }
             return null;
         }
-        const isOfLeader = message.type === "append" || message.type === "snapshot";
         // A replaced leader may not know yet what its successor has committed.
         if (isOfLeader && message.term >= this.#replica.term) {
             const commitIndex =
@@ -183,7 +208,8 @@
      * Adds a learner if this instance leads, replacing other incarnations of the same instance.
      *
      * @param member The member that subscribes to the log.
-     * @returns The known leader, to which a member that asked a follower is redirected.
+     * @returns The known leader, or a hint to it, to which a member that asked a follower is
+     *     redirected.
      */
     addLearner(member: MemberId): { readonly leader: EntryId | undefined } {
         if (this.#replica.role === "leader") {
@@ -195,14 +221,14 @@
             }
             this.#replica.addLearner(member);
         }
-        return { leader: this.leader };
+        return { leader: this.leaderOrHint };
     }
 
     #runMaintenance(): void {
         if (this.#replica.role === "leader") {
             this.#updateVoters();
             this.#removeUnresponsiveLearners();
-        } else if (this.#replica.role === "learner") {
+        } else {
             void this.#sendSubscribe();
         }
         this.#reportElection(performance.now());
@@ -287,15 +313,25 @@
         }
     }
 
-    /** Asks the peers in turn for a log subscription while no leader sends messages. */
+    /**
+     * Asks for a log subscription while no leader sends messages: the instance that claims to lead,
+     * or else the peers in turn. A former voter that doesn't know of its removal asks as well.
+     */
     async #sendSubscribe(): Promise<void> {
-        const sinceLeaderContactMs = performance.now() - this.#freshness.lastMessageAtMs;
-        if (sinceLeaderContactMs < 4 * this.#options.timings.heartbeatMs) {
+        const now = performance.now();
+        const minSilenceMs = 4 * this.#options.timings.heartbeatMs;
+        if (
+            now - this.#freshness.lastMessageAtMs < minSilenceMs ||
+            now - this.#subscribeSentAtMs < minSilenceMs
+        ) {
             return;
         }
+        this.#subscribeSentAtMs = now;
         const peers = this.#options.listPeers?.() ?? this.#options.group.voters;
         const otherPeers = peers.filter((id) => id !== this.#options.self);
-        const target = otherPeers[this.#nextPeerIndex++ % Math.max(1, otherPeers.length)];
+        const target =
+            this.#leaderHint.find(now) ??
+            otherPeers[this.#nextPeerIndex++ % Math.max(1, otherPeers.length)];
         const client = target === undefined ? undefined : this.#options.network.getClient(target);
         const params = { group: this.#options.group.id, member: this.#memberId };
         const response = await client
--- a/telemetry/control_metrics.ts
+++ b/telemetry/control_metrics.ts
@@ -30,6 +30,12 @@
     readonly configurationSeconds: Histogram;
     readonly leading: Gauge;
     readonly leadershipLosses: Counter<"cause">;
+    /** Control instances that follow this leader, as their hello messages show. */
+    readonly followingInstances: Gauge;
+    /** Announcements of this leader to seeds that don't follow it. */
+    readonly leaderAnnouncements: Counter;
+    /** Leader announcements that this instance could not read. */
+    readonly malformedAnnouncements: Counter;
     /** Calls that reached this instance while it led without a valid lease. */
     readonly expiredLeaseCalls: Counter;
     /** Durations for which the event loop was blocked. */
@@ -107,6 +113,20 @@
             labelNames: ["cause"],
             registers,
         }),
+        followingInstances: createGauge(
+            "poplarhead_following_instances",
+            "Control instances that follow this leader.",
+        ),
+        leaderAnnouncements: new Counter({
+            name: "poplarhead_leader_announcements_total",
+            help: "Announcements of this leader to seeds that don't follow it.",
+            registers,
+        }),
+        malformedAnnouncements: new Counter({
+            name: "poplarhead_malformed_announcements_total",
+            help: "Leader announcements that this instance could not read.",
+            registers,
+        }),
         expiredLeaseCalls: new Counter({
             name: "poplarhead_lapsed_calls_total",
             help: "Calls that reached this instance while it led without a lease.",
