--- a/front/call_summary_log.ts
+++ b/front/call_summary_log.ts
@@ -18,7 +18,7 @@
 import type { CallerCall } from "../control/calls.ts";
 import type { ConnectionTracker } from "../rpc/mod.ts";
 import { CALLS_ANSWERED_MESSAGE, type CallCounts } from "../telemetry/call_rows.ts";
-import type { CallOutcome } from "./daemon.ts";
+import type { CallOutcome } from "./call_outcome.ts";
 
 const REPORT_INTERVAL_MS = 1_000;
 /** The duration above which an answered call counts as late, in ms. */
--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -48,6 +48,7 @@
     startRpcServer,
     type RpcServer,
 } from "../rpc/mod.ts";
+import type { CallOutcome } from "./call_outcome.ts";
 import { CallSummaryLog } from "./call_summary_log.ts";
 import { LEADER_TIMEOUT_MS, LeaderReachability } from "./leader_reachability.ts";
 
@@ -65,14 +66,6 @@
     readonly log: Logger;
 }
 
-/** The outcome of a call. */
-export type CallOutcome =
-    | CallerAnswer
-    /** No leader answered in time; the call may or may not have been executed. */
-    | { readonly type: "unknown"; readonly retryAfterMs: number }
-    /** No leader answered in time; the call was not executed. */
-    | { readonly type: "unreached"; readonly retryAfterMs: number };
-
 /** Interval between two hello messages to the leader, in ms. */
 const HELLO_INTERVAL_MS = 400;
 /** Timeout of a hello message, in ms; bounds how late a lost leader is detected. */
--- a/front/mod.ts
+++ b/front/mod.ts
@@ -9,5 +9,6 @@
  * @module
  */
 
+export * from "./call_outcome.ts";
 export * from "./daemon.ts";
 export * from "./leader_reachability.ts";
