--- a/workspace/types.ts
+++ b/workspace/types.ts
@@ -28,12 +28,21 @@
 /** What a workspace is entitled to. */
 export interface WorkspacePolicy {
     readonly name: WorkspaceName;
-    /** Share of the workspace when all workers are busy, relative to the other workspaces. */
-    readonly weight: number;
+    /**
+     * Jobs per second to which the workspace is entitled when all workers are busy; absent if its
+     * jobs are not metered.
+     */
+    readonly weight?: number | undefined;
     /** What its tasks may reserve on all workers together; 0 for no limit on a resource. */
     readonly limit: WorkspaceResources;
 }
 
+/**
+ * Whether a job is within its workspace's share. Borrowed jobs are served with what the other
+ * workspaces leave unused.
+ */
+export type ShareClass = "entitled" | "borrowed";
+
 /** A workspace of a configuration. */
 export interface WorkspaceConfig extends WorkspacePolicy {
     readonly apiKeys: readonly ApiKey[];
@@ -47,4 +56,8 @@
     readonly limit: WorkspaceResources;
     /** Units that wait for a worker or for quota. */
     readonly waitingUnits: number;
+    /** As in {@link WorkspacePolicy}. */
+    readonly weight?: number | undefined;
+    /** Whether it sent more jobs per second than its weight over the last 5 s. */
+    readonly isBorrowing?: boolean;
 }
