dispatch: the order follows the shares of workspaces, if admission is "forecast"

Steps of entitled jobs go first, then those of borrowed jobs, then expired ones, whatever their priority; the late test counts the p80 of the queue's durations and the start. Classes are derived from the acceptance times on record, so a new leader has the same. A borrowed task can be preempted by any entitled gang, as a less urgent one can, and does not use a worker reserved for one. Perpetual tasks are never late, and an occurrence of a repeating job is as old as its own due time: by the acceptance, both would be expired and go after all other work. With "off", the default, the order is as before.

--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -62,6 +62,7 @@
      */
     adoptJobs(): void {
         const now = this.#context.clock.getNow();
+        this.#context.jobShares.restore();
         for (const job of this.#context.stateStore.jobs.values()) {
             if (job.endedAt === undefined) {
                 this.#context.readySteps.openJob(job);
@@ -124,7 +125,10 @@
             reserved: computeReservedResources(spec),
             workspace: job.workspace,
             demand: spec?.needs ?? NO_RESOURCES,
-            priority: this.#context.findQueue(job.queue)?.priority ?? 0,
+            priority: this.#context.jobShares.computePreemptionPriority(
+                job.id,
+                this.#context.findQueue(job.queue)?.priority ?? 0,
+            ),
             state: "planned",
             startSends: 0,
             fence: 0,
@@ -313,6 +317,7 @@
      */
     closeJob(job: Job): void {
         this.#begunJobs.delete(job.id);
+        this.#context.jobShares.removeJob(job.id);
         this.#context.readySteps
             .closeJob(job.id)
             .forEach((key) => this.#context.adviceScheduler.removeCalls(key));
--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -12,11 +12,13 @@
  * @module
  */
 
+import type { AdmissionMode } from "../admission/types.ts";
 import type { QueueConfig, QueueName } from "../configuration/mod.ts";
 import { QuotaLedger } from "../workspace/mod.ts";
 import type { Fact, StateStore } from "../job/mod.ts";
 import { AdviceScheduler } from "./advice_scheduler.ts";
 import { AdmissionRates } from "./advice_plan.ts";
+import { JobShares } from "./_job_shares.ts";
 import { ReadySteps } from "./ready_steps.ts";
 import type {
     DispatchClock,
@@ -35,6 +37,8 @@
     /** The first fencing token; higher than any token of earlier leaders. */
     readonly firstFence: number;
     readonly limits?: Partial<DispatchLimits>;
+    /** Whether the shares of workspaces and expired jobs affect the order; "off" by default. */
+    readonly admission?: AdmissionMode;
     /** Logs a decision. */
     readonly recordDecision?: RecordDecision;
 }
@@ -61,6 +65,8 @@
     readonly quotaLedger: QuotaLedger;
     readonly registry: WorkerRegistry;
     readonly readySteps: ReadySteps;
+    readonly admission: AdmissionMode;
+    readonly jobShares: JobShares;
     readonly adviceScheduler = new AdviceScheduler();
     readonly admissionRates = new AdmissionRates();
     readonly recordDecision: RecordDecision;
@@ -88,6 +94,12 @@
             quotaLedger: this.quotaLedger,
         });
         this.readySteps = new ReadySteps({ stateStore: this.stateStore, clock: this.clock });
+        this.admission = options.admission ?? "off";
+        this.jobShares = new JobShares({
+            stateStore: this.stateStore,
+            clock: this.clock,
+            admission: this.admission,
+        });
     }
 
     /**
--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -14,6 +14,7 @@
  * @module
  */
 
+import type { AdmissionMode } from "../admission/types.ts";
 import type { Configuration, QueueConfig, QueueName } from "../configuration/mod.ts";
 import {
     StateStore,
@@ -70,6 +71,8 @@
     /** Fraction by which the workers' clocks run slow; 0 by default. */
     readonly clockDrift?: number;
     readonly queues?: readonly QueueConfig[];
+    /** The dispatcher's setting; "off" by default. */
+    readonly admission?: AdmissionMode;
     /** Workspaces of the first configuration; none by default. */
     readonly workspaces?: readonly WorkspaceConfig[];
     /** Returns the fault to inject into an order. */
@@ -367,6 +370,7 @@
             stateStore: this.committedState.copy(),
             clock: { getNow: () => this.now, getWallTimeMs: () => this.now },
             firstFence: this.#term * FENCES_PER_TERM,
+            admission: this.#options.admission,
         });
     }
 
--- a/dispatch/_gang_reservations.ts
+++ b/dispatch/_gang_reservations.ts
@@ -87,7 +87,7 @@
             (gang) =>
                 gang.rank < entry.rank &&
                 gang.queue.priority > 0 &&
-                entry.queue.priority >= gang.queue.priority &&
+                this.#computePriority(entry) >= this.#computePriority(gang) &&
                 gang.step.reservedWorkers.has(id),
         );
     }
@@ -149,7 +149,8 @@
      * another reserved worker stays occupied or isn't admitted would cost their progress without
      * starting the gang.
      */
-    #listVictims({ step, queue }: RankedStep, candidates: StepCandidates): MemberRun[] | undefined {
+    #listVictims(entry: RankedStep, candidates: StepCandidates): MemberRun[] | undefined {
+        const { step } = entry;
         const admitted = new Set(candidates.admitted.map(({ id }) => id));
         const needs = computeReservedResources(step.spec);
         const victims: MemberRun[] = [];
@@ -162,7 +163,7 @@
             const workerVictims = selectVictims(
                 worker.members.values(),
                 missingCpu,
-                queue.priority,
+                this.#computePriority(entry),
             );
             if (missingCpu > 0 && workerVictims.length === 0) {
                 return undefined;
@@ -172,14 +173,17 @@
         return victims;
     }
 
-    #selectReservedWorkers(
-        { step, queue }: RankedStep,
-        candidates: StepCandidates,
-    ): Map<WorkerId, number> {
+    #computePriority({ step, queue }: RankedStep): number {
+        return this.#context.jobShares.computePreemptionPriority(step.job.id, queue.priority);
+    }
+
+    #selectReservedWorkers(entry: RankedStep, candidates: StepCandidates): Map<WorkerId, number> {
+        const { step } = entry;
+        const priority = this.#computePriority(entry);
         const reservationCandidates = [...candidates.admitted, ...candidates.expired].map(
             ({ id }) => ({
                 id,
-                capacityAfterPreemption: this.#computeCapacityAfterPreemption(id, queue.priority),
+                capacityAfterPreemption: this.#computeCapacityAfterPreemption(id, priority),
             }),
         );
         return selectReservedWorkers(reservationCandidates, {
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -23,7 +23,7 @@
 import { GangReservations, type RankedStep } from "./_gang_reservations.ts";
 import { CrashIsolation } from "./_crash_isolation.ts";
 import { countFittingTasks, placeUnit, type Candidate } from "./placement.ts";
-import { rankStep } from "./ranking.ts";
+import { rankStep, rankStepByShare } from "./ranking.ts";
 import { selectForRetry } from "./retry_placement.ts";
 import { createUnitRef, type ReadyStep } from "./ready_steps.ts";
 import type { Admission, AdviceCall } from "./types.ts";
@@ -128,12 +128,20 @@
         for (const step of this.#context.readySteps.steps) {
             const queue = step.waiting.size > 0 ? this.#context.findQueue(step.queue) : undefined;
             if (queue !== undefined) {
-                ranked.push({ step, queue, rank: rankStep(step, queue, wallTimeMs) });
+                ranked.push({ step, queue, rank: this.#rankStep(step, queue, wallTimeMs) });
             }
         }
         return ranked.sort((a, b) => a.rank - b.rank);
     }
 
+    #rankStep(step: ReadyStep, queue: QueueConfig, wallTimeMs: number): number {
+        if (this.#context.admission === "off") {
+            return rankStep(step, queue, wallTimeMs);
+        }
+        const share = this.#context.jobShares.getShare(step.job.id);
+        return rankStepByShare(step, queue, { wallTimeMs, share });
+    }
+
     /**
      * Selects the workers that a step is matched with. Matching every waiting step with every
      * worker at each task end would saturate the leader, so steps are matched with workers that
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -135,16 +135,18 @@
      * @returns A row for each workspace of the configuration, or with open jobs.
      */
     listWorkspaceUsage(): WorkspaceUsage[] {
-        const { stateStore, quotaLedger, readySteps } = this.#context;
+        const { stateStore, quotaLedger, readySteps, jobShares } = this.#context;
         const waitingUnits = new Map<WorkspaceName | undefined, number>();
         for (const { job, waiting } of readySteps.steps) {
             waitingUnits.set(job.workspace, (waitingUnits.get(job.workspace) ?? 0) + waiting.size);
         }
-        return [...stateStore.workspaces.values()].map(({ name, limit }) => ({
+        return [...stateStore.workspaces.values()].map(({ name, limit, weight }) => ({
             workspace: name,
             reserved: quotaLedger.usage.get(name) ?? NO_RESOURCES,
             limit,
             waitingUnits: waitingUnits.get(name) ?? 0,
+            weight,
+            isBorrowing: jobShares.isBorrowing(name),
         }));
     }
 
@@ -185,6 +187,7 @@
         }
         this.#context.recordFact({ type: "jobAccepted", ...submission });
         const job = this.#context.stateStore.jobs.get(submission.job);
+        const share = job === undefined ? undefined : this.#context.jobShares.recordAccepted(job);
         if (job !== undefined) {
             this.#context.readySteps.openJob(job);
         }
@@ -193,6 +196,7 @@
             queue: submission.queue,
             workspace: submission.workspace,
             steps: submission.spec.steps.length,
+            share,
         });
         this.#context.isDirty = true;
         return undefined;
@@ -239,6 +243,7 @@
             return false;
         }
         this.#context.recordFact({ type: "configurationSet", configuration });
+        this.#context.jobShares.updateWeights();
         this.#context.recordDecision("milestone", "configuration set", {
             version: configuration.version,
             before: current,
--- a/dispatch/ranking.ts
+++ b/dispatch/ranking.ts
@@ -13,8 +13,29 @@
 
 import type { QueueConfig } from "../configuration/mod.ts";
 import type { JobSpec } from "../job/mod.ts";
+import type { ShareClass } from "../workspace/mod.ts";
 import type { ReadyStep } from "./ready_steps.ts";
 
+/** How long a queue's tasks take, as multiples of their stated estimates. */
+export interface QueueRatio {
+    readonly median: number;
+    /** The multiple that four of five tasks stay below. */
+    readonly p80: number;
+}
+
+/** What the rank of a step depends on beside the step and its queue. */
+export interface ShareRankOptions {
+    /** The current time, in ms since the Unix epoch. */
+    readonly wallTimeMs: number;
+    /** The class of the step's job. */
+    readonly share: ShareClass;
+    /** What is known about the queue's estimates; by default, that they are right. */
+    readonly ratio?: QueueRatio;
+}
+
+/** The ratio of a queue whose estimates are taken as they are. */
+export const UNKNOWN_RATIO: QueueRatio = { median: 1, p80: 1 };
+
 /** Rank distance between two priorities; larger than any timestamp and offset. */
 const RANK_PER_PRIORITY = 1e18;
 /** Offset of jobs that will miss their latency objective. */
@@ -56,19 +77,94 @@
     return isLate ? base + LATE_RANK_OFFSET : base;
 }
 
+/**
+ * Time from the decision to start a task until it runs, in ms: the commit and the start order. A
+ * step that could only just be on time without it is late by it.
+ */
+const START_OVERHEAD_MS = 150;
+/**
+ * Rank distance between two groups of {@link rankStepByShare}. Three groups stay below 2^53, so
+ * that timestamps keep their resolution of 1 ms.
+ */
+const RANK_PER_GROUP = 3e15;
+/** Rank distance between two priorities of one group. */
+const GROUP_RANK_PER_PRIORITY = 2e13;
+/** Offset of late jobs of one priority; larger than any timestamp. */
+const GROUP_LATE_RANK_OFFSET = 1e13;
+/** Priorities beyond this magnitude rank alike, so that they stay within their group. */
+const MAX_RANKED_PRIORITY = 70;
+
+/**
+ * Ranks a waiting step by the share of its workspace as well: steps of entitled jobs, then those of
+ * borrowed jobs, then those of expired jobs. Within a group, the order is by priority, then by
+ * whether the job can be on time, then by age. Late work keeps its priority: an urgent job that is
+ * late is still worth a fifth, and its queue is the first to recover after a burst.
+ *
+ * @param step The step.
+ * @param queue Its queue.
+ * @param options Time, class and ratio; see {@link ShareRankOptions}.
+ * @returns The rank; the smallest goes first.
+ */
+export function rankStepByShare(
+    step: Pick<ReadyStep, "job" | "step" | "occurrence" | "spec">,
+    queue: Pick<QueueConfig, "priority" | "stretch" | "targetLatencyMs">,
+    { wallTimeMs, share, ratio = UNKNOWN_RATIO }: ShareRankOptions,
+): number {
+    const dueAtMs = computeDueAtMs(step);
+    const priority = Math.max(-MAX_RANKED_PRIORITY, Math.min(MAX_RANKED_PRIORITY, queue.priority));
+    const base = (priority + MAX_RANKED_PRIORITY) * GROUP_RANK_PER_PRIORITY + dueAtMs;
+    const lateness = classifyLateness(step, queue, wallTimeMs - dueAtMs, ratio);
+    if (lateness === "expired") {
+        return base + 2 * RANK_PER_GROUP;
+    }
+    const groupBase = share === "borrowed" ? base + RANK_PER_GROUP : base;
+    return lateness === "late" ? groupBase + GROUP_LATE_RANK_OFFSET : groupBase;
+}
+
+/**
+ * Returns when the work of a step was due: when its job was accepted, or when its occurrence was to
+ * begin. Measured from the acceptance, every later occurrence of a repeating job would be expired.
+ */
+function computeDueAtMs({ job, occurrence }: Pick<ReadyStep, "job" | "occurrence">): number {
+    const { acceptedAt, spec } = job;
+    return spec === undefined || spec.repeats === 0
+        ? acceptedAt
+        : Math.max(acceptedAt, spec.firstAtMs + occurrence * spec.periodMs);
+}
+
+function classifyLateness(
+    { job, step, spec }: Pick<ReadyStep, "job" | "step" | "spec">,
+    queue: Pick<QueueConfig, "stretch" | "targetLatencyMs">,
+    elapsedMs: number,
+    ratio: QueueRatio,
+): "onTime" | "late" | "expired" {
+    if (spec.isPerpetual) {
+        // A task that runs until it is cancelled has no end that could be late.
+        return "onTime";
+    }
+    const objectiveMs = computeLatencyObjectiveMs(job.spec, queue, ratio.median);
+    if (elapsedMs > EXPIRY_FACTOR * objectiveMs) {
+        return "expired";
+    }
+    const remainingMs = ratio.p80 * computeCriticalPathMs(job.spec, step) + START_OVERHEAD_MS;
+    return elapsedMs + remainingMs > objectiveMs ? "late" : "onTime";
+}
+
 /**
  * Computes the latency objective of a job from the caller's estimates.
  *
  * @param spec The job; `undefined` if it is no longer stored.
  * @param queue Its queue.
+ * @param medianRatio Factor by which the queue's tasks usually differ from their estimates.
  * @returns The objective, in ms.
  */
 export function computeLatencyObjectiveMs(
     spec: JobSpec | undefined,
     queue: Pick<QueueConfig, "stretch" | "targetLatencyMs">,
+    medianRatio = 1,
 ): number {
     const pathsMs = (spec?.steps ?? []).map((_step, i) => computeCriticalPathMs(spec, i));
-    return queue.stretch * Math.max(0, ...pathsMs) + queue.targetLatencyMs;
+    return queue.stretch * medianRatio * Math.max(0, ...pathsMs) + queue.targetLatencyMs;
 }
 
 /**
--- a/dispatch/ranking_test.ts
+++ b/dispatch/ranking_test.ts
@@ -1,6 +1,8 @@
 import test from "ava";
 import { buildQueue, buildSpec, SimulatedCluster } from "./_fixtures.ts";
-import { computeLatencyObjectiveMs, rankStep } from "./ranking.ts";
+import { computeLatencyObjectiveMs, rankStep, rankStepByShare } from "./ranking.ts";
+import type { JobSpec } from "../job/mod.ts";
+import type { ShareClass } from "../workspace/mod.ts";
 
 const URGENT = buildQueue({ stretch: 1.5, targetLatencyMs: 250 });
 
@@ -59,3 +61,80 @@
     t.true(lateJobs.length < newJobs.length * 0.35, `${lateJobs.length} of ${newJobs.length} late`);
     t.true([...submittedAtMs.keys()].every((id) => cluster.getJobState(id) === "complete"));
 });
+
+const NOW_MS = 1_800_000_000_000;
+
+interface RankCase {
+    readonly ageMs?: number;
+    readonly priority?: number;
+    readonly share?: ShareClass;
+    readonly spec?: JobSpec;
+    readonly occurrence?: number;
+    readonly ratio?: { readonly median: number; readonly p80: number };
+}
+
+/** Ranks a step with an objective of 1.5 x 400 + 250 = 850 ms, unless its job says otherwise. */
+function rankByShare({
+    ageMs = 0,
+    priority = 0,
+    share = "entitled",
+    spec = buildSpec({ estimateMs: 400 }),
+    occurrence = 0,
+    ratio,
+}: RankCase): number {
+    const job = { acceptedAt: NOW_MS - ageMs, spec };
+    const step = { job, occurrence, step: 0, spec: spec.steps[0] } as never;
+    return rankStepByShare(step, { ...URGENT, priority }, { wallTimeMs: NOW_MS, share, ratio });
+}
+
+// Guards against an excess of one workspace that delays the others' work, and against work that is
+// worth nothing any more before work that is.
+test("entitled work goes before borrowed work, and expired work last, whatever their priorities", (t) => {
+    const ranks = [
+        rankByShare({ ageMs: 299 }),
+        rankByShare({ ageMs: 0 }),
+        rankByShare({ ageMs: 301 }),
+        rankByShare({ priority: 1, ageMs: 2 }),
+        rankByShare({ priority: 1, ageMs: 1 }),
+        rankByShare({ priority: 2 }),
+        rankByShare({ share: "borrowed", ageMs: 299 }),
+        rankByShare({ share: "borrowed", ageMs: 301 }),
+        rankByShare({ share: "borrowed", priority: 1_000 }),
+        rankByShare({ ageMs: 2_551 }),
+        rankByShare({ share: "borrowed", ageMs: 2_551, priority: 1_000 }),
+    ];
+    t.deepEqual(
+        ranks,
+        [...ranks].sort((a, b) => a - b),
+    );
+    t.is(new Set(ranks).size, ranks.length);
+    t.true(ranks.every((rank) => Number.isSafeInteger(rank)));
+});
+
+// Guards against steps that are started when they can only just be on time, and end late.
+test("a step is late if its p80 duration and its start exceed the objective by the median", (t) => {
+    const isLate = (ageMs: number, median: number, p80: number): boolean =>
+        rankByShare({ ageMs, ratio: { median, p80 } }) > rankByShare({ ageMs: 0 });
+    t.false(isLate(850 - 400 - 150, 1, 1));
+    t.true(isLate(850 - 400 - 150 + 1, 1, 1));
+    t.true(isLate(850 - 400 - 150, 1, 1.5));
+    t.false(isLate(850 - 400 - 150, 1.5, 1.5));
+});
+
+// Guards against services and repeating jobs that rank as expired because they were accepted long
+// ago.
+test("a perpetual task is never late, and an occurrence is as old as its own due time", (t) => {
+    const perpetual = buildSpec({ isPerpetual: true });
+    const fresh = rankByShare({ priority: 1 });
+    t.true(rankByShare({ ageMs: 3_600_000, spec: perpetual }) < fresh);
+    const repeating = {
+        ...buildSpec({ estimateMs: 400 }),
+        repeats: 100,
+        firstAtMs: NOW_MS - 50_000,
+        periodMs: 1_000,
+    };
+    const rankOccurrence = (occurrence: number): number =>
+        rankByShare({ ageMs: 60_000, spec: repeating, occurrence });
+    t.is(rankOccurrence(50), rankByShare({}));
+    t.true(rankOccurrence(40) > rankByShare({ priority: 2 }));
+});
