--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -466,6 +466,7 @@
             return;
         }
         metrics.decisions.inc({ event });
+        this.#recordJobShare(event, fields);
         const { how, reason, waitedMs, tookMs } = fields;
         if (how !== undefined || reason !== undefined) {
             metrics.outcomes.inc({ event, kind: String(how ?? reason) });
@@ -478,6 +479,18 @@
         }
     }
 
+    #recordJobShare(event: string, { workspace, share }: Readonly<Record<string, unknown>>): void {
+        const { metrics } = this.#options;
+        // Only jobs that are metered have a share, also those refused.
+        if (share !== "entitled" && share !== "borrowed") {
+            return;
+        }
+        if (event === "job accepted" || event === "job refused") {
+            const counted = event === "job refused" ? "refused" : share;
+            metrics?.workspaces.recordJob(workspace as WorkspaceName, counted);
+        }
+    }
+
     #runEffect(effect: Effect): void {
         switch (effect.type) {
             case "start":
--- a/telemetry/workspace_metrics_test.ts
+++ b/telemetry/workspace_metrics_test.ts
@@ -34,3 +34,38 @@
     t.true(text.split("\n").length < 400);
     t.regex(text, /waiting_units\{workspace="\(others\)"\} 700/);
 });
+
+test("jobs are counted by share for the workspaces with the largest weights, also after a change of weights", async (t) => {
+    // Guards against labels that grow with the number of workspaces, and against lost counts.
+    const registry = new Registry();
+    const metrics = new WorkspaceMetrics(registry);
+    const names = Array.from({ length: 60 }, (_unused, i) => `t${i}` as WorkspaceName);
+    names.forEach((name) => metrics.recordJob(name, "borrowed"));
+    metrics.recordJob("t59" as WorkspaceName, "refused");
+    const update = (getWeight: (i: number) => number): void =>
+        metrics.update(names.map((name, i) => ({ ...buildUsage(name, 0), weight: getWeight(i) })));
+    update((i) => i);
+    const text = await registry.metrics();
+    t.regex(text, /jobs_total\{workspace="t59",share="refused"\} 1/);
+    t.regex(text, /jobs_total\{workspace="\(others\)",share="borrowed"\} 10/);
+    t.notRegex(text, /jobs_total\{workspace="t9",/);
+    update((i) => -i);
+    const changed = await registry.metrics();
+    t.regex(changed, /jobs_total\{workspace="t9",share="borrowed"\} 1/);
+    t.regex(changed, /jobs_total\{workspace="\(others\)",share="refused"\} 1/);
+    // An instance that no longer leads keeps its counts.
+    metrics.update([]);
+    t.regex(await registry.metrics(), /jobs_total\{workspace="t9",share="borrowed"\} 1/);
+});
+
+test("a workspace that borrows is shown until it stops, and one without a weight is not", async (t) => {
+    const registry = new Registry();
+    const metrics = new WorkspaceMetrics(registry);
+    const usage = buildUsage("acme", 0);
+    metrics.update([{ ...usage, weight: 3, isBorrowing: true }]);
+    t.regex(await registry.metrics(), /borrowing\{workspace="acme"\} 1/);
+    metrics.update([{ ...usage, weight: 3, isBorrowing: false }]);
+    t.regex(await registry.metrics(), /borrowing\{workspace="acme"\} 0/);
+    metrics.update([usage]);
+    t.notRegex(await registry.metrics(), /borrowing\{/);
+});
