--- a/dispatch/job_shares_test.ts
+++ b/dispatch/job_shares_test.ts
@@ -11,6 +11,7 @@
     SimulatedCluster,
 } from "./_fixtures.ts";
 import { Dispatcher } from "./dispatcher.ts";
+import { HOT_WORKSPACE, ShareSimulation } from "./_share_simulation.ts";
 import { createRandom } from "../tools/seeded_random.ts";
 
 const ACME = "acme" as WorkspaceName;
@@ -193,3 +194,31 @@
     cluster.runFor(10_000);
     t.true([...borrowed, ...ids].every((id) => cluster.getJobState(id) === "complete"));
 });
+
+const LOADS = [
+    // Five sixths of the workers are busy without the excess, mostly with gangs and wide steps.
+    { name: "in all queues", seeds: [1, 3], options: {} },
+    // Without the shares, two of five jobs of the others are late.
+    {
+        name: "in one queue that uses two thirds of the workers",
+        seeds: [1],
+        options: { isUrgentOnly: true, load: 8, seconds: 15 },
+    },
+];
+
+for (const { name, seeds, options } of LOADS) {
+    for (const seed of seeds) {
+        // Guards against an excess of one workspace that makes the others' jobs late.
+        test(`six times the usual load from one workspace, ${name}, costs the others nothing (seed ${seed})`, (t) => {
+            const run = (hotFactor: number): number => {
+                const admission = "forecast";
+                const simulation = new ShareSimulation({ seed, admission, hotFactor, ...options });
+                simulation.run();
+                return simulation.summarize(({ workspace }) => workspace !== HOT_WORKSPACE)
+                    .onTimeShare;
+            };
+            const [usual, hot] = [run(1), run(6)];
+            t.true(hot >= usual - 0.02, `${hot.toFixed(3)}, and ${usual.toFixed(3)} without it`);
+        });
+    }
+}
--- a/workspace/share_meter.ts
+++ b/workspace/share_meter.ts
@@ -27,10 +27,11 @@
 /** Time at the weight's rate that fills an empty bucket, in ms. */
 const CAPACITY_MS = 1_000;
 /**
- * Minimum capacity of a bucket, in jobs. Two callers of a small workspace may come together without
- * either of them being in excess.
+ * Minimum capacity of a bucket, in jobs. Callers come at random, so that a workspace which uses three
+ * quarters of its weight on average finds a bucket of 2 empty for a fifth of its jobs, and they
+ * were late at usual load; 8 jobs in excess cost the others nothing.
  */
-const MIN_CAPACITY = 2;
+const MIN_CAPACITY = 8;
 /** Tolerance of the refill, whose sums of fractions are inexact, in jobs. */
 const TOKEN_TOLERANCE = 1e-9;
 /**
--- a/workspace/share_meter_test.ts
+++ b/workspace/share_meter_test.ts
@@ -1,12 +1,13 @@
 import test from "ava";
 import fc from "fast-check";
+import { createRandom } from "../tools/seeded_random.ts";
 import { ShareMeter } from "./share_meter.ts";
 import type { ShareClass, WorkspaceName } from "./types.ts";
 
 const ACME = "acme" as WorkspaceName;
 const NOW_MS = 1_800_000_000_000;
-/** As on the design page: one second's worth, and at least this many jobs. */
-const MIN_CAPACITY = 2;
+/** One second's worth, and at least this many jobs. */
+const MIN_CAPACITY = 8;
 
 function buildMeter(weight: number | undefined): ShareMeter {
     return new ShareMeter({ getWeight: () => weight });
@@ -200,3 +201,16 @@
     );
     t.pass();
 });
+
+test("callers that come at random at three quarters of a small weight are nearly all entitled", (t) => {
+    // Guards against a bucket so small that chance alone makes jobs of a usual load borrowed.
+    const meter = buildMeter(0.5);
+    const random = createRandom(5);
+    const shares: ShareClass[] = [];
+    for (let atMs = NOW_MS; shares.length < 5_000;) {
+        atMs += (-Math.log(1 - random()) * 1_000) / (0.75 * 0.5);
+        shares.push(meter.recordJob(ACME, atMs));
+    }
+    const borrowed = 1 - countEntitled(shares) / shares.length;
+    t.true(borrowed < 0.02, `${borrowed.toFixed(3)} borrowed`);
+});
