dispatch: the leader decides about submissions before it records them

Dispatcher has an option `admission` (`off` by default, then all is decided as before). With `forecast` it builds each pool's forecast from its own state, at most once in 100 ms, and adds each admitted job to it. A known job stays accepted. A new leader admits until its workers have answered a poll, for at most 3 s; a pool without a usable worker admits. Work that waits for its workspace's quota doesn't count as a backlog of the pool.

submit returns the refusal with its cause instead of a text.

--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -14,6 +14,7 @@
  * @module
  */
 
+import type { AdmissionMode } from "../admission/mod.ts";
 import type { Configuration, QueueConfig, QueueName } from "../configuration/mod.ts";
 import {
     StateStore,
@@ -29,7 +30,7 @@
 import { TaskWorker, type TaskRun } from "../standin/task_worker.ts";
 import { VirtualTime } from "../standin/virtual_time.ts";
 import { buildQueue, POOL, QUEUE } from "./_builders.ts";
-import { Dispatcher } from "./dispatcher.ts";
+import { Dispatcher, type SubmissionRefusal } from "./dispatcher.ts";
 import { InvariantChecker, type CrashRecord, type RunRecord } from "./_invariant_checker.ts";
 import type { AdviceCall, Effect, FrontId, Heartbeat, PollAnswer, OrderAnswer } from "./types.ts";
 
@@ -72,6 +73,8 @@
     readonly queues?: readonly QueueConfig[];
     /** Workspaces of the first configuration; none by default. */
     readonly workspaces?: readonly WorkspaceConfig[];
+    /** Whether the leader decides about submissions by a forecast; `off` by default. */
+    readonly admission?: AdmissionMode;
     /** Returns the fault to inject into an order. */
     readonly getFault?: (kind: "start" | "stop" | "look", worker: WorkerId) => OrderFault;
     readonly getOutcome?: (task: string, worker: WorkerId) => MemberOutcome;
@@ -107,6 +110,8 @@
     readonly #options: SimulatedClusterOptions;
     readonly committedState = new StateStore();
     readonly workers = new Map<WorkerId, TaskWorker>();
+    /** The latest refusal of each refused submission, by job. */
+    readonly refusals = new Map<string, SubmissionRefusal>();
     /** Pace orders sent so far. */
     readonly paceOrders: { task: string; percent: number; atMs: number }[] = [];
     readonly #invariants = new InvariantChecker({
@@ -272,9 +277,12 @@
         workspace?: WorkspaceName,
     ): string | undefined {
         const job = id as JobId;
-        const problem = this.dispatcher.submit({ job, queue, pool: POOL, workspace, spec });
+        const refusal = this.dispatcher.submit({ job, queue, pool: POOL, workspace, spec });
+        if (refusal !== undefined) {
+            this.refusals.set(id, refusal);
+        }
         this.#flush();
-        return problem;
+        return refusal?.problem;
     }
 
     /** Applies a configuration with other workspaces. */
@@ -367,6 +375,7 @@
             stateStore: this.committedState.copy(),
             clock: { getNow: () => this.now, getWallTimeMs: () => this.now },
             firstFence: this.#term * FENCES_PER_TERM,
+            admission: this.#options.admission,
         });
     }
 
--- /dev/null
+++ b/dispatch/_forecast_input.ts
@@ -0,0 +1,210 @@
+/**
+ * Collects the input of a pool's capacity forecast from the dispatcher's state. The cost is linear
+ * in the number of running tasks and waiting steps.
+ *
+ * @example
+ * ```ts
+ * import { collectForecastInput } from "./_forecast_input.ts";
+ * const forecast = new CapacityForecast(collectForecastInput(context, pool, now));
+ * ```
+ *
+ * @module
+ */
+
+import {
+    listFirstSteps,
+    type BacklogGroup,
+    type ForecastInput,
+    type JobRanks,
+    type RunningTask,
+} from "../admission/mod.ts";
+import type { PoolName, QueueConfig, QueueName } from "../configuration/mod.ts";
+import type { JobSpec, StepSpec } from "../job/mod.ts";
+import type { WorkspaceName } from "../workspace/mod.ts";
+import { computeUnitDemand } from "./admission.ts";
+import type { DispatchContext } from "./_context.ts";
+import { computeLatencyObjectiveMs, rankStep } from "./ranking.ts";
+import type { ReadyStep } from "./ready_steps.ts";
+import type { MemberRun } from "./types.ts";
+import { getFreeResources } from "./worker_registry.ts";
+
+/** Returns the median of actual to estimated durations of a queue. */
+export type GetMedianRatio = (queue: QueueName) => number;
+
+/**
+ * Divisor that turns a step's rank without its submission time into a small integer; a divisor of
+ * every distance between two classes in `ranking.ts`.
+ */
+const RANK_CLASS_UNIT = 1e16;
+/** Time that a task takes to end once it is being stopped, in ms. */
+const STOP_MS = 200;
+
+/**
+ * Collects the input of a forecast.
+ *
+ * @param context The shared state of the dispatcher.
+ * @param pool The pool.
+ * @param now The current monotonic time, in ms.
+ * @param getMedianRatio Corrects the callers' estimates; 1 by default.
+ * @returns The input, or `undefined` if the pool has no usable worker.
+ */
+export function collectForecastInput(
+    context: DispatchContext,
+    pool: PoolName,
+    now: number,
+    getMedianRatio: GetMedianRatio = () => 1,
+): ForecastInput | undefined {
+    let [capacityCpu, freeCpu] = [0, 0];
+    const running: RunningTask[] = [];
+    for (const worker of context.registry.workers) {
+        if (worker.record.pool !== pool || !context.registry.isUsable(worker, now)) {
+            continue;
+        }
+        capacityCpu += worker.record.capacity.cpu;
+        freeCpu += Math.max(0, getFreeResources(worker).cpu);
+        for (const member of worker.members.values()) {
+            const job = context.stateStore.jobs.get(member.unit.job);
+            const ratio = job === undefined ? 1 : getMedianRatio(job.queue);
+            running.push({
+                endsInMs: computeRemainingMs(member, ratio, now),
+                cpu: member.reserved.cpu,
+            });
+        }
+    }
+    if (capacityCpu <= 0) {
+        return undefined;
+    }
+    const backlog = collectBacklog(context, pool, getMedianRatio);
+    return { builtAtMs: now, capacityCpu, freeCpu, running, backlog };
+}
+
+/**
+ * Computes the positions in the order that a job submitted now takes.
+ *
+ * @param spec The job.
+ * @param queue Its queue.
+ * @param wallTimeMs The current time, in ms since the Unix epoch.
+ * @returns Its positions while it can be on time and once it can't.
+ */
+export function computeJobRanks(spec: JobSpec, queue: QueueConfig, wallTimeMs: number): JobRanks {
+    const computeRank = (elapsedMs: number): number =>
+        computeRankClass(
+            { job: { acceptedAt: wallTimeMs - elapsedMs, spec }, step: 0 } as ReadyStep,
+            queue,
+            wallTimeMs,
+        );
+    return { onTime: computeRank(0), late: computeRank(computeLatencyObjectiveMs(spec, queue)) };
+}
+
+/**
+ * Lists all tasks of a job, as a backlog.
+ *
+ * @param spec The job.
+ * @param rank Its position in the order.
+ * @param ratio The median of actual to estimated durations of its queue.
+ * @returns One group for each step.
+ */
+export function listTasks(spec: JobSpec, rank: number, ratio: number): BacklogGroup[] {
+    return spec.steps
+        .filter((step) => !step.isFiller)
+        .map((step) => createGroup(step, step.count, rank, ratio));
+}
+
+/**
+ * Lists the tasks with which a job starts, as a backlog.
+ *
+ * @param spec The job.
+ * @param rank Its position in the order.
+ * @param ratio The median of actual to estimated durations of its queue.
+ * @returns One group for each step.
+ */
+export function listFirstTasks(spec: JobSpec, rank: number, ratio: number): BacklogGroup[] {
+    return listFirstSteps(spec).map((step) => createGroup(step, step.count, rank, ratio));
+}
+
+function collectBacklog(
+    context: DispatchContext,
+    pool: PoolName,
+    getMedianRatio: GetMedianRatio,
+): BacklogGroup[] {
+    const wallTimeMs = context.clock.getWallTimeMs();
+    const quota = new QuotaAllowance(context);
+    const groups: BacklogGroup[] = [];
+    for (const step of context.readySteps.steps) {
+        const queue = step.waiting.size > 0 ? context.findQueue(step.queue) : undefined;
+        if (queue === undefined || queue.pool !== pool || step.spec.isFiller) {
+            continue;
+        }
+        const units = quota.takeUnits(step);
+        if (units > 0) {
+            const tasks = step.spec.isGang ? units * step.spec.count : units;
+            const rank = computeRankClass(step, queue, wallTimeMs);
+            groups.push(createGroup(step.spec, tasks, rank, getMedianRatio(step.queue)));
+        }
+    }
+    return groups;
+}
+
+function createGroup(
+    { needs, estimateMs, isPerpetual }: StepSpec,
+    taskCount: number,
+    rank: number,
+    ratio: number,
+): BacklogGroup {
+    const taskMs = isPerpetual ? Number.POSITIVE_INFINITY : estimateMs * ratio;
+    return { rank, cpuPerTask: needs.cpu, taskMs, taskCount };
+}
+
+/** Computes the position of a step's priority and rank class, without its submission time. */
+function computeRankClass(step: ReadyStep, queue: QueueConfig, wallTimeMs: number): number {
+    const rank = rankStep(step, queue, wallTimeMs) - step.job.acceptedAt;
+    return Math.round(rank / RANK_CLASS_UNIT);
+}
+
+/**
+ * Computes how long a task is expected to run. One that has run longer than estimated is expected to
+ * exceed its estimate by as much again: a few tasks take several times as long as the others.
+ */
+function computeRemainingMs(member: MemberRun, ratio: number, now: number): number {
+    if (member.state === "stopping") {
+        return STOP_MS;
+    }
+    if (member.isPerpetual) {
+        return Number.POSITIVE_INFINITY;
+    }
+    return Math.abs(member.estimateMs * ratio - (now - member.startedAtMs));
+}
+
+/** The CPU that each workspace may still reserve: work beyond it waits for quota, not for workers. */
+class QuotaAllowance {
+    readonly #context: DispatchContext;
+    readonly #leftCpu = new Map<WorkspaceName, number>();
+
+    constructor(context: DispatchContext) {
+        this.#context = context;
+    }
+
+    /** Takes as many waiting units of a step as the quota of its workspace allows now. */
+    takeUnits({ job: { workspace }, spec, waiting }: ReadyStep): number {
+        const left = workspace === undefined ? Infinity : this.#getLeftCpu(workspace);
+        const { cpu } = computeUnitDemand(spec);
+        if (workspace === undefined || cpu <= 0 || left === Infinity) {
+            return waiting.size;
+        }
+        const units = Math.min(waiting.size, Math.floor(left / cpu));
+        this.#leftCpu.set(workspace, left - units * cpu);
+        return units;
+    }
+
+    #getLeftCpu(workspace: WorkspaceName): number {
+        const known = this.#leftCpu.get(workspace);
+        if (known !== undefined) {
+            return known;
+        }
+        const limit = this.#context.stateStore.workspaces.get(workspace)?.limit.cpu ?? 0;
+        const used = this.#context.quotaLedger.usage.get(workspace)?.cpu ?? 0;
+        const left = limit > 0 ? Math.max(0, limit - used) : Infinity;
+        this.#leftCpu.set(workspace, left);
+        return left;
+    }
+}
--- /dev/null
+++ b/dispatch/_submission_admission.ts
@@ -0,0 +1,134 @@
+/**
+ * Runs admission control for the dispatcher: keeps a recent forecast of each pool and decides about
+ * submitted jobs by it.
+ *
+ * @example
+ * ```ts
+ * import { SubmissionAdmission } from "./_submission_admission.ts";
+ * const admission = new SubmissionAdmission({ context, mode: "forecast" });
+ * const decision = admission.checkJob({ job, queue, pool, spec });
+ * ```
+ *
+ * @module
+ */
+
+import {
+    AdmissionController,
+    ArrivalMeter,
+    CapacityForecast,
+    type AdmissionDecision,
+    type AdmissionMode,
+} from "../admission/mod.ts";
+import type { PoolName, QueueName } from "../configuration/mod.ts";
+import type { JobId, JobSpec } from "../job/mod.ts";
+import type { DispatchContext } from "./_context.ts";
+import {
+    collectForecastInput,
+    computeJobRanks,
+    listFirstTasks,
+    listTasks,
+} from "./_forecast_input.ts";
+
+/** Options of {@link SubmissionAdmission}. */
+export interface SubmissionAdmissionOptions {
+    readonly context: DispatchContext;
+    readonly mode: AdmissionMode;
+}
+
+/** A submitted job. */
+export interface AdmissionCandidate {
+    readonly job: JobId;
+    readonly queue: QueueName;
+    readonly pool: PoolName;
+    readonly spec: JobSpec;
+}
+
+/** The age up to which a forecast is used, in ms; bounds the cost to ten builds a second. */
+const MAX_FORECAST_AGE_MS = 100;
+/**
+ * Longest time that a new leader waits for its first polls of the workers, in ms; by then, the
+ * tasks that previous leaders started are known except on workers that don't answer.
+ */
+const WARM_UP_MS = 3_000;
+
+/** A pool's forecast; without a value if the state of the pool is unknown. */
+interface CachedForecast {
+    readonly builtAtMs: number;
+    readonly forecast: CapacityForecast | undefined;
+}
+
+/** Decides about submitted jobs on behalf of one leader. */
+export class SubmissionAdmission {
+    readonly #context: DispatchContext;
+    readonly #mode: AdmissionMode;
+    readonly #controller = new AdmissionController();
+    readonly #forecasts = new Map<PoolName, CachedForecast>();
+    readonly #meters = new Map<PoolName, ArrivalMeter>();
+    readonly #startedAtMs: number;
+    readonly #warmPools = new Set<PoolName>();
+
+    /**
+     * @param options The shared state of the dispatcher and the mode.
+     */
+    constructor({ context, mode }: SubmissionAdmissionOptions) {
+        this.#context = context;
+        this.#mode = mode;
+        this.#startedAtMs = context.clock.getNow();
+    }
+
+    /**
+     * Decides about a job that is not known yet. An admitted job counts as waiting from now on.
+     *
+     * @param candidate The job.
+     * @returns The decision; always `admitted` in mode `off`.
+     */
+    checkJob({ job, queue: name, pool, spec }: AdmissionCandidate): AdmissionDecision {
+        const queue = this.#context.findQueue(name);
+        if (this.#mode === "off" || queue === undefined) {
+            return { type: "admitted" };
+        }
+        const now = this.#context.clock.getNow();
+        const forecast = this.#getForecast(pool, now);
+        const ranks = computeJobRanks(spec, queue, this.#context.clock.getWallTimeMs());
+        const decision = this.#controller.checkJob({ job, queue, spec, forecast, ranks, now });
+        if (decision.type === "admitted" && spec.repeats === 0) {
+            listFirstTasks(spec, ranks.onTime, 1).forEach((group) => forecast?.addBacklog(group));
+            this.#ensureMeter(pool).record(listTasks(spec, ranks.onTime, 1), now);
+        }
+        return decision;
+    }
+
+    #ensureMeter(pool: PoolName): ArrivalMeter {
+        const meter = this.#meters.get(pool) ?? new ArrivalMeter();
+        this.#meters.set(pool, meter);
+        return meter;
+    }
+
+    #getForecast(pool: PoolName, now: number): CapacityForecast | undefined {
+        const cached = this.#forecasts.get(pool);
+        if (cached !== undefined && now - cached.builtAtMs < MAX_FORECAST_AGE_MS) {
+            return cached.forecast;
+        }
+        const input = this.#isWarm(pool, now)
+            ? collectForecastInput(this.#context, pool, now)
+            : undefined;
+        const arrivals = this.#ensureMeter(pool).listRates(now);
+        const forecast = input && new CapacityForecast({ ...input, arrivals });
+        this.#forecasts.set(pool, { builtAtMs: now, forecast });
+        return forecast;
+    }
+
+    /** Returns whether the tasks on the pool's workers are known. */
+    #isWarm(pool: PoolName, now: number): boolean {
+        if (!this.#warmPools.has(pool)) {
+            const isPolled = [...this.#context.registry.workers].every(
+                ({ record, pollAnsweredAtMs }) =>
+                    record.pool !== pool || Number.isFinite(pollAnsweredAtMs),
+            );
+            if (isPolled || now - this.#startedAtMs >= WARM_UP_MS) {
+                this.#warmPools.add(pool);
+            }
+        }
+        return this.#warmPools.has(pool);
+    }
+}
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -14,6 +14,7 @@
  * @module
  */
 
+import type { AdmissionMode, AdmissionPrediction, AdmissionRefusal } from "../admission/mod.ts";
 import type { Configuration, PoolName, QueueName } from "../configuration/mod.ts";
 import type { Incarnation, Job, JobId, JobSpec, WorkerId, WorkerRecord } from "../job/mod.ts";
 import type { WorkspaceName, WorkspaceUsage } from "../workspace/mod.ts";
@@ -27,6 +28,7 @@
 import { auditQuota } from "./_quota_audit.ts";
 import { hasOverdueTask } from "./overdue_tasks.ts";
 import { StepPlacer } from "./_placer.ts";
+import { SubmissionAdmission } from "./_submission_admission.ts";
 import { WorkerFailures } from "./_worker_failures.ts";
 import type {
     Admission,
@@ -50,7 +52,10 @@
 export { isSameReport } from "./_heartbeats.ts";
 
 /** Options of {@link Dispatcher}. */
-export type DispatcherOptions = DispatchContextOptions;
+export interface DispatcherOptions extends DispatchContextOptions {
+    /** Whether jobs that can't be of use to their callers any more are refused; `off` by default. */
+    readonly admission?: AdmissionMode;
+}
 
 /** A job as submitted by a caller. */
 export interface Submission {
@@ -62,6 +67,12 @@
     readonly spec: JobSpec;
 }
 
+/** A submission that was refused before anything was recorded. */
+export type SubmissionRefusal =
+    | AdmissionRefusal
+    /** No worker, or not the limit of the workspace, will ever allow it. */
+    | { readonly type: "refused"; readonly cause: "infeasible"; readonly problem: string };
+
 /** Time after which a stop is resent if the worker has not reported the task's end, in ms. */
 const STOP_RETRY_MS = 400;
 /** Time between two cleanups of ended jobs, in ms. */
@@ -80,6 +91,7 @@
     readonly #placer: StepPlacer;
     readonly #heartbeats: Heartbeats;
     readonly #evacuator: Evacuator;
+    readonly #admission: SubmissionAdmission;
     #cleanedUpAtMs: number;
     #tickedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -98,6 +110,10 @@
         this.#placer = new StepPlacer(this.#context, this.#attempts);
         this.#heartbeats = new Heartbeats(this.#context);
         this.#evacuator = new Evacuator(this.#context, this.#attempts);
+        this.#admission = new SubmissionAdmission({
+            context: this.#context,
+            mode: options.admission ?? "off",
+        });
         this.#cleanedUpAtMs = this.#context.clock.getNow();
         this.#adoptWorkers();
         this.#attempts.adoptJobs();
@@ -161,9 +177,9 @@
      * Accepts a job; idempotent for a job that was accepted before.
      *
      * @param submission The job.
-     * @returns Why the job can never run, or `undefined` if it is accepted.
+     * @returns The refusal, of which nothing is recorded, or `undefined` if the job is accepted.
      */
-    submit(submission: Submission): string | undefined {
+    submit(submission: Submission): SubmissionRefusal | undefined {
         if (this.#context.stateStore.jobs.has(submission.job)) {
             return undefined;
         }
@@ -181,7 +197,12 @@
                 workspace: submission.workspace,
                 problem,
             });
-            return problem;
+            return { type: "refused", cause: "infeasible", problem };
+        }
+        const decision = this.#admission.checkJob(submission);
+        if (decision.type === "refused") {
+            this.#recordRefusal(submission, decision);
+            return decision;
         }
         this.#context.recordFact({ type: "jobAccepted", ...submission });
         const job = this.#context.stateStore.jobs.get(submission.job);
@@ -193,11 +214,25 @@
             queue: submission.queue,
             workspace: submission.workspace,
             steps: submission.spec.steps.length,
+            ...formatPrediction(decision),
         });
         this.#context.isDirty = true;
         return undefined;
     }
 
+    /** Records a refusal as a decision, which may be sampled out: an overload causes many. */
+    #recordRefusal(submission: Submission, refusal: AdmissionRefusal): void {
+        this.#context.recordDecision("decision", "job refused", {
+            request: submission.job,
+            queue: submission.queue,
+            workspace: submission.workspace,
+            cause: refusal.cause,
+            problem: refusal.problem,
+            ...formatPrediction(refusal),
+            retryAfterMs: refusal.retryAfterMs,
+        });
+    }
+
     /**
      * Finds a job, including one that is not committed yet.
      *
@@ -437,6 +472,14 @@
     }
 }
 
+/** Rounds a prediction for the log; empty if there is none. */
+function formatPrediction(prediction: Partial<AdmissionPrediction>): Partial<AdmissionPrediction> {
+    const { predictedMs, objectiveMs } = prediction;
+    return predictedMs === undefined || objectiveMs === undefined
+        ? {}
+        : { predictedMs: Math.round(predictedMs), objectiveMs: Math.round(objectiveMs) };
+}
+
 /** Returns whether the poll that resolves a pending heartbeat is due again. */
 function isRestartPollDue(worker: WorkerState, now: number): boolean {
     return (
