control: admission as a setting, and a bound on the submissions that wait for the leader

A refusal carries its Retry-After; one for a share has the optional field `isOverShare`, which earlier releases ignore, and becomes HTTP 429. - Metrics for decisions, predicted ends and refusals by the bound; log line 'job refused' with the prediction.

--- a/control/_fixtures.ts
+++ b/control/_fixtures.ts
@@ -17,6 +17,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { Logger } from "winston";
+import type { AdmissionMode } from "../admission/mod.ts";
+import type { ControlMetrics } from "../telemetry/control_metrics.ts";
 import { createLogger, LogSink } from "../telemetry/mod.ts";
 import type { Configuration } from "../configuration/mod.ts";
 import { buildQueue, buildWorkerReport, POOL } from "../dispatch/_fixtures.ts";
@@ -222,6 +224,9 @@
     readonly onStart: (task: string) => void;
     /** Called with log lines. */
     readonly onLogLines: (lines: string) => void;
+    /** Whether jobs are refused by a forecast; `off` by default. */
+    readonly admission?: AdmissionMode;
+    readonly metrics?: ControlMetrics;
 }
 
 /**
@@ -260,6 +265,8 @@
         clock: { getNow: () => performance.now(), getWallTimeMs: () => Date.now() },
         workerCalls: createImmediateWorkerCalls(options.onStart),
         advise: () => Promise.resolve({ admissions: undefined }),
+        admission: options.admission,
+        metrics: options.metrics,
         log: createLogger({ process: "c1", zone: "z", sink }),
     });
     void leadership.handleHeartbeat({
--- a/control/calls.ts
+++ b/control/calls.ts
@@ -75,7 +75,16 @@
     | { readonly type: "conflict" }
     | { readonly type: "invalid"; readonly problem: string }
     /** The job was not admitted and does not run as a result of this call. */
-    | { readonly type: "refused"; readonly reason: string; readonly retryAfterMs: number };
+    | {
+          readonly type: "refused";
+          readonly reason: string;
+          readonly retryAfterMs: number;
+          /**
+           * Whether the caller's workspace is beyond its share (429 rather than 503); processes of
+           * earlier releases ignore it.
+           */
+          readonly isOverShare?: boolean;
+      };
 
 /** A worker's heartbeat. */
 export type HeartbeatCall = Heartbeat;
--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -18,6 +18,7 @@
 import { chmodSync } from "node:fs";
 import { interval, type Subscription } from "rxjs";
 import type { Logger } from "winston";
+import type { AdmissionMode } from "../admission/mod.ts";
 import { checkConfiguration, findQueue, type Configuration } from "../configuration/mod.ts";
 import { isSameReport, type DispatchLimits, type FrontId } from "../dispatch/mod.ts";
 import { GroupMember, LeaderClock, PeerNetwork, type PeerEnvelope } from "../group/mod.ts";
@@ -97,6 +98,8 @@
     /** Adds to a configuration what an instance of an earlier release has left out. */
     readonly restoreWorkspaces?: (configuration: Configuration) => Configuration;
     readonly limits?: Partial<DispatchLimits>;
+    /** Whether jobs that can't be of use to their callers any more are refused; `off` by default. */
+    readonly admission?: AdmissionMode;
     readonly batchesPerSnapshot?: number;
     /** Takes the longest delay of the event loop since the last call, in ms. */
     readonly takeLongestDelayMs?: () => number;
@@ -570,6 +573,7 @@
             workerCalls: this.#options.workerCalls,
             advise: (front, call) => this.#sendAdvise(front, call),
             limits: this.#options.limits,
+            admission: this.#options.admission,
             metrics: this.#options.metrics,
             log: this.#options.log,
         });
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -17,6 +17,7 @@
 
 import { interval, type Subscription } from "rxjs";
 import type { Logger } from "winston";
+import type { AdmissionMode } from "../admission/mod.ts";
 import {
     checkConfiguration,
     findQueue,
@@ -34,6 +35,7 @@
     type KeepAlive,
     type MemberRun,
     type OrderAnswer,
+    type SubmissionRefusal,
 } from "../dispatch/mod.ts";
 import {
     isJobId,
@@ -44,10 +46,12 @@
     type JobId,
     type JobSpec,
 } from "../job/mod.ts";
+import { computeHash } from "../hashing/mod.ts";
 import { MethodError } from "../rpc/mod.ts";
 import { isOwnJob, type AccessControl, type WorkspaceName } from "../workspace/mod.ts";
 import type { ControlMetrics } from "../telemetry/control_metrics.ts";
 import { DecisionLog } from "../telemetry/decision_log.ts";
+import { RateLimitedLog } from "../telemetry/rate_limited_log.ts";
 import type {
     AdviseAnswer,
     AdviseCall,
@@ -58,6 +62,7 @@
     WorkerCalls,
 } from "./calls.ts";
 import { EffectQueue } from "./effect_queue.ts";
+import { SubmissionQueue } from "./submission_queue.ts";
 import type { StateReader } from "./state_reader.ts";
 import { RoundTripEstimator } from "./round_trip_estimator.ts";
 import { WorkerPoller } from "./worker_poller.ts";
@@ -84,6 +89,8 @@
     /** Calls the advice service through a front. */
     readonly advise: (front: FrontId, call: AdviseCall) => Promise<AdviseAnswer>;
     readonly limits?: Partial<DispatchLimits>;
+    /** Whether jobs that can't be of use to their callers any more are refused; `off` by default. */
+    readonly admission?: AdmissionMode;
     readonly metrics?: ControlMetrics;
     readonly log: Logger;
 }
@@ -122,6 +129,12 @@
  * workers seldom join.
  */
 const INFEASIBLE_RETRY_AFTER_MS = 60_000;
+/**
+ * The shortest `retryAfterMs` for a submission that found too many waiting, in ms, and the number of
+ * seconds over which the callers are spread.
+ */
+const UNHANDLED_RETRY_AFTER_MS = 1_000;
+const UNHANDLED_RETRY_SECONDS = 2;
 /** The `retryAfterMs` for a call that an earlier release forwarded without its key, in ms. */
 const KEY_MISSING_RETRY_MS = 1_000;
 
@@ -151,6 +164,10 @@
     #isStopped = false;
     #workspaceMetricsAtMs = Number.NEGATIVE_INFINITY;
     readonly #roundTripEstimator = new RoundTripEstimator();
+    readonly #submissionQueue = new SubmissionQueue();
+    readonly #unhandledLog = new RateLimitedLog((fields) =>
+        this.#options.log.warn("submissions refused, too many wait", fields),
+    );
 
     /**
      * @param options State, consensus and calls; see {@link LeadershipOptions}.
@@ -168,6 +185,7 @@
             clock: options.clock,
             firstFence: options.term * FENCING_TOKENS_PER_TERM,
             limits: options.limits,
+            admission: options.admission,
             recordDecision: (kind, event, fields) => this.#recordDecision(kind, event, fields),
         });
         this.#workerPoller = new WorkerPoller({
@@ -223,7 +241,43 @@
      * @returns The answer, after the change behind it is committed.
      * @throws {Error} If leadership ends before the change is committed.
      */
-    async handleCaller(call: CallerCall): Promise<CallerAnswer> {
+    handleCaller(call: CallerCall): Promise<CallerAnswer> {
+        if (call.type === "state") {
+            return this.#handleCall(call);
+        }
+        const key = `${call.host}${call.path}`;
+        if (call.type === "submit" && !this.#submissionQueue.hasCapacity()) {
+            // Only a job of which nothing is known and nothing waits can be refused as not run.
+            const mayBeAccepted = this.#submissionQueue.hasWaiting(key) || this.#isKnownJob(call);
+            if (!mayBeAccepted) {
+                return Promise.resolve(this.#refuseUnhandled(key));
+            }
+        }
+        // A cancellation waits as well, so that it doesn't overtake the submission of its job.
+        return this.#submissionQueue.add(key, () => this.#handleCall(call));
+    }
+
+    #isKnownJob({ host, path }: CallerCall): boolean {
+        const { configuration } = this.#options.committedState;
+        const match = configuration && findQueue(configuration, host, path);
+        return (
+            match !== undefined && this.#dispatcher.findJob(match.pathSuffix as JobId) !== undefined
+        );
+    }
+
+    #refuseUnhandled(key: string): CallerAnswer {
+        this.#options.metrics?.unhandledSubmissions.inc();
+        this.#unhandledLog.add();
+        const spreadSeconds = computeHash(key) % UNHANDLED_RETRY_SECONDS;
+        const retryAfterMs = UNHANDLED_RETRY_AFTER_MS + 1_000 * spreadSeconds;
+        return {
+            type: "refused",
+            reason: "too many submissions wait for the leader",
+            retryAfterMs,
+        };
+    }
+
+    async #handleCall(call: CallerCall): Promise<CallerAnswer> {
         const { configuration } = this.#options.committedState;
         if (configuration === undefined) {
             return { type: "refused", reason: "no configuration yet", retryAfterMs: 1_000 };
@@ -267,9 +321,9 @@
         spec: JobSpec,
     ): Promise<CallerAnswer> {
         const { name, pool } = queue;
-        const problem = this.#dispatcher.submit({ job, queue: name, pool, workspace, spec });
-        if (problem !== undefined) {
-            return { type: "refused", reason: problem, retryAfterMs: INFEASIBLE_RETRY_AFTER_MS };
+        const refusal = this.#dispatcher.submit({ job, queue: name, pool, workspace, spec });
+        if (refusal !== undefined) {
+            return createRefusalAnswer(refusal);
         }
         await this.#ensureCommitted(() => this.#options.committedState.jobs.has(job));
         return { type: "accepted" };
@@ -466,6 +520,7 @@
             return;
         }
         metrics.decisions.inc({ event });
+        this.#recordAdmission(event, fields);
         const { how, reason, waitedMs, tookMs } = fields;
         if (how !== undefined || reason !== undefined) {
             metrics.outcomes.inc({ event, kind: String(how ?? reason) });
@@ -478,6 +533,22 @@
         }
     }
 
+    /** Counts the decisions of admission control; infeasible jobs are refused without it. */
+    #recordAdmission(event: string, fields: Readonly<Record<string, unknown>>): void {
+        const { metrics, admission } = this.#options;
+        const isAdmitted = event === "job accepted";
+        const isRefused = event === "job refused" && fields["cause"] !== undefined;
+        if (metrics === undefined || admission !== "forecast" || (!isAdmitted && !isRefused)) {
+            return;
+        }
+        const queue = String(fields["queue"]);
+        const { predictedMs } = fields;
+        metrics.admissionDecisions.inc({ queue, decision: isAdmitted ? "admitted" : "refused" });
+        if (typeof predictedMs === "number") {
+            metrics.admissionPredictedSeconds.observe({ queue }, predictedMs / 1_000);
+        }
+    }
+
     #runEffect(effect: Effect): void {
         switch (effect.type) {
             case "start":
@@ -578,6 +649,17 @@
     }
 }
 
+function createRefusalAnswer(refusal: SubmissionRefusal): CallerAnswer {
+    const { cause, problem: reason } = refusal;
+    if (cause === "infeasible") {
+        return { type: "refused", reason, retryAfterMs: INFEASIBLE_RETRY_AFTER_MS };
+    }
+    const { retryAfterMs } = refusal;
+    return cause === "share"
+        ? { type: "refused", reason, retryAfterMs, isOverShare: true }
+        : { type: "refused", reason, retryAfterMs };
+}
+
 /** Returns whether a job has ended; one that is no longer kept ended long ago. */
 function hasEnded(job: Job | undefined): boolean {
     return job === undefined || job.endedAt !== undefined;
--- a/telemetry/control_metrics.ts
+++ b/telemetry/control_metrics.ts
@@ -44,6 +44,12 @@
     readonly cpuSeconds: Gauge;
     readonly residentBytes: Gauge;
     readonly workspaces: WorkspaceMetrics;
+    /** Decisions of admission control about submitted jobs. */
+    readonly admissionDecisions: Counter<"queue" | "decision">;
+    /** From a submission to the predicted end of its job. */
+    readonly admissionPredictedSeconds: Histogram<"queue">;
+    /** Submissions that were refused because too many waited for the leader. */
+    readonly unhandledSubmissions: Counter;
 }
 
 /** From commits of about 10 ms to waits of one minute. */
@@ -144,6 +150,22 @@
         cpuSeconds: createGauge("poplarhead_cpu_seconds", "Processor time used so far."),
         residentBytes: createGauge("poplarhead_resident_bytes", "Resident memory."),
         workspaces: new WorkspaceMetrics(registry),
+        admissionDecisions: new Counter({
+            name: "poplarhead_admission_decisions_total",
+            help: "Decisions of admission control about submitted jobs.",
+            labelNames: ["queue", "decision"],
+            registers,
+        }),
+        admissionPredictedSeconds: createHistogram(
+            "poplarhead_admission_predicted_seconds",
+            "Time from a submission to the predicted end of its job.",
+            ["queue"],
+        ),
+        unhandledSubmissions: new Counter({
+            name: "poplarhead_unhandled_submissions_total",
+            help: "Submissions refused because too many waited for the leader.",
+            registers,
+        }),
     };
     startSampling(metrics);
     return metrics;
