dispatch: the cost of forecasts stays a few hundredths of a core with large pools

Building a forecast goes through all tasks, steps and workers, which takes about a microsecond each. With more than 3,000 of them, forecasts are used for longer than 100 ms, in proportion. Running tasks are added up by their expected end rather than listed.

--- a/dispatch/_forecast_input.ts
+++ b/dispatch/_forecast_input.ts
@@ -36,6 +36,8 @@
  * every distance between two classes in `ranking.ts`.
  */
 const RANK_CLASS_UNIT = 1e16;
+/** Resolution of the expected ends, in ms; that of the forecast. */
+const RELEASE_STEP_MS = 100;
 /** Time that a task takes to end once it is being stopped, in ms. */
 const STOP_MS = 200;
 
@@ -52,10 +54,10 @@
     context: DispatchContext,
     pool: PoolName,
     now: number,
-    getMedianRatio: GetMedianRatio = () => 1,
+    getMedianRatio?: GetMedianRatio,
 ): ForecastInput | undefined {
     let [capacityCpu, freeCpu] = [0, 0];
-    const running: RunningTask[] = [];
+    const releases = new Releases();
     for (const worker of context.registry.workers) {
         if (worker.record.pool !== pool || !context.registry.isUsable(worker, now)) {
             continue;
@@ -63,19 +65,16 @@
         capacityCpu += worker.record.capacity.cpu;
         freeCpu += Math.max(0, getFreeResources(worker).cpu);
         for (const member of worker.members.values()) {
-            const job = context.stateStore.jobs.get(member.unit.job);
-            const ratio = job === undefined ? 1 : getMedianRatio(job.queue);
-            running.push({
-                endsInMs: computeRemainingMs(member, ratio, now),
-                cpu: member.reserved.cpu,
-            });
+            const job = getMedianRatio && context.stateStore.jobs.get(member.unit.job);
+            const ratio = job === undefined ? 1 : (getMedianRatio?.(job.queue) ?? 1);
+            releases.add(computeRemainingMs(member, ratio, now), member.reserved.cpu);
         }
     }
     if (capacityCpu <= 0) {
         return undefined;
     }
     const backlog = collectBacklog(context, pool, getMedianRatio);
-    return { builtAtMs: now, capacityCpu, freeCpu, running, backlog };
+    return { builtAtMs: now, capacityCpu, freeCpu, running: releases.listTasks(), backlog };
 }
 
 /**
@@ -125,7 +124,7 @@
 function collectBacklog(
     context: DispatchContext,
     pool: PoolName,
-    getMedianRatio: GetMedianRatio,
+    getMedianRatio: GetMedianRatio = () => 1,
 ): BacklogGroup[] {
     const wallTimeMs = context.clock.getWallTimeMs();
     const quota = new QuotaAllowance(context);
@@ -155,6 +154,20 @@
     return { rank, cpuPerTask: needs.cpu, taskMs, taskCount };
 }
 
+/**
+ * Counts what a collection goes through.
+ *
+ * @param context The shared state of the dispatcher.
+ * @returns The number of running tasks, waiting or running steps and workers, of all pools.
+ */
+export function countForecastItems(context: DispatchContext): number {
+    let count = context.readySteps.size;
+    for (const { members } of context.registry.workers) {
+        count += 1 + members.size;
+    }
+    return count;
+}
+
 /** Computes the position of a step's priority and rank class, without its submission time. */
 function computeRankClass(step: ReadyStep, queue: QueueConfig, wallTimeMs: number): number {
     const rank = rankStep(step, queue, wallTimeMs) - step.job.acceptedAt;
@@ -175,6 +188,20 @@
     return Math.abs(member.estimateMs * ratio - (now - member.startedAtMs));
 }
 
+/** Adds up the CPU of running tasks by their expected end: the tasks alone are too many to list. */
+class Releases {
+    readonly #cpuByEnd = new Map<number, number>();
+
+    add(endsInMs: number, cpu: number): void {
+        const end = Math.ceil(endsInMs / RELEASE_STEP_MS) * RELEASE_STEP_MS;
+        this.#cpuByEnd.set(end, (this.#cpuByEnd.get(end) ?? 0) + cpu);
+    }
+
+    listTasks(): RunningTask[] {
+        return [...this.#cpuByEnd].map(([endsInMs, cpu]) => ({ endsInMs, cpu }));
+    }
+}
+
 /** The CPU that each workspace may still reserve: work beyond it waits for quota, not for workers. */
 class QuotaAllowance {
     readonly #context: DispatchContext;
--- a/dispatch/_submission_admission.ts
+++ b/dispatch/_submission_admission.ts
@@ -25,6 +25,7 @@
 import {
     collectForecastInput,
     computeJobRanks,
+    countForecastItems,
     listFirstTasks,
     listTasks,
 } from "./_forecast_input.ts";
@@ -43,8 +44,14 @@
     readonly spec: JobSpec;
 }
 
-/** The age up to which a forecast is used, in ms; bounds the cost to ten builds a second. */
-const MAX_FORECAST_AGE_MS = 100;
+/** The age up to which the forecast of a small pool is used, in ms. */
+const MIN_FORECAST_AGE_MS = 100;
+/**
+ * Tasks, steps and workers that a leader goes through in a millisecond on average; each takes about
+ * a microsecond, so that building forecasts takes a few hundredths of a core. Up to some 300 workers,
+ * forecasts are built every 100 ms; the state of a larger pool changes less in that time.
+ */
+const ITEMS_PER_MS = 30;
 /**
  * Longest time that a new leader waits for its first polls of the workers, in ms; by then, the
  * tasks that previous leaders started are known except on workers that don't answer.
@@ -53,7 +60,8 @@
 
 /** A pool's forecast; without a value if the state of the pool is unknown. */
 interface CachedForecast {
-    readonly builtAtMs: number;
+    /** Until when it is used, in ms. */
+    readonly validUntilMs: number;
     readonly forecast: CapacityForecast | undefined;
 }
 
@@ -106,7 +114,7 @@
 
     #getForecast(pool: PoolName, now: number): CapacityForecast | undefined {
         const cached = this.#forecasts.get(pool);
-        if (cached !== undefined && now - cached.builtAtMs < MAX_FORECAST_AGE_MS) {
+        if (cached !== undefined && now < cached.validUntilMs) {
             return cached.forecast;
         }
         const input = this.#isWarm(pool, now)
@@ -114,10 +122,15 @@
             : undefined;
         const arrivals = this.#ensureMeter(pool).listRates(now);
         const forecast = input && new CapacityForecast({ ...input, arrivals });
-        this.#forecasts.set(pool, { builtAtMs: now, forecast });
+        const validUntilMs = now + this.#computeMaxAgeMs();
+        this.#forecasts.set(pool, { validUntilMs, forecast });
         return forecast;
     }
 
+    #computeMaxAgeMs(): number {
+        return Math.max(MIN_FORECAST_AGE_MS, countForecastItems(this.#context) / ITEMS_PER_MS);
+    }
+
     /** Returns whether the tasks on the pool's workers are known. */
     #isWarm(pool: PoolName, now: number): boolean {
         if (!this.#warmPools.has(pool)) {
--- a/dispatch/ready_steps.ts
+++ b/dispatch/ready_steps.ts
@@ -117,6 +117,11 @@
         this.#clock = options.clock;
     }
 
+    /** The number of ready steps. */
+    get size(): number {
+        return this.#steps.size;
+    }
+
     /** All ready steps. */
     get steps(): IterableIterator<ReadyStep> {
         return this.#steps.values();
