--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -19,6 +19,7 @@
 import { AdviceScheduler } from "./advice_scheduler.ts";
 import { AdmissionRates } from "./advice_plan.ts";
 import { JobShares } from "./_job_shares.ts";
+import { UNKNOWN_RATIO, type QueueRatio } from "./ranking.ts";
 import { ReadySteps } from "./ready_steps.ts";
 import type {
     DispatchClock,
@@ -37,7 +38,10 @@
     /** The first fencing token; higher than any token of earlier leaders. */
     readonly firstFence: number;
     readonly limits?: Partial<DispatchLimits>;
-    /** Whether the shares of workspaces and expired jobs affect the order; "off" by default. */
+    /**
+     * Whether jobs that can't be of use to their callers any more are refused, and the order follows
+     * the shares of workspaces; "off" by default.
+     */
     readonly admission?: AdmissionMode;
     /** Logs a decision. */
     readonly recordDecision?: RecordDecision;
@@ -145,6 +149,16 @@
         return output;
     }
 
+    /**
+     * Returns how long a queue's tasks take, as multiples of their estimates.
+     *
+     * @param _queue The queue.
+     * @returns The ratios.
+     */
+    getQueueRatio(_queue: QueueName): QueueRatio {
+        return UNKNOWN_RATIO;
+    }
+
     /**
      * Finds a queue, including a removed queue that still has open jobs.
      *
--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -14,7 +14,7 @@
  * @module
  */
 
-import type { AdmissionMode } from "../admission/types.ts";
+import type { AdmissionMode } from "../admission/mod.ts";
 import type { Configuration, QueueConfig, QueueName } from "../configuration/mod.ts";
 import {
     StateStore,
@@ -30,7 +30,7 @@
 import { TaskWorker, type TaskRun } from "../standin/task_worker.ts";
 import { VirtualTime } from "../standin/virtual_time.ts";
 import { buildQueue, POOL, QUEUE } from "./_builders.ts";
-import { Dispatcher } from "./dispatcher.ts";
+import { Dispatcher, type SubmissionRefusal } from "./dispatcher.ts";
 import { InvariantChecker, type CrashRecord, type RunRecord } from "./_invariant_checker.ts";
 import type { AdviceCall, Effect, FrontId, Heartbeat, PollAnswer, OrderAnswer } from "./types.ts";
 
@@ -71,10 +71,10 @@
     /** Fraction by which the workers' clocks run slow; 0 by default. */
     readonly clockDrift?: number;
     readonly queues?: readonly QueueConfig[];
-    /** The dispatcher's setting; "off" by default. */
-    readonly admission?: AdmissionMode;
     /** Workspaces of the first configuration; none by default. */
     readonly workspaces?: readonly WorkspaceConfig[];
+    /** Whether the leader decides about submissions by a forecast; `off` by default. */
+    readonly admission?: AdmissionMode;
     /** Returns the fault to inject into an order. */
     readonly getFault?: (kind: "start" | "stop" | "look", worker: WorkerId) => OrderFault;
     readonly getOutcome?: (task: string, worker: WorkerId) => MemberOutcome;
@@ -110,6 +110,8 @@
     readonly #options: SimulatedClusterOptions;
     readonly committedState = new StateStore();
     readonly workers = new Map<WorkerId, TaskWorker>();
+    /** The latest refusal of each refused submission, by job. */
+    readonly refusals = new Map<string, SubmissionRefusal>();
     /** Pace orders sent so far. */
     readonly paceOrders: { task: string; percent: number; atMs: number }[] = [];
     readonly #invariants = new InvariantChecker({
@@ -275,9 +277,12 @@
         workspace?: WorkspaceName,
     ): string | undefined {
         const job = id as JobId;
-        const problem = this.dispatcher.submit({ job, queue, pool: POOL, workspace, spec });
+        const refusal = this.dispatcher.submit({ job, queue, pool: POOL, workspace, spec });
+        if (refusal !== undefined) {
+            this.refusals.set(id, refusal);
+        }
         this.#flush();
-        return problem;
+        return refusal?.problem;
     }
 
     /** Applies a configuration with other workspaces. */
--- a/dispatch/_job_shares.ts
+++ b/dispatch/_job_shares.ts
@@ -104,6 +104,16 @@
         this.#borrowedJobs.delete(id);
     }
 
+    /**
+     * Finds the class that a job submitted now would have, if its workspace is metered.
+     *
+     * @param workspace Its workspace, if any.
+     * @returns The class, or `undefined` if the workspace has no weight.
+     */
+    findShareNow(workspace: WorkspaceName | undefined): ShareClass | undefined {
+        return this.#findWeight(workspace) === undefined ? undefined : this.checkShare(workspace);
+    }
+
     /**
      * Returns the class that a job submitted now would have.
      *
--- a/dispatch/ranking.ts
+++ b/dispatch/ranking.ts
@@ -12,7 +12,7 @@
  */
 
 import type { QueueConfig } from "../configuration/mod.ts";
-import type { JobSpec } from "../job/mod.ts";
+import type { Job, JobSpec, StepSpec } from "../job/mod.ts";
 import type { ShareClass } from "../workspace/mod.ts";
 import type { ReadyStep } from "./ready_steps.ts";
 
@@ -33,6 +33,14 @@
     readonly ratio?: QueueRatio;
 }
 
+/** A step of a job, as far as its rank depends on it. */
+export interface RankedWork {
+    readonly job: Pick<Job, "acceptedAt" | "spec">;
+    readonly step: number;
+    readonly occurrence: number;
+    readonly spec: StepSpec;
+}
+
 /** The ratio of a queue whose estimates are taken as they are. */
 export const UNKNOWN_RATIO: QueueRatio = { median: 1, p80: 1 };
 
@@ -106,7 +114,7 @@
  * @returns The rank; the smallest goes first.
  */
 export function rankStepByShare(
-    step: Pick<ReadyStep, "job" | "step" | "occurrence" | "spec">,
+    step: RankedWork,
     queue: Pick<QueueConfig, "priority" | "stretch" | "targetLatencyMs">,
     { wallTimeMs, share, ratio = UNKNOWN_RATIO }: ShareRankOptions,
 ): number {
@@ -141,11 +149,22 @@
     return rank >= RANK_PER_GROUP;
 }
 
+/**
+ * Computes the position of a rank by share among the groups, priorities and late classes, without
+ * the age within its class.
+ *
+ * @param rank A rank of {@link rankStepByShare}.
+ * @returns A small integer; the smallest goes first.
+ */
+export function computeRankClass(rank: number): number {
+    return Math.floor(rank / GROUP_LATE_RANK_OFFSET);
+}
+
 /**
  * Returns when the work of a step was due: when its job was accepted, or when its occurrence was to
  * begin. Measured from the acceptance, every later occurrence of a repeating job would be expired.
  */
-function computeDueAtMs({ job, occurrence }: Pick<ReadyStep, "job" | "occurrence">): number {
+function computeDueAtMs({ job, occurrence }: Pick<RankedWork, "job" | "occurrence">): number {
     const { acceptedAt, spec } = job;
     return spec === undefined || spec.repeats === 0
         ? acceptedAt
@@ -153,7 +172,7 @@
 }
 
 function classifyLateness(
-    { job, step, spec }: Pick<ReadyStep, "job" | "step" | "spec">,
+    { job, step, spec }: Pick<RankedWork, "job" | "step" | "spec">,
     queue: Pick<QueueConfig, "stretch" | "targetLatencyMs">,
     elapsedMs: number,
     ratio: QueueRatio,
