--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -29,7 +29,7 @@
 import { TaskWorker, type TaskRun } from "../standin/task_worker.ts";
 import { VirtualTime } from "../standin/virtual_time.ts";
 import { buildQueue, POOL, QUEUE } from "./_builders.ts";
-import { Dispatcher } from "./dispatcher.ts";
+import { Dispatcher, type DispatcherOptions } from "./dispatcher.ts";
 import { InvariantChecker, type CrashRecord, type RunRecord } from "./_invariant_checker.ts";
 import type { AdviceCall, Effect, FrontId, Heartbeat, PollAnswer, OrderAnswer } from "./types.ts";
 
@@ -88,6 +88,8 @@
     readonly getTailLatencyMs?: (task: string) => number;
     /** Returns whether the advice service admits a worker to a step. */
     readonly isAdmitted?: (step: string, worker: WorkerId) => boolean;
+    /** Options of each leader's dispatcher beyond the state and the clocks. */
+    readonly dispatcherOptions?: Partial<DispatcherOptions>;
 }
 
 /** A network fault injected into an order. */
@@ -364,6 +366,7 @@
 
     #createDispatcher(): Dispatcher {
         return new Dispatcher({
+            ...this.#options.dispatcherOptions,
             stateStore: this.committedState.copy(),
             clock: { getNow: () => this.now, getWallTimeMs: () => this.now },
             firstFence: this.#term * FENCES_PER_TERM,
