dispatch: a reservation's begin and end are logged

A gang that waits with reserved workers and one that fits nowhere looked alike in the log. The line comes once when a gang begins to reserve and once when it stops, not at each change of its workers.

--- a/dispatch/_gang_reservations.ts
+++ b/dispatch/_gang_reservations.ts
@@ -107,6 +107,7 @@
                 ? this.#selectReservedWorkers(entry, candidates)
                 : new Map();
         this.#releaseWorkers(previous, step.reservedWorkers);
+        this.#recordChange(step, previous);
         const mayPreempt = now - step.preemptedAtMs >= PREEMPTION_INTERVAL_MS;
         if (
             step.reservedWorkers.size === 0 ||
@@ -141,6 +142,18 @@
             const previous = step.reservedWorkers;
             step.reservedWorkers = new Map();
             this.#releaseWorkers(previous, step.reservedWorkers);
+            this.#recordChange(step, previous);
+        }
+    }
+
+    /** Logs the begin and the end of a reservation, but not each change of its workers. */
+    #recordChange(step: ReadyStep, previous: ReadyStep["reservedWorkers"]): void {
+        if ((previous.size > 0) !== (step.reservedWorkers.size > 0)) {
+            this.#context.recordDecision("decision", "workers reserved", {
+                request: step.job.id,
+                step: step.key,
+                workers: step.reservedWorkers.size,
+            });
         }
     }
 
