--- a/dispatch/_gang_reservations.ts
+++ b/dispatch/_gang_reservations.ts
@@ -148,7 +148,7 @@
 
     /** Logs the begin and the end of a reservation, but not each change of its workers. */
     #recordChange(step: ReadyStep, previous: ReadyStep["reservedWorkers"]): void {
-        if ((previous.size > 0) !== (step.reservedWorkers.size > 0)) {
+        if (previous.size > 0 !== step.reservedWorkers.size > 0) {
             this.#context.recordDecision("decision", "workers reserved", {
                 request: step.job.id,
                 step: step.key,
