Workload model: hot workspaces draw their jobs apart from a queue's surge

Both drew from one generator, so a run without hot workspaces also had other jobs in the queue's surge, and paired differences showed both. The bench also prints the workspaces that are never hot, for what the hot ones cost them.

--- a/bench/overload_bench.ts
+++ b/bench/overload_bench.ts
@@ -145,6 +145,18 @@
     if (mix.surges !== undefined) {
         summaries.push(...listPhaseSummaries(mix, seed, jobs));
     }
+    const hotWorkspaces = new SurgeSchedule({
+        mix: baseMix,
+        seconds: Number(values.seconds),
+        seed,
+    }).listHotWorkspaces();
+    if (hotWorkspaces.size > 0) {
+        // The same workspaces also in an ablation, so that the paired differences show what the hot
+        // ones cost the others.
+        const names = new Set([...hotWorkspaces].map((index) => `workspace-${index}`));
+        const others = jobs.filter(({ workspace = "" }) => !names.has(workspace));
+        summaries.push(summarizeJobs("workspaces that are never hot", others));
+    }
     const causes = new Map<string, number>();
     const gangQueues = new Set(
         mix.workloads.filter(({ gangFraction }) => gangFraction === 1).map((w) => w.queue.name),
@@ -208,6 +220,12 @@
     return Array.from({ length: last - first + 1 }, (_unused, i) => runSeed(first + i, ablated));
 }
 
+const ablations = values.ablate.split(",").filter((name) => name !== "");
+for (const ablated of ablations) {
+    if (LOADS[ablated] === undefined && !(PARTS as readonly string[]).includes(ablated)) {
+        throw new Error(`unknown part or load ${ablated}`);
+    }
+}
 const plays = runVariant("");
 writeLine(
     `${values.mix}, ${values.workers} workers, load ${values.load}, ${plays.length} seeds, ` +
@@ -228,10 +246,7 @@
     const counts = plays.map(({ causes }) => causes.get(cause) ?? 0);
     writeLine(`wide gangs, ${cause}: ${formatMean(counts)} per run`);
 }
-for (const ablated of values.ablate.split(",").filter((name) => name !== "")) {
-    if (LOADS[ablated] === undefined && !(PARTS as readonly string[]).includes(ablated)) {
-        throw new Error(`unknown part or load ${ablated}`);
-    }
+for (const ablated of ablations) {
     writeLine(`difference without ${ablated}`);
     formatGroups(runVariant(ablated), plays).forEach(writeLine);
 }
--- a/dispatch/_workload_arrivals.ts
+++ b/dispatch/_workload_arrivals.ts
@@ -98,6 +98,15 @@
             ({ startsAtMs, endsAtMs }) => startsAtMs <= atMs && atMs < endsAtMs,
         );
     }
+
+    /**
+     * Lists the workspaces that send more than usual in any surge.
+     *
+     * @returns Their indexes in the mix.
+     */
+    listHotWorkspaces(): ReadonlySet<number> {
+        return new Set(this.#surges.flatMap(({ hotWorkspaces }) => hotWorkspaces));
+    }
 }
 
 /** Decides which jobs of the workspaces are within their weight; see `workspace/`. */
--- a/dispatch/_workload_simulation.ts
+++ b/dispatch/_workload_simulation.ts
@@ -75,8 +75,9 @@
 const CRASH_DELAY_MS = 10;
 /** Seeds a separate generator for faults, so that they do not change the jobs of a seed. */
 const FAULT_SEED_OFFSET = 1_000_000;
-/** Number of the first job of surges, so that they don't change the ids of the others. */
+/** Numbers of the first jobs of surges, so that they don't change the ids of the others. */
 const FIRST_SURGE_JOB = 0x8000_0000;
+const FIRST_HOT_WORKSPACE_JOB = 0xc000_0000;
 /** Resolution of the draws that decide on slow tasks. */
 const DRAW_STEPS = 10_000;
 
@@ -122,6 +123,7 @@
     readonly #seed: number;
     readonly #usualSource: JobSource;
     readonly #surgeSource: JobSource;
+    readonly #hotWorkspaceSource: JobSource;
     readonly #taskDurationsMs = new Map<string, number>();
     readonly #jobs: JobRecord[] = [];
     readonly #openJobs = new Map<string, JobRecord>();
@@ -147,8 +149,10 @@
         this.#workerCount = workers;
         this.#entitlements = new EntitlementMeter(this.#workspaces);
         this.#usualSource = createSource(createRandom(seed), 1);
-        const surgeSeed = computeHash(`surge jobs|${seed}`);
-        this.#surgeSource = createSource(createRandom(surgeSeed), FIRST_SURGE_JOB);
+        const surgeRandom = createRandom(computeHash(`surge jobs|${seed}`));
+        this.#surgeSource = createSource(surgeRandom, FIRST_SURGE_JOB);
+        const hotRandom = createRandom(computeHash(`hot workspaces|${seed}`));
+        this.#hotWorkspaceSource = createSource(hotRandom, FIRST_HOT_WORKSPACE_JOB);
         this.#faultRates = { ...NO_FAULTS, ...options.faultRates };
         this.#faultRandom = createRandom(seed + FAULT_SEED_OFFSET);
         this.#cluster = new SimulatedCluster({
@@ -326,19 +330,19 @@
         if (surge === undefined) {
             return;
         }
-        const submit = (mean: number, workspace?: number): void => {
-            const { random } = this.#surgeSource;
-            const count = Math.floor(mean) + (random() < mean % 1 ? 1 : 0);
+        const submit = (mean: number, source: JobSource, workspace?: number): void => {
+            const count = Math.floor(mean) + (source.random() < mean % 1 ? 1 : 0);
             for (let i = 0; i < count; i++) {
-                this.#submitJob(workload, this.#surgeSource, workspace);
+                this.#submitJob(workload, source, workspace);
             }
         };
         if (this.#mix.workloads[surge.queue] === workload) {
-            submit(usualMean * (surge.queueFactor - 1));
+            submit(usualMean * (surge.queueFactor - 1), this.#surgeSource);
         }
         for (const workspace of surge.hotWorkspaces) {
             const share = this.#mix.workspaceShares[workspace] ?? 0;
-            submit(usualMean * share * (surge.workspaceFactor - 1), workspace);
+            const mean = usualMean * share * (surge.workspaceFactor - 1);
+            submit(mean, this.#hotWorkspaceSource, workspace);
         }
     }
 
--- a/dispatch/workload_arrivals_test.ts
+++ b/dispatch/workload_arrivals_test.ts
@@ -7,7 +7,7 @@
     EntitlementMeter,
     SurgeSchedule,
 } from "./_workload_arrivals.ts";
-import { CROWDED_MIX, SHARED_FLOOR_MIX, UNEVEN_MIX } from "./_workload_mixes.ts";
+import { CROWDED_MIX, SHARED_FLOOR_MIX, UNEVEN_MIX, type Surges } from "./_workload_mixes.ts";
 import { WorkloadSimulation } from "./_workload_simulation.ts";
 
 // Guards against callers of the model who wait less than Retry-After, or who never give up.
@@ -36,19 +36,21 @@
 
 // Guards against surges that change the jobs of a run without them, which would void comparisons.
 test("surges add jobs and leave the usual ones as they are", (t) => {
-    const listJobs = (mix: typeof CROWDED_MIX): string[] => {
-        const simulation = new WorkloadSimulation({ mix, workers: 10, seed: 1 });
-        simulation.run(17, 0.5);
+    const listJobs = (surges: Surges | undefined): string[] => {
+        const mix = { ...CROWDED_MIX, surges };
+        const simulation = new WorkloadSimulation({ mix, workers: 20, seed: 1 });
+        simulation.run(27, 0.5);
         return simulation.countedJobs.map(
             ({ id, coreSeconds, objectiveMs }) => `${id} ${coreSeconds} ${objectiveMs}`,
         );
     };
     const surges = CROWDED_MIX.surges && { ...CROWDED_MIX.surges, intervalMs: 6_000 };
-    const usual = listJobs({ ...CROWDED_MIX, surges: undefined });
-    const withSurges = listJobs({ ...CROWDED_MIX, surges });
-    t.true(withSurges.length > usual.length);
+    const usual = listJobs(undefined);
+    const withQueues = listJobs(surges && { ...surges, hotWorkspaces: undefined });
+    const withBoth = listJobs(surges);
+    t.true(withBoth.length > withQueues.length && withQueues.length > usual.length);
     t.deepEqual(
-        usual.filter((job) => !withSurges.includes(job)),
+        [...usual, ...withQueues].filter((job) => !withBoth.includes(job)),
         [],
     );
 });
