--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -30,7 +30,7 @@
 import { TaskWorker, type TaskRun } from "../standin/task_worker.ts";
 import { VirtualTime } from "../standin/virtual_time.ts";
 import { buildQueue, POOL, QUEUE } from "./_builders.ts";
-import { Dispatcher, type SubmissionRefusal } from "./dispatcher.ts";
+import { Dispatcher, type DispatcherOptions, type SubmissionRefusal } from "./dispatcher.ts";
 import { InvariantChecker, type CrashRecord, type RunRecord } from "./_invariant_checker.ts";
 import type { AdviceCall, Effect, FrontId, Heartbeat, PollAnswer, OrderAnswer } from "./types.ts";
 
@@ -91,6 +91,8 @@
     readonly getTailLatencyMs?: (task: string) => number;
     /** Returns whether the advice service admits a worker to a step. */
     readonly isAdmitted?: (step: string, worker: WorkerId) => boolean;
+    /** Options of each leader's dispatcher beyond the state and the clocks. */
+    readonly dispatcherOptions?: Partial<DispatcherOptions>;
 }
 
 /** A network fault injected into an order. */
@@ -276,13 +278,27 @@
         queue: QueueName = QUEUE,
         workspace?: WorkspaceName,
     ): string | undefined {
+        return this.submitJob(id, spec, queue, workspace)?.problem;
+    }
+
+    /**
+     * Submits a job.
+     *
+     * @returns The refusal, or `undefined` if it was accepted.
+     */
+    submitJob(
+        id: string,
+        spec: JobSpec,
+        queue: QueueName,
+        workspace: WorkspaceName | undefined,
+    ): SubmissionRefusal | undefined {
         const job = id as JobId;
         const refusal = this.dispatcher.submit({ job, queue, pool: POOL, workspace, spec });
         if (refusal !== undefined) {
             this.refusals.set(id, refusal);
         }
         this.#flush();
-        return refusal?.problem;
+        return refusal;
     }
 
     /** Applies a configuration with other workspaces. */
@@ -376,6 +392,7 @@
             clock: { getNow: () => this.now, getWallTimeMs: () => this.now },
             firstFence: this.#term * FENCES_PER_TERM,
             admission: this.#options.admission,
+            ...this.#options.dispatcherOptions,
         });
     }
 
