dispatch: learned durations, and placing on workers of unequal speed

The dispatcher records the ends of tasks whose start the leader has seen; the percentage of running tasks is not used (dispatch/_duration_recorder.ts says why).

If the workers of a pool are unequal, those that are fast enough for a step come first, the slowest of them first, then the others, the fastest first, after data locality and the rank of slow workers and before the zone. Gangs run on workers of one speed class where one has room. Advice calls name workers in the same order. With equal workers the order is as before.

--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -130,6 +130,7 @@
             fence: 0,
             startResolvedAtMs: undefined,
             startedAtMs: now,
+            acceptedAtMs: undefined,
             observedRunMs: 0,
             isolationMs: computeIsolationMs(this.#context.stateStore.findUnit(unit)?.crashes ?? []),
             progressPercent: 0,
@@ -362,6 +363,7 @@
             return;
         }
         member.startResolvedAtMs = undefined;
+        member.acceptedAtMs = undefined;
         if (member.state === "running") {
             member.state = "ordered";
         }
--- a/dispatch/_candidates.ts
+++ b/dispatch/_candidates.ts
@@ -11,6 +11,7 @@
  */
 
 import type { QueueConfig } from "../configuration/mod.ts";
+import { getMachineKey } from "../estimation/mod.ts";
 import type { Resources, WorkerId } from "../job/mod.ts";
 import type { DispatchContext } from "./_context.ts";
 import type { Candidate } from "./placement.ts";
@@ -47,6 +48,8 @@
 export function listCandidates(context: DispatchContext, query: CandidateQuery): StepCandidates {
     const { step, queue, now } = query;
     const { requiredLabel } = step.spec;
+    const { durationModel } = context;
+    const hasUnequalWorkers = durationModel.hasUnequalWorkers(queue.pool);
     const result: StepCandidates = { admitted: [], unqueried: [], expired: [] };
     for (const worker of query.workers) {
         const { record } = worker;
@@ -60,7 +63,13 @@
         }
         const list = findCandidateList(result, query, record.id);
         list?.push(
-            createCandidate(step, worker, context.registry.hasRecentFailure(worker, now), now),
+            createCandidate(step, worker, {
+                hasRecentFailure: context.registry.hasRecentFailure(worker, now),
+                speed: hasUnequalWorkers
+                    ? durationModel.getWorkerSpeed(getMachineKey(record)).speed
+                    : 1,
+                now,
+            }),
         );
     }
     return result;
@@ -87,8 +96,11 @@
 function createCandidate(
     step: ReadyStep,
     worker: WorkerState,
-    hasRecentFailure: boolean,
-    now: number,
+    {
+        hasRecentFailure,
+        speed,
+        now,
+    }: { readonly hasRecentFailure: boolean; readonly speed: number; readonly now: number },
 ): Candidate {
     const { preferredRack } = step.spec;
     return {
@@ -98,6 +110,7 @@
         zone: worker.record.zone,
         tasksOfStep: step.spec.maxPerWorker > 0 ? countTasksOfStep(step, worker) : 0,
         isDataLocal: preferredRack !== undefined && worker.record.labels.includes(preferredRack),
+        speed,
         slowness:
             worker.speed.computeSpeedRank(now) + (step.failedWorkers.has(worker.record.id) ? 1 : 0),
         hasRecentFailure,
--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -13,6 +13,7 @@
  */
 
 import type { QueueConfig, QueueName } from "../configuration/mod.ts";
+import { DurationModel } from "../estimation/mod.ts";
 import { QuotaLedger } from "../workspace/mod.ts";
 import type { Fact, StateStore } from "../job/mod.ts";
 import { AdviceScheduler } from "./advice_scheduler.ts";
@@ -35,6 +36,8 @@
     /** The first fencing token; higher than any token of earlier leaders. */
     readonly firstFence: number;
     readonly limits?: Partial<DispatchLimits>;
+    /** Learns durations; a new model by default. */
+    readonly durationModel?: DurationModel;
     /** Logs a decision. */
     readonly recordDecision?: RecordDecision;
 }
@@ -63,6 +66,8 @@
     readonly readySteps: ReadySteps;
     readonly adviceScheduler = new AdviceScheduler();
     readonly admissionRates = new AdmissionRates();
+    /** Learned anew by each leader. */
+    readonly durationModel: DurationModel;
     readonly recordDecision: RecordDecision;
     /** Whether anything changed that may allow a waiting unit to be placed. */
     isDirty = true;
@@ -76,6 +81,7 @@
         this.stateStore = options.stateStore;
         this.clock = options.clock;
         this.limits = { ...DEFAULT_DISPATCH_LIMITS, ...options.limits };
+        this.durationModel = options.durationModel ?? new DurationModel();
         this.recordDecision = options.recordDecision ?? (() => {});
         this.quotaLedger = new QuotaLedger(
             (workspace) => this.stateStore.workspaces.get(workspace)?.limit,
--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -15,6 +15,7 @@
  */
 
 import type { Configuration, QueueConfig, QueueName } from "../configuration/mod.ts";
+import type { DurationModel } from "../estimation/mod.ts";
 import {
     StateStore,
     type Incarnation,
@@ -86,6 +87,8 @@
     readonly isIdKept?: boolean;
     /** Returns the tail latency that a serving task reports, in ms. */
     readonly getTailLatencyMs?: (task: string) => number;
+    /** Creates the duration model of each leader. */
+    readonly createDurationModel?: () => DurationModel;
     /** Returns whether the advice service admits a worker to a step. */
     readonly isAdmitted?: (step: string, worker: WorkerId) => boolean;
 }
@@ -367,6 +370,7 @@
             stateStore: this.committedState.copy(),
             clock: { getNow: () => this.now, getWallTimeMs: () => this.now },
             firstFence: this.#term * FENCES_PER_TERM,
+            durationModel: this.#options.createDurationModel?.(),
         });
     }
 
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -117,6 +117,8 @@
                 this.#context.registry.recordAnswer(worker, now);
                 member.startResolvedAtMs = now;
                 this.#attempts.recordBegin(member);
+                // An earlier send may have been executed before the one that is answered.
+                member.acceptedAtMs = member.startSends === 1 ? now : undefined;
                 if (member.state === "ordered") {
                     member.state = "running";
                     member.startedAtMs = now;
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -12,7 +12,6 @@
  * @module
  */
 
-import type { QueueConfig } from "../configuration/mod.ts";
 import type { WorkerId } from "../job/mod.ts";
 import { QuotaRound } from "../workspace/mod.ts";
 import { computeReservedResources, type Attempts } from "./_attempts.ts";
@@ -23,9 +22,14 @@
 import { GangReservations, type RankedStep } from "./_gang_reservations.ts";
 import { CrashIsolation } from "./_crash_isolation.ts";
 import { countFittingTasks, placeUnit, type Candidate } from "./placement.ts";
-import { rankStep } from "./ranking.ts";
+import { computeLatencyObjectiveMs, rankStep } from "./ranking.ts";
 import { selectForRetry } from "./retry_placement.ts";
 import { createUnitRef, type ReadyStep } from "./ready_steps.ts";
+import {
+    computeChainMs,
+    computeRequiredSpeed,
+    computeSpeedPreference,
+} from "./speed_preference.ts";
 import type { Admission, AdviceCall } from "./types.ts";
 import type { WorkerState } from "./worker_registry.ts";
 import { rankZones } from "./zone_ranking.ts";
@@ -186,7 +190,8 @@
             step.matchedAllAtMs = now;
         }
         const candidates = this.#listCandidates(entry, workers, now);
-        const hasPlaced = this.#placeUnits(step, candidates, now);
+        const requiredSpeed = this.#computeRequiredSpeed(entry);
+        const hasPlaced = this.#placeUnits(step, candidates, requiredSpeed, now);
         if (scope === "all") {
             this.#gangReservations.updateReservation(entry, candidates, now);
         }
@@ -194,18 +199,50 @@
             return;
         }
         if (!hasPlaced || step.waiting.size > 0) {
-            this.#ensureAdvice(entry, scope, candidates, now);
+            this.#ensureAdvice(entry, scope, candidates, requiredSpeed, now);
         }
     }
 
-    #placeUnits(step: ReadyStep, candidates: StepCandidates, now: number): boolean {
+    /**
+     * Computes the speed that a step requires; `undefined` if its pool's workers are not known to be
+     * unequal, or if its tasks run until they are stopped.
+     */
+    #computeRequiredSpeed({ step, queue }: RankedStep): number | undefined {
+        const { durationModel, clock } = this.#context;
+        if (step.spec.isPerpetual || !durationModel.hasUnequalWorkers(queue.pool)) {
+            return undefined;
+        }
+        const { spec, acceptedAt } = step.job;
+        const dueAtMs =
+            spec === undefined || spec.repeats === 0
+                ? acceptedAt
+                : spec.firstAtMs + step.occurrence * spec.periodMs;
+        return computeRequiredSpeed({
+            chainMs: computeChainMs(spec, step.step),
+            durationRatio: durationModel.getQueueRatio(queue.name).p80,
+            objectiveMs: computeLatencyObjectiveMs(spec, queue),
+            elapsedMs: clock.getWallTimeMs() - Math.max(acceptedAt, dueAtMs),
+        });
+    }
+
+    #placeUnits(
+        step: ReadyStep,
+        candidates: StepCandidates,
+        requiredSpeed: number | undefined,
+        now: number,
+    ): boolean {
         const suspects = this.#isolation.listSuspectUnits(step);
         const { retries, firstAttempts } = this.#listByFailures(step, suspects);
         const hasPlacedSuspects = this.#placeSuspectUnits(step, suspects, candidates, now);
         const available = this.#isolation.selectAvailable(candidates.admitted);
         const retryCandidates = selectForRetry(available, now - step.lastFailureAtMs);
-        const hasPlacedRetries = this.#placeEach(step, retries, retryCandidates);
-        const hasPlacedFirstAttempts = this.#placeEach(step, firstAttempts, available);
+        const hasPlacedRetries = this.#placeEach(step, retries, retryCandidates, requiredSpeed);
+        const hasPlacedFirstAttempts = this.#placeEach(
+            step,
+            firstAttempts,
+            available,
+            requiredSpeed,
+        );
         return hasPlacedSuspects || hasPlacedRetries || hasPlacedFirstAttempts;
     }
 
@@ -250,6 +287,7 @@
         step: ReadyStep,
         units: readonly number[],
         candidates: readonly Candidate[],
+        requiredSpeed: number | undefined,
     ): boolean {
         const needs = computeReservedResources(step.spec);
         const count = step.spec.isGang ? step.spec.count : 1;
@@ -261,8 +299,15 @@
                 break;
             }
             const zoneRanks = rankZones(candidates, { tasksByZone, isSpread: isPerpetual });
-            const request = { needs, count, candidates, maxPerWorker, isRackLocal, zoneRanks };
-            const chosen = placeUnit(request);
+            const chosen = placeUnit({
+                needs,
+                count,
+                candidates,
+                maxPerWorker,
+                isRackLocal,
+                zoneRanks,
+                requiredSpeed,
+            });
             if (chosen === undefined) {
                 break;
             }
@@ -335,6 +380,7 @@
         entry: RankedStep,
         scope: MatchScope,
         candidates: StepCandidates,
+        requiredSpeed: number | undefined,
         now: number,
     ): void {
         const { step, queue, rank } = entry;
@@ -343,7 +389,7 @@
             return;
         }
         const policy = queue.advice;
-        let workerGroups = this.#planAdvice(step, queue, candidates);
+        let workerGroups = this.#planAdvice(entry, candidates, requiredSpeed);
         if (workerGroups.length === 0) {
             return;
         }
@@ -351,7 +397,7 @@
             // Requests advice on all workers at once: the call costs hardly more than one for the
             // changed workers.
             const allCandidates = this.#listCandidates(entry, this.#context.registry.workers, now);
-            workerGroups = this.#planAdvice(step, queue, allCandidates);
+            workerGroups = this.#planAdvice(entry, allCandidates, requiredSpeed);
         }
         for (const workers of workerGroups) {
             const call: AdviceCall = {
@@ -368,14 +414,18 @@
     }
 
     /** Plans the advice calls for a step and returns the workers of each call. */
-    #planAdvice(step: ReadyStep, queue: QueueConfig, candidates: StepCandidates): WorkerId[][] {
+    #planAdvice(
+        { step, queue }: RankedStep,
+        candidates: StepCandidates,
+        requiredSpeed: number | undefined,
+    ): WorkerId[][] {
         const { advice: policy } = queue;
         if (policy === undefined) {
             return [];
         }
         const tasks = step.spec.isGang ? step.spec.count : step.waiting.size;
         if (candidates.unqueried.length > 0) {
-            const workers = rankAdviceCandidates(step, candidates.unqueried);
+            const workers = rankAdviceCandidates(step, candidates.unqueried, requiredSpeed);
             const admissionRate = this.#context.admissionRates.get(queue.name);
             return planAdvice({ workers, tasks, admissionRate, policy });
         }
@@ -395,7 +445,7 @@
             return [];
         }
         return planAdvice({
-            workers: rankAdviceCandidates(step, known),
+            workers: rankAdviceCandidates(step, known, requiredSpeed),
             tasks,
             admissionRate: 1,
             policy,
@@ -464,16 +514,25 @@
     return placeUnit({ ...request, isRackLocal: false }) !== undefined;
 }
 
-/** Ranks the workers by free CPU, descending, and counts the tasks that fit on each. */
+/**
+ * Ranks the workers by free CPU, descending, and counts the tasks that fit on each. If a speed is
+ * required, workers on which a task fits now go first, in the order in which tasks are placed.
+ */
 function rankAdviceCandidates(
     step: ReadyStep,
     candidates: readonly Candidate[],
+    requiredSpeed: number | undefined,
 ): AdviceCandidate[] {
     const needs = computeReservedResources(step.spec);
-    return [...candidates]
-        .sort((a, b) => b.freeCapacity.cpu - a.freeCapacity.cpu)
-        .map(({ id, freeCapacity }) => ({
-            id,
-            taskSlots: countFittingTasks(freeCapacity, needs),
-        }));
+    const ranked = candidates.map(({ id, freeCapacity, speed }) => {
+        const taskSlots = countFittingTasks(freeCapacity, needs);
+        const preference =
+            requiredSpeed === undefined ? 0 : computeSpeedPreference(speed, requiredSpeed);
+        const isFull = requiredSpeed !== undefined && taskSlots === 0;
+        return { id, taskSlots, preference, isFull, cpu: freeCapacity.cpu };
+    });
+    return ranked.sort(
+        (a, b) =>
+            Number(a.isFull) - Number(b.isFull) || a.preference - b.preference || b.cpu - a.cpu,
+    );
 }
--- a/dispatch/_worker_poller.ts
+++ b/dispatch/_worker_poller.ts
@@ -4,7 +4,7 @@
  * @example
  * ```ts
  * import { WorkerPoller } from "./_worker_poller.ts";
- * const poller = new WorkerPoller(context, attempts, failures);
+ * const poller = new WorkerPoller(context, { attempts, failures, durations });
  * const order = poller.preparePoll(worker, true);
  * ```
  *
@@ -14,6 +14,7 @@
 import type { Incarnation, WorkerId } from "../job/mod.ts";
 import type { Attempts } from "./_attempts.ts";
 import type { DispatchContext } from "./_context.ts";
+import type { DurationRecorder } from "./_duration_recorder.ts";
 import { Pacer } from "./_pacer.ts";
 import type { WorkerFailures } from "./_worker_failures.ts";
 import { createStepKey, createUnitKey } from "./ready_steps.ts";
@@ -41,22 +42,31 @@
  */
 const STARTUP_MS = 1_000;
 
+/** The parts of the dispatcher that {@link WorkerPoller} reports to. */
+export interface WorkerPollerParts {
+    readonly attempts: Attempts;
+    /** Handles workers that are suspect or gone. */
+    readonly failures: WorkerFailures;
+    readonly durations: DurationRecorder;
+}
+
 /** Prepares polls and handles their answers for one leader. */
 export class WorkerPoller {
     readonly #context: DispatchContext;
     readonly #attempts: Attempts;
     readonly #failures: WorkerFailures;
+    readonly #durations: DurationRecorder;
     readonly #pacer: Pacer;
 
     /**
      * @param context The dispatcher's shared state.
-     * @param attempts The running attempts.
-     * @param failures Handles workers that are suspect or gone.
+     * @param parts The running attempts, and what handles failures and durations.
      */
-    constructor(context: DispatchContext, attempts: Attempts, failures: WorkerFailures) {
+    constructor(context: DispatchContext, { attempts, failures, durations }: WorkerPollerParts) {
         this.#context = context;
         this.#attempts = attempts;
         this.#failures = failures;
+        this.#durations = durations;
         this.#pacer = new Pacer(context);
     }
 
@@ -137,6 +147,7 @@
         answer: StateAnswer,
     ): void {
         const now = this.#context.clock.getNow();
+        const isLate = worker.isSuspect;
         if (worker.isSuspect) {
             this.#context.recordDecision("decision", "worker answers again", {
                 worker: order.worker,
@@ -149,7 +160,7 @@
         if (order.incarnation === incarnation) {
             worker.acknowledgedCursor = Math.max(worker.acknowledgedCursor, order.cursor);
         }
-        answer.ended.forEach((report) => this.#handleEnd(worker, report));
+        answer.ended.forEach((report) => this.#handleEnd(worker, report, isLate));
         if (worker.readCursor > worker.committedCursor) {
             const cursor = worker.readCursor;
             this.#context.emit({ type: "acknowledge", worker: order.worker, incarnation, cursor });
@@ -218,7 +229,8 @@
         }
     }
 
-    #handleEnd(worker: WorkerState, report: EndReport): void {
+    /** @param isLate Whether the worker was silent, so that the task may have ended long ago. */
+    #handleEnd(worker: WorkerState, report: EndReport, isLate: boolean): void {
         worker.readCursor = Math.max(worker.readCursor, report.number);
         const member = worker.members.get(report.task as MemberRun["name"]);
         if (member === undefined || member.attempt !== report.attempt) {
@@ -226,6 +238,9 @@
         }
         if (report.how === "done") {
             this.#context.registry.recordSuccess(worker);
+            if (!isLate) {
+                this.#durations.recordEnd(worker, member);
+            }
         } else if (report.how === "failed") {
             this.#recordFailure(worker, member);
         }
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -15,11 +15,13 @@
  */
 
 import type { Configuration, PoolName, QueueName } from "../configuration/mod.ts";
+import type { DurationModel } from "../estimation/mod.ts";
 import type { Incarnation, Job, JobId, JobSpec, WorkerId, WorkerRecord } from "../job/mod.ts";
 import type { WorkspaceName, WorkspaceUsage } from "../workspace/mod.ts";
 import { checkFeasible, checkWithinQuota } from "./admission.ts";
 import { Attempts } from "./_attempts.ts";
 import { DispatchContext, type DispatchContextOptions } from "./_context.ts";
+import { DurationRecorder } from "./_duration_recorder.ts";
 import { Evacuator } from "./_evacuator.ts";
 import { WorkerPoller } from "./_worker_poller.ts";
 import { Heartbeats } from "./_heartbeats.ts";
@@ -80,6 +82,7 @@
     readonly #placer: StepPlacer;
     readonly #heartbeats: Heartbeats;
     readonly #evacuator: Evacuator;
+    readonly #durations: DurationRecorder;
     #cleanedUpAtMs: number;
     #tickedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -94,7 +97,12 @@
         this.#attempts = new Attempts(this.#context);
         this.#failures = new WorkerFailures(this.#context, this.#attempts);
         this.#orders = new Orders(this.#context, this.#attempts, this.#failures);
-        this.#poller = new WorkerPoller(this.#context, this.#attempts, this.#failures);
+        this.#durations = new DurationRecorder(this.#context);
+        this.#poller = new WorkerPoller(this.#context, {
+            attempts: this.#attempts,
+            failures: this.#failures,
+            durations: this.#durations,
+        });
         this.#placer = new StepPlacer(this.#context, this.#attempts);
         this.#heartbeats = new Heartbeats(this.#context);
         this.#evacuator = new Evacuator(this.#context, this.#attempts);
@@ -148,6 +156,11 @@
         }));
     }
 
+    /** The durations that this leader has learned. */
+    get durationModel(): DurationModel {
+        return this.#context.durationModel;
+    }
+
     /**
      * Compares the workspaces' counted reservations with a recount.
      *
@@ -309,6 +322,7 @@
         }
         this.#tickedAtMs = now;
         this.#heartbeats.recordClocks(now);
+        this.#durations.report(now);
         if (now - this.#cleanedUpAtMs >= JOB_CLEANUP_INTERVAL_MS) {
             this.#cleanedUpAtMs = now;
             this.#removeEndedJobs();
--- a/dispatch/mod.ts
+++ b/dispatch/mod.ts
@@ -19,6 +19,7 @@
 export * from "./ranking.ts";
 export * from "./reservation.ts";
 export * from "./ready_steps.ts";
+export * from "./speed_preference.ts";
 export * from "./types.ts";
 export * from "./worker_registry.ts";
 export * from "./worker_clock.ts";
--- a/dispatch/placement.ts
+++ b/dispatch/placement.ts
@@ -11,6 +11,7 @@
  */
 
 import type { Resources, WorkerId } from "../job/mod.ts";
+import { computeSpeedPreference, selectSpeedClass } from "./speed_preference.ts";
 
 /** A worker that a step may be placed on. */
 export interface Candidate {
@@ -23,6 +24,8 @@
     tasksOfStep: number;
     /** Whether the worker stores the step's data. */
     readonly isDataLocal: boolean;
+    /** Learned speed relative to the pool's usual speed; 1 unless the workers are unequal. */
+    readonly speed: number;
     /** Speed rank of the worker, plus 1 if a task of the step failed there; lower goes first. */
     readonly slowness: number;
     /** Whether a task failed there recently and none has succeeded since. */
@@ -41,11 +44,19 @@
     readonly isRackLocal: boolean;
     /** Availability zones by preference, lowest first; zones without an entry rank 0. */
     readonly zoneRanks?: ReadonlyMap<string, number>;
+    /**
+     * The speed at which the step meets its latency objective; `undefined` if the workers are not
+     * known to be unequal, so that speed does not count.
+     */
+    readonly requiredSpeed?: number | undefined;
 }
 
 interface WorkerSlots {
     readonly candidate: Candidate;
     readonly taskCount: number;
+    readonly speed: number;
+    /** See {@link computeSpeedPreference}; 0 if speed does not count. */
+    readonly speedPreference: number;
 }
 
 /**
@@ -75,12 +86,16 @@
     request: PlacementRequest,
     candidates: readonly Candidate[],
 ): WorkerId[] | undefined {
+    const { requiredSpeed } = request;
     const slots: WorkerSlots[] = [];
     let total = 0;
     for (const candidate of candidates) {
         const taskCount = countAllowedTasks(request, candidate);
         if (taskCount > 0) {
-            slots.push({ candidate, taskCount });
+            const { speed } = candidate;
+            const speedPreference =
+                requiredSpeed === undefined ? 0 : computeSpeedPreference(speed, requiredSpeed);
+            slots.push({ candidate, taskCount, speed, speedPreference });
             total += taskCount;
         }
     }
@@ -92,9 +107,11 @@
             compareSlots(b, a, request) < 0 ? b : a;
         return [slots.reduce(compare).candidate.id];
     }
-    slots.sort((a, b) => compareSlots(a, b, request));
+    const selected =
+        requiredSpeed === undefined ? slots : selectGangSlots(slots, request.count, requiredSpeed);
+    selected.sort((a, b) => compareSlots(a, b, request));
     const chosen: WorkerId[] = [];
-    for (const { candidate, taskCount } of slots) {
+    for (const { candidate, taskCount } of selected) {
         for (let i = 0; i < taskCount && chosen.length < request.count; i++) {
             chosen.push(candidate.id);
         }
@@ -102,6 +119,25 @@
     return chosen;
 }
 
+/**
+ * Selects workers of one speed class for a gang, if possible among those that store its data and are
+ * not ranked as slow, which goes before speed; all workers if no class has the capacity.
+ */
+function selectGangSlots(
+    slots: WorkerSlots[],
+    count: number,
+    requiredSpeed: number,
+): WorkerSlots[] {
+    const minSlowness = Math.min(...slots.map(({ candidate }) => candidate.slowness));
+    const unslowed = slots.filter(({ candidate }) => candidate.slowness === minSlowness);
+    const local = unslowed.filter(({ candidate }) => candidate.isDataLocal);
+    return (
+        selectSpeedClass(local, count, requiredSpeed) ??
+        selectSpeedClass(unslowed, count, requiredSpeed) ??
+        slots
+    );
+}
+
 function countAllowedTasks(request: PlacementRequest, candidate: Candidate): number {
     const fitting = countFittingTasks(candidate.freeCapacity, request.needs);
     const allowed =
@@ -128,7 +164,10 @@
 }
 
 /**
- * Compares by data locality, speed, zone rank and best fit; the id makes the order deterministic.
+ * Compares by data locality, speed rank, learned speed, zone rank and best fit; the id makes the
+ * order deterministic. Learned speed goes before the zone, since a task on a worker that is too slow
+ * is late for certain, while a partition of zones is rare. Its classes are few and each has workers
+ * in all zones, so a step's tasks still share few zones.
  */
 function compareSlots(
     a: WorkerSlots,
@@ -143,6 +182,10 @@
     if (bySlowness !== 0) {
         return bySlowness;
     }
+    const bySpeed = a.speedPreference - b.speedPreference;
+    if (bySpeed !== 0) {
+        return bySpeed;
+    }
     const byZone =
         (zoneRanks?.get(a.candidate.zone) ?? 0) - (zoneRanks?.get(b.candidate.zone) ?? 0);
     if (byZone !== 0) {
--- a/dispatch/placement_test.ts
+++ b/dispatch/placement_test.ts
@@ -11,6 +11,7 @@
         zone: "z1",
         tasksOfStep: 0,
         isDataLocal: false,
+        speed: 1,
         slowness: 1,
         hasRecentFailure: false,
         ...overrides,
@@ -68,3 +69,46 @@
     );
     t.pass();
 });
+
+test("learned speed goes before zone and best fit, and after locality and the speed rank", (t) => {
+    const request = { ...REQUEST, requiredSpeed: 1.5, zoneRanks: new Map([["z2", 1]]) };
+    const fast = buildCandidate("fast", 16_000, { speed: 2, zone: "z2" });
+    const tight = buildCandidate("tight", 4_500);
+    t.deepEqual(placeUnit({ ...request, candidates: [tight, fast] }), ["fast"]);
+    const local = buildCandidate("local", 16_000, { isDataLocal: true });
+    t.deepEqual(placeUnit({ ...request, candidates: [fast, local] }), ["local"]);
+    const stalled = buildCandidate("stalled", 16_000, { speed: 2, slowness: 3 });
+    t.deepEqual(placeUnit({ ...request, candidates: [stalled, tight] }), ["tight"]);
+});
+
+test("a task that needs a fast worker takes a slow one if no other is free", (t) => {
+    // Guards against capacity that is kept idle while a task waits.
+    const candidates = [buildCandidate("slow", 8_000, { speed: 0.7 })];
+    t.deepEqual(placeUnit({ ...REQUEST, requiredSpeed: Number.POSITIVE_INFINITY, candidates }), [
+        "slow",
+    ]);
+});
+
+test("a gang is placed on workers of one speed, and mixed only without room for that", (t) => {
+    const candidates = ["a", "b", "c", "d"].map((id, i) =>
+        buildCandidate(id, 8_000, { speed: i % 2 === 0 ? 1 : 2 }),
+    );
+    const place = (count: number, requiredSpeed: number): readonly string[] =>
+        placeUnit({ ...REQUEST, count, requiredSpeed, candidates }) ?? [];
+    t.deepEqual(place(4, 0.5), ["a", "a", "c", "c"]);
+    t.deepEqual(place(4, 1.5), ["b", "b", "d", "d"]);
+    t.is(place(6, 1.5).length, 6);
+    t.is(place(9, 1.5).length, 0);
+});
+
+test("without a required speed, speeds don't change the order", (t) => {
+    const cpus = [4_500, 16_000, 8_000, 9_000];
+    const build = (speeds: readonly number[]): Candidate[] =>
+        cpus.map((cpu, i) => buildCandidate(`w${i}`, cpu, { speed: speeds[i] ?? 1 }));
+    for (const count of [1, 2, 5, 8]) {
+        t.deepEqual(
+            placeUnit({ ...REQUEST, count, candidates: build([0.5, 2, 1, 0.7]) }),
+            placeUnit({ ...REQUEST, count, candidates: build([1, 1, 1, 1]) }),
+        );
+    }
+});
--- a/dispatch/retry_placement_test.ts
+++ b/dispatch/retry_placement_test.ts
@@ -11,6 +11,7 @@
         zone: "z1",
         tasksOfStep: 0,
         isDataLocal: false,
+        speed: 1,
         slowness: 1,
         hasRecentFailure,
     };
--- a/dispatch/types.ts
+++ b/dispatch/types.ts
@@ -76,6 +76,11 @@
      * created the member.
      */
     startedAtMs: number;
+    /**
+     * When the worker accepted the only start order of this leader, in ms; `undefined` if the time
+     * of the start is not known exactly.
+     */
+    acceptedAtMs: number | undefined;
     /** How long the member had run when its worker last listed it, in ms; 0 before that. */
     observedRunMs: number;
     /**
--- a/dispatch/zone_ranking_test.ts
+++ b/dispatch/zone_ranking_test.ts
@@ -15,6 +15,7 @@
         zone,
         tasksOfStep: 0,
         isDataLocal: false,
+        speed: 1,
         slowness: 1,
         hasRecentFailure: false,
     };
