telemetry: metrics of learned durations

poplarhead_worker_speed and poplarhead_queue_duration_ratio{queue}, updated with the workspaces' metrics and empty on an instance that does not lead.

--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -104,7 +104,7 @@
  */
 const ADVICE_TIMEOUT_FACTOR = 2.5;
 const ADVICE_TIMEOUT_MARGIN_MS = 400;
-/** The interval between two updates of the workspaces' metrics, in ms. */
+/** The interval between two updates of the metrics of workspaces and of learned durations, in ms. */
 const WORKSPACE_METRICS_INTERVAL_MS = 5_000;
 /**
  * The minimum time between two placement runs, in ms. Under load, one pass over the backlog serves
@@ -193,6 +193,7 @@
         if (now - this.#workspaceMetricsAtMs >= WORKSPACE_METRICS_INTERVAL_MS) {
             this.#workspaceMetricsAtMs = now;
             this.#options.metrics?.workspaces.update(this.#dispatcher.listWorkspaceUsage());
+            this.#options.metrics?.durations.update(this.#dispatcher.durationModel);
         }
     }
 
@@ -200,6 +201,7 @@
     stop(): void {
         this.#isStopped = true;
         this.#options.metrics?.workspaces.update([]);
+        this.#options.metrics?.durations.update(undefined);
         this.#tickSubscription?.unsubscribe();
         this.#workerPoller.stop();
         this.#effectQueue.stop();
--- a/telemetry/control_metrics.ts
+++ b/telemetry/control_metrics.ts
@@ -13,6 +13,7 @@
  */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { DurationMetrics } from "./duration_metrics.ts";
 import { WorkspaceMetrics } from "./workspace_metrics.ts";
 
 /** The metrics of one control instance or front process. */
@@ -44,6 +45,7 @@
     readonly cpuSeconds: Gauge;
     readonly residentBytes: Gauge;
     readonly workspaces: WorkspaceMetrics;
+    readonly durations: DurationMetrics;
 }
 
 /** From commits of about 10 ms to waits of one minute. */
@@ -144,6 +146,7 @@
         cpuSeconds: createGauge("poplarhead_cpu_seconds", "Processor time used so far."),
         residentBytes: createGauge("poplarhead_resident_bytes", "Resident memory."),
         workspaces: new WorkspaceMetrics(registry),
+        durations: new DurationMetrics(registry),
     };
     startSampling(metrics);
     return metrics;
