--- a/admission/admission_controller.ts
+++ b/admission/admission_controller.ts
@@ -13,7 +13,7 @@
  */
 
 import type { QueueConfig, QueueName } from "../configuration/mod.ts";
-import { computeLatencyObjectiveMs } from "../dispatch/ranking.ts";
+import { computeLatencyObjectiveMs, START_OVERHEAD_MS } from "../dispatch/ranking.ts";
 import type { JobId, JobSpec, StepSpec } from "../job/mod.ts";
 import type { ShareClass } from "../workspace/mod.ts";
 import type { CapacityForecast } from "./forecast.ts";
@@ -78,11 +78,6 @@
  * with each task that ends.
  */
 const READMIT_FACTOR = 2.5;
-/**
- * Time from a task's turn to its start, in ms: the commit, the start order and the report of the end
- * that frees its worker. The same as `dispatch/ranking.ts` allows for.
- */
-const START_OVERHEAD_MS = 150;
 /**
  * Error of a predicted wait, in ms: the forecast's step. A job that would only just be on time is
  * late if the forecast is too early by a step, and is then overtaken until it is worthless.
--- a/bench/overload_bench.ts
+++ b/bench/overload_bench.ts
@@ -36,6 +36,8 @@
     type JobRecord,
 } from "../dispatch/_workload_summaries.ts";
 import type { DispatcherOptions } from "../dispatch/dispatcher.ts";
+import { EqualWorkersModel } from "../dispatch/_unequal_workers_simulation.ts";
+import { DurationModel } from "../estimation/mod.ts";
 
 const MIXES: Readonly<Record<string, WorkloadMix>> = {
     crowded: CROWDED_MIX,
@@ -51,7 +53,7 @@
     slowTasks: () => ({ slowTasks: undefined }),
 };
 /** Parts of the scheduler that an option or `--ablate` switches off. */
-const PARTS = ["admission"] as const;
+const PARTS = ["admission", "speeds"];
 /** Time after a surge in which its backlog is served, in ms. */
 const AFTERMATH_MS = 3_000;
 /** Windows printed over all seeds. */
@@ -69,8 +71,10 @@
         load: { type: "string", default: "0.72" },
         /** First and last seed. */
         seeds: { type: "string", default: "1-10" },
-        /** `forecast` or `off`; of no effect before the dispatcher has the option. */
+        /** `forecast` or `off`. */
         admission: { type: "string", default: "forecast" },
+        /** Whether placement follows the learned speeds of workers: `learned` or `off`. */
+        speeds: { type: "string", default: "learned" },
         /** Parts or loads to leave out one at a time, separated by commas. */
         ablate: { type: "string", default: "" },
     },
@@ -84,12 +88,14 @@
     readonly offered: number;
 }
 
-/** Returns the dispatcher's options; the parts that it does not have yet are ignored by it. */
+/** Returns the dispatcher's options; `ablated` switches one part off. */
 function buildDispatcherOptions(ablated: string): Partial<DispatcherOptions> {
-    const options = Object.fromEntries(
-        PARTS.map((part) => [part, ablated === part ? "off" : values[part]]),
-    );
-    return options as Partial<DispatcherOptions>;
+    const isOn = (part: "admission" | "speeds"): boolean =>
+        ablated !== part && values[part] !== "off";
+    return {
+        admission: isOn("admission") ? "forecast" : "off",
+        durationModel: isOn("speeds") ? new DurationModel() : new EqualWorkersModel(),
+    };
 }
 
 /** Summarizes each queue's jobs by when they were first sent: in a surge, right after one, else. */
@@ -222,7 +228,7 @@
 
 const ablations = values.ablate.split(",").filter((name) => name !== "");
 for (const ablated of ablations) {
-    if (LOADS[ablated] === undefined && !(PARTS as readonly string[]).includes(ablated)) {
+    if (LOADS[ablated] === undefined && !PARTS.includes(ablated)) {
         throw new Error(`unknown part or load ${ablated}`);
     }
 }
--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -134,6 +134,7 @@
             fence: 0,
             startResolvedAtMs: undefined,
             startedAtMs: now,
+            acceptedAtMs: undefined,
             observedRunMs: 0,
             isolationMs: computeIsolationMs(this.#context.stateStore.findUnit(unit)?.crashes ?? []),
             progressPercent: 0,
@@ -367,6 +368,7 @@
             return;
         }
         member.startResolvedAtMs = undefined;
+        member.acceptedAtMs = undefined;
         if (member.state === "running") {
             member.state = "ordered";
         }
--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -14,12 +14,13 @@
 
 import type { AdmissionMode } from "../admission/types.ts";
 import type { QueueConfig, QueueName } from "../configuration/mod.ts";
+import { DurationModel } from "../estimation/mod.ts";
 import { QuotaLedger } from "../workspace/mod.ts";
 import type { Fact, StateStore } from "../job/mod.ts";
 import { AdviceScheduler } from "./advice_scheduler.ts";
 import { AdmissionRates } from "./advice_plan.ts";
 import { JobShares } from "./_job_shares.ts";
-import { UNKNOWN_RATIO, type QueueRatio } from "./ranking.ts";
+import type { QueueRatio } from "./ranking.ts";
 import { ReadySteps } from "./ready_steps.ts";
 import type {
     DispatchClock,
@@ -43,6 +44,8 @@
      * the shares of workspaces; "off" by default.
      */
     readonly admission?: AdmissionMode;
+    /** Learns durations; a new model by default. */
+    readonly durationModel?: DurationModel;
     /** Logs a decision. */
     readonly recordDecision?: RecordDecision;
 }
@@ -73,6 +76,8 @@
     readonly jobShares: JobShares;
     readonly adviceScheduler = new AdviceScheduler();
     readonly admissionRates = new AdmissionRates();
+    /** Learned anew by each leader. */
+    readonly durationModel: DurationModel;
     readonly recordDecision: RecordDecision;
     /** Whether anything changed that may allow a waiting unit to be placed. */
     isDirty = true;
@@ -86,6 +91,7 @@
         this.stateStore = options.stateStore;
         this.clock = options.clock;
         this.limits = { ...DEFAULT_DISPATCH_LIMITS, ...options.limits };
+        this.durationModel = options.durationModel ?? new DurationModel();
         this.recordDecision = options.recordDecision ?? (() => {});
         this.quotaLedger = new QuotaLedger(
             (workspace) => this.stateStore.workspaces.get(workspace)?.limit,
@@ -152,11 +158,11 @@
     /**
      * Returns how long a queue's tasks take, as multiples of their estimates.
      *
-     * @param _queue The queue.
-     * @returns The ratios.
+     * @param queue The queue.
+     * @returns The learned ratios; 1 while they are unknown.
      */
-    getQueueRatio(_queue: QueueName): QueueRatio {
-        return UNKNOWN_RATIO;
+    getQueueRatio(queue: QueueName): QueueRatio {
+        return this.durationModel.getQueueRatio(queue);
     }
 
     /**
--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -16,6 +16,7 @@
 
 import type { AdmissionMode } from "../admission/mod.ts";
 import type { Configuration, QueueConfig, QueueName } from "../configuration/mod.ts";
+import type { DurationModel } from "../estimation/mod.ts";
 import {
     StateStore,
     type Incarnation,
@@ -89,6 +90,8 @@
     readonly isIdKept?: boolean;
     /** Returns the tail latency that a serving task reports, in ms. */
     readonly getTailLatencyMs?: (task: string) => number;
+    /** Creates the duration model of each leader. */
+    readonly createDurationModel?: () => DurationModel;
     /** Returns whether the advice service admits a worker to a step. */
     readonly isAdmitted?: (step: string, worker: WorkerId) => boolean;
     /** Options of each leader's dispatcher beyond the state and the clocks. */
@@ -393,6 +396,7 @@
             firstFence: this.#term * FENCES_PER_TERM,
             admission: this.#options.admission,
             ...this.#options.dispatcherOptions,
+            durationModel: this.#options.createDurationModel?.(),
         });
     }
 
--- a/dispatch/ranking.ts
+++ b/dispatch/ranking.ts
@@ -89,7 +89,7 @@
  * Time from the decision to start a task until it runs, in ms: the commit and the start order. A
  * step that could only just be on time without it is late by it.
  */
-const START_OVERHEAD_MS = 150;
+export const START_OVERHEAD_MS = 150;
 /**
  * Rank distance between two groups of {@link rankStepByShare}. Three groups stay below 2^53, so
  * that timestamps keep their resolution of 1 ms.
@@ -207,10 +207,13 @@
 }
 
 /**
- * Computes the estimated duration of the longest chain of dependent steps that begins with a step,
- * in ms.
+ * Computes the estimated duration of the longest chain of dependent steps that begins with a step.
+ *
+ * @param spec The job; `undefined` if it is no longer stored.
+ * @param from The index of the step.
+ * @returns The duration, in ms.
  */
-function computeCriticalPathMs(spec: JobSpec | undefined, from: number): number {
+export function computeCriticalPathMs(spec: JobSpec | undefined, from: number): number {
     const steps = spec?.steps ?? [];
     const pathsMs = new Array<number>(steps.length).fill(0);
     // Steps depend only on earlier ones, so the paths of later steps are computed first.
--- a/dispatch/ranking_test.ts
+++ b/dispatch/ranking_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { buildQueue, buildSpec, SimulatedCluster } from "./_fixtures.ts";
 import {
+    computeCriticalPathMs,
     computeLatencyObjectiveMs,
     isBehindEntitled,
     isEntitledOnTime,
@@ -152,3 +153,17 @@
     t.is(rankOccurrence(50), rankByShare({}));
     t.true(rankOccurrence(40) > rankByShare({ priority: 2 }));
 });
+
+test("the chain of a step is the longest path of steps that begins with it", (t) => {
+    const spec = buildSpec(
+        { estimateMs: 100 },
+        { estimateMs: 200, after: [0] },
+        { estimateMs: 50, after: [0] },
+        { estimateMs: 400, after: [2] },
+    );
+    t.deepEqual(
+        [0, 1, 2, 3].map((step) => computeCriticalPathMs(spec, step)),
+        [550, 200, 450, 400],
+    );
+    t.is(computeCriticalPathMs(undefined, 0), 0);
+});
--- a/dispatch/workload_arrivals_test.ts
+++ b/dispatch/workload_arrivals_test.ts
@@ -16,8 +16,12 @@
     const infeasible = { type: "refused", cause: "infeasible", problem: "too wide" } as const;
     t.deepEqual(classifyAnswer(infeasible), { retryAfterMs: undefined });
     const shed = {
-        ...{ type: "refused", cause: "backlog", problem: "too late" },
-        ...{ predictedMs: 9_000, objectiveMs: 1_500, retryAfterMs: 1_200 },
+        type: "refused",
+        cause: "backlog",
+        problem: "too late",
+        predictedMs: 9_000,
+        objectiveMs: 1_500,
+        retryAfterMs: 1_200,
     } as const;
     t.deepEqual(classifyAnswer(shed), { retryAfterMs: 2_000 });
     const refusal = { retryAfterMs: 1_000 };
--- a/telemetry/control_metrics.ts
+++ b/telemetry/control_metrics.ts
@@ -13,6 +13,7 @@
  */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { DurationMetrics } from "./duration_metrics.ts";
 import { WorkspaceMetrics } from "./workspace_metrics.ts";
 
 /** The metrics of one control instance or front process. */
@@ -50,6 +51,7 @@
     readonly admissionPredictedSeconds: Histogram<"queue">;
     /** Submissions that were refused because too many waited for the leader. */
     readonly unhandledSubmissions: Counter;
+    readonly durations: DurationMetrics;
 }
 
 /** From commits of about 10 ms to waits of one minute. */
@@ -166,6 +168,7 @@
             help: "Submissions refused because too many waited for the leader.",
             registers,
         }),
+        durations: new DurationMetrics(registry),
     };
     startSampling(metrics);
     return metrics;
