admission: congestion is judged by an entitled job's wait; the forecast adds up work by the total ratio

Sums of estimates that are off by 0.9 are half as much again as the work, so the forecast corrects them by the ratio of the sums.

--- a/admission/admission_controller.ts
+++ b/admission/admission_controller.ts
@@ -35,6 +35,8 @@
     /** `undefined` while the state of the pool is unknown; everything is admitted then. */
     readonly forecast: CapacityForecast | undefined;
     readonly ranks: JobRanks;
+    /** Position of an entitled job of the queue that is on time; that of the job by default. */
+    readonly entitledRank?: number;
     /** `entitled` by default. */
     readonly share?: ShareClass;
     /** Time until the workspace's share allows another job, in ms; for borrowed jobs. */
@@ -112,13 +114,13 @@
             queueState.retrySpreader.recordAdmission(job, now);
             return { type: "admitted" };
         }
-        const { waitMs, isCongested, ...prediction } = computePrediction(
+        const { waitMs, isPoolCongested, ...prediction } = computePrediction(
             request,
             forecast,
             firstTask,
         );
         const { objectiveMs, predictedMs } = prediction;
-        if (request.share === "borrowed" && isCongested) {
+        if (request.share === "borrowed" && isPoolCongested) {
             const delayMs = request.shareRetryAfterMs ?? DEFAULT_SHARE_RETRY_MS;
             return {
                 type: "refused",
@@ -161,10 +163,10 @@
 
 /** Predicts the end of a job; all times are from now, in ms. */
 function computePrediction(
-    { queue, spec, ranks, medianRatio = 1, now }: AdmissionRequest,
+    { queue, spec, ranks, entitledRank = ranks.onTime, medianRatio = 1, now }: AdmissionRequest,
     forecast: CapacityForecast,
     firstTask: StepSpec,
-): AdmissionPrediction & { readonly waitMs: number; readonly isCongested: boolean } {
+): AdmissionPrediction & { readonly waitMs: number; readonly isPoolCongested: boolean } {
     const chainMs =
         medianRatio * computeLatencyObjectiveMs(spec, { stretch: 1, targetLatencyMs: 0 });
     // The objective follows the actual durations, as the caller's does.
@@ -173,14 +175,18 @@
     const ageMs = now - forecast.builtAtMs;
     const computeWaitMs = (rank: number): number =>
         Math.max(0, forecast.computeStartMs({ rank, cpu }) - ageMs);
-    const onTimeWaitMs = computeWaitMs(ranks.onTime);
     const runMs = START_OVERHEAD_MS + chainMs;
     // Without a wait, the pool isn't the reason why an objective is missed.
-    const isCongested = onTimeWaitMs > 0 && onTimeWaitMs + FORECAST_ERROR_MS + runMs > objectiveMs;
+    const isTooLong = (waitMs: number): boolean =>
+        waitMs > 0 && waitMs + FORECAST_ERROR_MS + runMs > objectiveMs;
+    const onTimeWaitMs = computeWaitMs(ranks.onTime);
+    const isPoolCongested = isTooLong(
+        entitledRank === ranks.onTime ? onTimeWaitMs : computeWaitMs(entitledRank),
+    );
     // A job that misses its objective gives way to those that meet theirs, unless it is the next.
-    const isOvertaken = isCongested && forecast.hasBacklog(ranks.onTime);
+    const isOvertaken = isTooLong(onTimeWaitMs) && forecast.hasBacklog(ranks.onTime);
     const waitMs = isOvertaken ? Math.max(onTimeWaitMs, computeWaitMs(ranks.late)) : onTimeWaitMs;
-    return { waitMs, isCongested, predictedMs: waitMs + runMs, objectiveMs };
+    return { waitMs, isPoolCongested, predictedMs: waitMs + runMs, objectiveMs };
 }
 
 /** Returns whether a job is to end: repeating jobs and services have no latency objective. */
--- a/dispatch/_forecast_input.ts
+++ b/dispatch/_forecast_input.ts
@@ -66,7 +66,7 @@
         freeCpu += Math.max(0, getFreeResources(worker).cpu);
         for (const member of worker.members.values()) {
             const job = context.stateStore.jobs.get(member.unit.job);
-            const ratio = job === undefined ? 1 : context.getQueueRatio(job.queue).mean;
+            const ratio = job === undefined ? 1 : context.getQueueRatio(job.queue).total;
             releases.add(computeRemainingMs(member, ratio, now), member.reserved.cpu);
         }
     }
@@ -100,7 +100,7 @@
  *
  * @param spec The job.
  * @param rank Its position in the order.
- * @param ratio The mean of actual to estimated durations of its queue.
+ * @param ratio The queue's actual durations over its estimates, in total.
  * @returns One group for each step.
  */
 export function listTasks(spec: JobSpec, rank: number, ratio: number): BacklogGroup[] {
@@ -114,7 +114,7 @@
  *
  * @param spec The job.
  * @param rank Its position in the order.
- * @param ratio The mean of actual to estimated durations of its queue.
+ * @param ratio The queue's actual durations over its estimates, in total.
  * @returns One group for each step.
  */
 export function listFirstTasks(spec: JobSpec, rank: number, ratio: number): BacklogGroup[] {
@@ -135,7 +135,7 @@
             const tasks = step.spec.isGang ? units * step.spec.count : units;
             const rank = computeRankClass(rankWaitingStep(context, { step, queue, wallTimeMs }));
             groups.push(
-                createGroup(step.spec, tasks, rank, context.getQueueRatio(step.queue).mean),
+                createGroup(step.spec, tasks, rank, context.getQueueRatio(step.queue).total),
             );
         }
     }
--- a/dispatch/_submission_admission.ts
+++ b/dispatch/_submission_admission.ts
@@ -93,23 +93,26 @@
         const forecast = this.#getForecast(pool, now);
         const share = this.#context.jobShares.checkShare(workspace);
         const ratio = this.#context.getQueueRatio(name);
-        const ranks = computeJobRanks({ spec, queue, share, medianRatio: ratio.median });
+        const rankQuery = { spec, queue, share, medianRatio: ratio.median };
+        const ranks = computeJobRanks(rankQuery);
+        const { onTime: entitledRank } = computeJobRanks({ ...rankQuery, share: "entitled" });
         const decision = this.#controller.checkJob({
             job,
             queue,
             spec,
             forecast,
             ranks,
+            entitledRank,
             share,
             shareRetryAfterMs: this.#context.jobShares.computeRetryAfterMs(workspace),
             medianRatio: ratio.median,
             now,
         });
         if (decision.type === "admitted" && spec.repeats === 0) {
-            listFirstTasks(spec, ranks.onTime, ratio.mean).forEach((group) =>
+            listFirstTasks(spec, ranks.onTime, ratio.total).forEach((group) =>
                 forecast?.addBacklog(group),
             );
-            this.#ensureMeter(pool).record(listTasks(spec, ranks.onTime, ratio.mean), now);
+            this.#ensureMeter(pool).record(listTasks(spec, ranks.onTime, ratio.total), now);
         }
         return decision;
     }
--- a/estimation/duration_model.ts
+++ b/estimation/duration_model.ts
@@ -48,10 +48,11 @@
     /** 1 while unknown. */
     readonly median: number;
     /**
-     * The ratio of the sums of many tasks; above the median, since few tasks take much longer. 1
-     * while unknown.
+     * The sum of actual durations over the sum of estimates. It may be far from the median: few
+     * tasks take much longer than the others, and the largest estimates are mostly too high. 1 while
+     * unknown.
      */
-    readonly mean: number;
+    readonly total: number;
     /** The ratio that four fifths of the tasks don't exceed; 1 while unknown. */
     readonly p80: number;
     /** Number of independent recent samples, approximately. */
@@ -83,6 +84,14 @@
     /** Variance of the samples around the model. */
     noise: number;
     noiseWeight: number;
+    readonly totals: WorkTotals;
+}
+
+/** Decayed sums over a queue's tasks, in ms. */
+interface WorkTotals {
+    estimatedMs: number;
+    actualMs: number;
+    updatedAtMs: number;
 }
 
 interface WorkerState {
@@ -170,7 +179,9 @@
 const MIN_SPEED = 0.5;
 const MAX_SPEED = 2;
 
-const UNKNOWN_RATIO: QueueRatio = { median: 1, mean: 1, p80: 1, samples: 0 };
+/** Work at a ratio of 1 that the totals of an unknown queue begin with, in ms; some ten tasks. */
+const PRIOR_TOTAL_MS = 20_000;
+const UNKNOWN_RATIO: QueueRatio = { median: 1, total: 1, p80: 1, samples: 0 };
 const UNKNOWN_SPEED: WorkerSpeedEstimate = { speed: 1, confidence: 0 };
 const UNKNOWN_SUMMARY: SpeedSummary = { workers: 0, slowestTenth: 1, fastestTenth: 1 };
 
@@ -238,6 +249,7 @@
             group: job,
             now,
         });
+        addToTotals(queue.totals, sample, now);
         const residual = logRatio - queue.bias.mean;
         if (!worker.measured.hasGroup(job)) {
             updateNoise(queue, worker.measured, residual, now);
@@ -272,8 +284,8 @@
         const deviation = P80_DEVIATIONS * Math.sqrt(state.noise) * confidence;
         return {
             median: computeBounded(Math.exp(bias), MIN_RATIO, MAX_RATIO),
-            mean: computeBounded(
-                Math.exp(bias + (state.noise * confidence) / 2),
+            total: computeBounded(
+                state.totals.actualMs / state.totals.estimatedMs,
                 MIN_RATIO,
                 MAX_RATIO,
             ),
@@ -367,6 +379,11 @@
                 bias: new DecayedMean(QUEUE_DECAY_MS),
                 noise: PRIOR_NOISE,
                 noiseWeight: PRIOR_NOISE_SAMPLES,
+                totals: {
+                    estimatedMs: PRIOR_TOTAL_MS,
+                    actualMs: PRIOR_TOTAL_MS,
+                    updatedAtMs: this.#now,
+                },
             };
             this.#queues.set(name, queue);
             pool.queues.set(name, queue);
@@ -571,3 +588,14 @@
     const above = sorted[Math.ceil(position)] ?? below;
     return below + (above - below) * (position - Math.floor(position));
 }
+
+function addToTotals(
+    totals: WorkTotals,
+    { estimateMs, actualMs }: Pick<DurationSample, "estimateMs" | "actualMs">,
+    now: number,
+): void {
+    const decay = Math.exp(-(now - totals.updatedAtMs) / QUEUE_DECAY_MS);
+    totals.estimatedMs = totals.estimatedMs * decay + estimateMs;
+    totals.actualMs = totals.actualMs * decay + actualMs;
+    totals.updatedAtMs = now;
+}
--- a/estimation/duration_model_test.ts
+++ b/estimation/duration_model_test.ts
@@ -291,8 +291,8 @@
                 model.ignoredSamples === invalid.length &&
                 model.size <= 6 &&
                 ratios.every(
-                    ({ median, mean, p80, samples }) =>
-                        isBetween(mean, 0.25, 4) &&
+                    ({ median, total, p80, samples }) =>
+                        isBetween(total, 0.25, 4) &&
                         isBetween(median, 0.25, 4) &&
                         isBetween(p80, 0.25, 4) &&
                         isBetween(samples, 0, reports.length + 1e-6),
@@ -311,10 +311,30 @@
     const model = new DurationModel();
     t.deepEqual(model.getQueueRatio("none" as QueueName), {
         median: 1,
-        mean: 1,
+        total: 1,
         p80: 1,
         samples: 0,
     });
     t.deepEqual(model.getWorkerSpeed("none" as MachineKey), { speed: 1, confidence: 0 });
     t.false(model.hasUnequalWorkers());
 });
+
+test("the total ratio follows the sums, not the single ratios", (t) => {
+    // Guards against a forecast that adds up estimates which are off by chance as if they were right:
+    // with errors of 0.9, their sum is half as much again as the work.
+    const model = new DurationModel();
+    const random = createRandom(1);
+    for (let i = 0; i < 4_000; i++) {
+        const [a, b] = [Math.max(1e-9, random()), random()];
+        const normal = Math.sqrt(-2 * Math.log(a)) * Math.cos(2 * Math.PI * b);
+        model.recordEnd({
+            queue: "diet-check" as QueueName,
+            worker: `w${i % 20}` as MachineKey,
+            estimateMs: 1_000 * Math.exp(0.9 * normal),
+            actualMs: 1_000,
+            now: 10 * i,
+        });
+    }
+    const { total } = model.getQueueRatio("diet-check" as QueueName);
+    t.true(total > 0.55 && total < 0.8, `${total}`);
+});
--- a/telemetry/duration_metrics_test.ts
+++ b/telemetry/duration_metrics_test.ts
@@ -10,7 +10,9 @@
     const model = {
         listWorkerSpeeds: () => [0.75, 0.75, 1.9],
         listQueueRatios: () =>
-            new Map([["ad-check" as QueueName, { median: 1.43, mean: 1.43, p80: 1.7, samples: 9 }]]),
+            new Map([
+                ["ad-check" as QueueName, { median: 1.43, total: 1.5, p80: 1.7, samples: 9 }],
+            ]),
     };
     metrics.update(model);
     metrics.update(model);
