dispatch: one function tells when a step's work was due; an entitled submission is ranked once

Placement computed the due time of an occurrence as ranking does; it calls ranking's function now. The rank of an entitled job was computed twice for each submission. Behaviour is the same.

--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -25,6 +25,7 @@
 import { countFittingTasks, placeUnit, type Candidate } from "./placement.ts";
 import {
     computeCriticalPathMs,
+    computeDueAtMs,
     computeLatencyObjectiveMs,
     isBehindEntitled,
     isEntitledOnTime,
@@ -235,16 +236,12 @@
         if (step.spec.isPerpetual || !durationModel.hasUnequalWorkers(queue.pool)) {
             return undefined;
         }
-        const { spec, acceptedAt } = step.job;
-        const dueAtMs =
-            spec === undefined || spec.repeats === 0
-                ? acceptedAt
-                : spec.firstAtMs + step.occurrence * spec.periodMs;
+        const { spec } = step.job;
         return computeRequiredSpeed({
             chainMs: computeCriticalPathMs(spec, step.step),
             durationRatio: durationModel.getQueueRatio(queue.name).p80,
             objectiveMs: computeLatencyObjectiveMs(spec, queue),
-            elapsedMs: clock.getWallTimeMs() - Math.max(acceptedAt, dueAtMs),
+            elapsedMs: clock.getWallTimeMs() - computeDueAtMs(step),
         });
     }
 
--- a/dispatch/_submission_admission.ts
+++ b/dispatch/_submission_admission.ts
@@ -95,7 +95,10 @@
         const ratio = this.#context.getQueueRatio(name);
         const rankQuery = { spec, queue, share, medianRatio: ratio.median };
         const ranks = computeJobRanks(rankQuery);
-        const { onTime: entitledRank } = computeJobRanks({ ...rankQuery, share: "entitled" });
+        const entitledRank =
+            share === "entitled"
+                ? ranks.onTime
+                : computeJobRanks({ ...rankQuery, share: "entitled" }).onTime;
         const decision = this.#controller.checkJob({
             job,
             queue,
--- a/dispatch/ranking.ts
+++ b/dispatch/ranking.ts
@@ -153,8 +153,14 @@
 /**
  * Returns when the work of a step was due: when its job was accepted, or when its occurrence was to
  * begin. Measured from the acceptance, every later occurrence of a repeating job would be expired.
+ *
+ * @param work The step's job and occurrence.
+ * @returns The time, in ms since the Unix epoch.
  */
-function computeDueAtMs({ job, occurrence }: Pick<RankedWork, "job" | "occurrence">): number {
+export function computeDueAtMs({
+    job,
+    occurrence,
+}: Pick<RankedWork, "job" | "occurrence">): number {
     const { acceptedAt, spec } = job;
     return spec === undefined || spec.repeats === 0
         ? acceptedAt
