--- a/review/lib/executors.mjs
+++ b/review/lib/executors.mjs
@@ -6,6 +6,8 @@
 import { clearInterval, setInterval, setTimeout } from "node:timers";
 import { readJson, send, writeJson } from "./http.mjs";
 
+/** All executors listen on this loopback address, each on a free port. */
+const LOOPBACK_HOST = "127.0.0.1";
 const HEARTBEAT_MS = 1_500;
 const HOLD_MAX_MS = 10_000;
 const STOP_MS = 300;
@@ -16,10 +18,10 @@
 
 /** One executor: an address at which incarnations with new ids follow each other. */
 class Executor {
-    constructor(pool, index, host) {
+    constructor(pool, index) {
         this.pool = pool;
         this.index = index;
-        this.host = host;
+        this.host = LOOPBACK_HOST;
         this.sockets = new Set();
         this.isUp = false;
     }
@@ -227,12 +229,9 @@
 export class ExecutorPool {
     incarnations = 0;
 
-    constructor({ service, count, capacity, taskCpu, controlAddresses, hosts }) {
+    constructor({ service, count, capacity, taskCpu, controlAddresses }) {
         Object.assign(this, { service, capacity, taskCpu, controlAddresses });
-        this.executors = Array.from(
-            { length: count },
-            (_none, i) => new Executor(this, i, hosts(i)),
-        );
+        this.executors = Array.from({ length: count }, (_none, i) => new Executor(this, i));
     }
 
     async start() {
--- a/review/other/crashes/run.mjs
+++ b/review/other/crashes/run.mjs
@@ -110,7 +110,6 @@
         capacity: { Cpu: 16_000, MemMb: 32_768, Gpu: 0 },
         taskCpu: TASK_CPU,
         controlAddresses: cluster.controlAddresses,
-        hosts: () => "127.0.0.1",
     });
     pool.onStart = ({ id }, task, attempt) => record(`${task} run ${attempt} starts on ${id}`);
     pool.onGone = ({ id }, task, attempt) => {
