--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -584,13 +584,18 @@
             term: replica.term,
             voters: replica.voters.length,
             jobs: this.#committedState.jobs.size,
+            appliedIndex: replica.appliedIndex,
             tookMs: Math.round(performance.now() - startedAtMs),
         });
     }
 
     #stopLeading(cause: ResignCause | "stopped"): void {
         if (this.#leadership !== undefined) {
-            this.#options.log.notice("lead lost", { term: this.#member?.replica.term, cause });
+            this.#options.log.notice("lead lost", {
+                term: this.#member?.replica.term,
+                appliedIndex: this.#member?.replica.appliedIndex,
+                cause,
+            });
             this.#options.metrics?.leadershipLosses.inc({ cause });
         }
         this.#voterPlanner.stopLeading();
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -62,6 +62,7 @@
     WorkerCalls,
 } from "./calls.ts";
 import { EffectQueue } from "./effect_queue.ts";
+import { ProposalSequence } from "./proposal_sequence.ts";
 import { SubmissionQueue } from "./submission_queue.ts";
 import type { StateReader } from "./state_reader.ts";
 import { RoundTripEstimator } from "./round_trip_estimator.ts";
@@ -167,6 +168,7 @@
     #workspaceMetricsAtMs = Number.NEGATIVE_INFINITY;
     readonly #roundTripEstimator = new RoundTripEstimator();
     readonly #submissionQueue = new SubmissionQueue();
+    readonly #proposals = new ProposalSequence();
     readonly #unhandledLog = new RateLimitedLog((fields) =>
         this.#options.log.warn("submissions refused, too many wait", fields),
     );
@@ -499,8 +501,11 @@
     /** Commits pending facts, then queues their effects. */
     async #flush(): Promise<void> {
         const { facts, effects } = this.#dispatcher.takeOutput();
-        if (facts.length > 0) {
-            await this.#propose(facts);
+        const commit = facts.length > 0 ? this.#proposals.add(this.#propose(facts)) : undefined;
+        const { newest } = this.#proposals;
+        await commit;
+        if (!this.#proposals.isCommitted(newest)) {
+            effects.forEach((effect) => this.#recordUncommitted(effect));
         }
         this.#effectQueue.add(effects);
         if (facts.length + effects.length > 0) {
@@ -508,6 +513,15 @@
         }
     }
 
+    /** Records an effect that may rest on facts that are not committed. */
+    #recordUncommitted(effect: Effect): void {
+        this.#options.metrics?.uncommittedEffects.inc({ type: effect.type });
+        if (effect.type === "acknowledge") {
+            const { worker, cursor } = effect;
+            this.#recordDecision("failure", "acknowledged before commit", { worker, cursor });
+        }
+    }
+
     async #propose(facts: readonly Fact[]): Promise<void> {
         const startedAtMs = performance.now();
         await this.#options.propose({ at: this.#options.clock.getWallTimeMs(), facts });
--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -75,6 +75,7 @@
                             const member = this.createMember(job, ref, index, worker, undefined);
                             member.state = job.endedAt === undefined ? "ordered" : "stopping";
                             member.startSends = MAX_START_SENDS;
+                            member.isAdopted = true;
                             member.startedAtMs = now;
                             this.addMember(member);
                         }
@@ -149,6 +150,7 @@
             pacePercent: undefined,
             stopSentAtMs: Number.NEGATIVE_INFINITY,
             ticket,
+            isAdopted: false,
         };
     }
 
@@ -243,6 +245,7 @@
                 how: outcome,
                 tookMs: Math.round(this.#context.clock.getNow() - member.startedAtMs),
                 lastedMs: outcome === "lost" ? Math.round(member.observedRunMs) : undefined,
+                adopted: member.isAdopted || undefined,
             },
         );
         this.#context.recordFreedCapacity(this.#context.registry.findWorker(member.worker));
--- a/dispatch/types.ts
+++ b/dispatch/types.ts
@@ -108,6 +108,8 @@
     pacePercent: number | undefined;
     stopSentAtMs: number;
     readonly ticket: string | undefined;
+    /** Whether an earlier leader recorded the attempt. */
+    isAdopted: boolean;
 }
 
 /** An order to start a task. */
--- a/telemetry/control_metrics.ts
+++ b/telemetry/control_metrics.ts
@@ -52,6 +52,8 @@
     /** Submissions that were refused because too many waited for the leader. */
     readonly unhandledSubmissions: Counter;
     readonly durations: DurationMetrics;
+    /** Effects that a leader released before all facts recorded before them were committed. */
+    readonly uncommittedEffects: Counter<"type">;
 }
 
 /** From commits of about 10 ms to waits of one minute. */
@@ -169,6 +171,12 @@
             registers,
         }),
         durations: new DurationMetrics(registry),
+        uncommittedEffects: new Counter({
+            name: "poplarhead_uncommitted_effects_total",
+            help: "Effects released before all facts recorded before them were committed.",
+            labelNames: ["type"],
+            registers,
+        }),
     };
     startSampling(metrics);
     return metrics;
