--- a/control/_fixtures.ts
+++ b/control/_fixtures.ts
@@ -20,15 +20,15 @@
 import type { AdmissionMode } from "../admission/mod.ts";
 import type { ControlMetrics } from "../telemetry/control_metrics.ts";
 import { createLogger, LogSink } from "../telemetry/mod.ts";
-import type { Configuration } from "../configuration/mod.ts";
+import type { Configuration, QueueConfig } from "../configuration/mod.ts";
 import { buildQueue, buildWorkerReport, POOL } from "../dispatch/_fixtures.ts";
 import type { PollAnswer, PollOrder, OrderAnswer } from "../dispatch/mod.ts";
 import { FrontDaemon } from "../front/mod.ts";
-import { StateStore, type WorkerId } from "../job/mod.ts";
+import { StateStore, type Incarnation, type WorkerId } from "../job/mod.ts";
 import type { ConsensusTimings } from "../log/mod.ts";
 import { TaskWorker } from "../standin/task_worker.ts";
 import { AccessControl } from "../workspace/mod.ts";
-import type { WorkerCalls } from "./calls.ts";
+import type { AdviseAnswer, WorkerCalls } from "./calls.ts";
 import { ControlDaemon } from "./daemon.ts";
 import { Leadership } from "./leadership.ts";
 import { StateReader } from "./state_reader.ts";
@@ -228,28 +228,45 @@
     readonly admission?: AdmissionMode;
     readonly isSubmissionBounded?: boolean;
     readonly metrics?: ControlMetrics;
+    /** The state of an earlier leadership; by default one with a configuration and a worker. */
+    readonly committedState?: StateStore;
+    /** The term; 1 by default. */
+    readonly term?: number;
+    /** Fields that differ from a queue without advice; ignored with a state. */
+    readonly queue?: Partial<QueueConfig>;
+    /** The worker's incarnation; none by default. */
+    readonly incarnation?: Incarnation;
+    /** Called before each commit, which waits for the result; by default commits are immediate. */
+    readonly waitForCommit?: () => Promise<void>;
+    /** Replaces calls to the worker. */
+    readonly workerCalls?: Partial<WorkerCalls>;
+    /** Calls the advice service, which by default does not answer. */
+    readonly advise?: () => Promise<AdviseAnswer>;
 }
 
 /**
  * Builds a leadership without a group, with a worker that answers every order at once.
  *
  * @param options Lease and callbacks; see {@link LeadershipFixtureOptions}.
- * @returns The leadership, and the sink of its log.
+ * @returns The leadership, its committed state, and the sink of its log.
  */
 export function buildLeadership(options: LeadershipFixtureOptions): {
     readonly leadership: Leadership;
+    readonly committedState: StateStore;
     readonly sink: LogSink;
 } {
-    const committedState = new StateStore();
-    const configuration = { ...buildConfiguration(1), queues: [buildQueue()] };
-    const worker = buildWorkerReport();
-    committedState.apply({
-        at: 0,
-        facts: [
-            { type: "configurationSet", configuration },
-            { type: "workerSeen", worker },
-        ],
-    });
+    const worker = buildWorkerReport({ incarnation: options.incarnation });
+    const committedState = options.committedState ?? new StateStore();
+    if (options.committedState === undefined) {
+        const configuration = { ...buildConfiguration(1), queues: [buildQueue(options.queue)] };
+        committedState.apply({
+            at: 0,
+            facts: [
+                { type: "configurationSet", configuration },
+                { type: "workerSeen", worker },
+            ],
+        });
+    }
     const sink = new LogSink({
         writeBytes: (_fd, bytes, done) => {
             options.onLogLines(bytes.toString("utf8"));
@@ -260,12 +277,15 @@
         committedState,
         stateReader: new StateReader(committedState),
         accessControl: new AccessControl(),
-        propose: (batch) => Promise.resolve(committedState.apply(batch)),
+        propose: async (batch) => {
+            await options.waitForCommit?.();
+            committedState.apply(batch);
+        },
         waitForLease: options.waitForLease,
-        term: 1,
+        term: options.term ?? 1,
         clock: { getNow: () => performance.now(), getWallTimeMs: () => Date.now() },
-        workerCalls: createImmediateWorkerCalls(options.onStart),
-        advise: () => Promise.resolve({ admissions: undefined }),
+        workerCalls: { ...createImmediateWorkerCalls(options.onStart), ...options.workerCalls },
+        advise: options.advise ?? (() => Promise.resolve({ admissions: undefined })),
         admission: options.admission,
         isSubmissionBounded: options.isSubmissionBounded,
         metrics: options.metrics,
@@ -277,7 +297,7 @@
         clockMs: undefined,
         leavesInMs: undefined,
     });
-    return { leadership, sink };
+    return { leadership, committedState, sink };
 }
 
 function createImmediateWorkerCalls(onStart: (task: string) => void): WorkerCalls {
