An effect waits for the commit of all facts recorded before it

Callers saw a finished task run again after a change of leader (TWICE). The leader released the effects of a decision when the facts of the same call were committed; a call without facts released them at once, although it had decided on a state whose facts were still being committed. The second of two polls in flight lists an end again and acknowledges it without facts of its own: the worker discards the end, leadership ends inside the commit, and the next leader finds neither the run nor its end.

ProposalSequence keeps the leader's proposals in order, and effects of every kind wait for the newest one that was made before them. That costs no proposal. A call that proposes nothing returns at once as before, so polls go on renewing leases and heartbeats are answered while commits are slow. Polling of a worker may have ended when the commit of its last end returns, so an acknowledgement resumes it; without that, commit_order_test waited 15 s in vain for the cursor.

--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -498,19 +498,36 @@
         });
     }
 
-    /** Commits pending facts, then queues their effects. */
+    /**
+     * Proposes pending facts and releases the effects once these and all earlier facts are
+     * committed: an effect may rest on facts of earlier calls.
+     *
+     * @returns Resolves when the facts that this call proposed are committed. A call that proposes
+     * none doesn't wait, so that polls and heartbeats continue while commits are slow.
+     */
     async #flush(): Promise<void> {
         const { facts, effects } = this.#dispatcher.takeOutput();
-        const commit = facts.length > 0 ? this.#proposals.add(this.#propose(facts)) : undefined;
-        const { newest } = this.#proposals;
-        await commit;
-        if (!this.#proposals.isCommitted(newest)) {
+        if (facts.length > 0) {
+            const commit = this.#proposals.add(this.#propose(facts));
+            const { newest } = this.#proposals;
+            await commit;
+            this.#releaseEffects(effects, newest);
+        } else if (effects.length > 0) {
+            const { newest } = this.#proposals;
+            this.#proposals.waitForCommit().then(
+                () => this.#releaseEffects(effects, newest),
+                // Reported by the call that proposed the facts.
+                () => {},
+            );
+        }
+    }
+
+    #releaseEffects(effects: readonly Effect[], newestProposal: number): void {
+        if (!this.#proposals.isCommitted(newestProposal)) {
             effects.forEach((effect) => this.#recordUncommitted(effect));
         }
         this.#effectQueue.add(effects);
-        if (facts.length + effects.length > 0) {
-            this.#schedulePlacement();
-        }
+        this.#schedulePlacement();
     }
 
     /** Records an effect that may rest on facts that are not committed. */
@@ -603,6 +620,8 @@
                 return;
             case "acknowledge":
                 this.#dispatcher.confirmEnds(effect.worker, effect.incarnation, effect.cursor);
+                // Polling may have ended while the commit was pending.
+                this.#workerPoller.start(effect.worker);
                 return;
         }
     }
