Answers wait for earlier proposals without an empty batch

An answer to a caller, a worker or an operator whose decision an earlier call had proposed was held until an empty batch of its own was committed, which was the only way to wait for that call's batch. ProposalSequence tells when earlier proposals are committed, so nothing has to be proposed for it. Reading the configuration still proposes an empty batch: it needs a quorum's word of the leadership.

--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -384,8 +384,8 @@
         if (!isRemoved) {
             throw new NotRecordedError();
         }
-        // An earlier call may have proposed the removal; an empty batch completes after it.
-        await this.#propose([]);
+        // An earlier call may have proposed the removal.
+        await this.#proposals.waitForCommit();
     }
 
     /**
@@ -454,8 +454,7 @@
     }
 
     /**
-     * Commits pending decisions. If an earlier call has already proposed the decision, commits an
-     * empty batch, which completes only after that call's batch.
+     * Commits pending decisions. An earlier call may have proposed the decision already.
      *
      * @throws {NotRecordedError} If the decision was not made, so that it must not be acknowledged.
      */
@@ -463,7 +462,7 @@
         await this.#flush();
         this.#schedulePlacement();
         if (!isCommitted()) {
-            await this.#propose([]);
+            await this.#proposals.waitForCommit();
         }
         if (!isCommitted()) {
             throw new NotRecordedError();
