--- a/log/storage.ts
+++ b/log/storage.ts
@@ -105,21 +105,30 @@
         const snapshot = this.#loadSnapshot();
         const entries: LogEntry[] = [];
         let hardState: HardState = { term: 0, votedFor: undefined };
-        const base = snapshot?.index ?? 0;
         for (const record of this.#loadRecords()) {
             if ("hard" in record) {
                 hardState = record.hard;
                 continue;
             }
             const { entry } = record;
-            if (entry.index <= base) {
-                continue;
-            }
             // A later record at the same index replaces the entry and all that follow it.
-            entries.length = Math.min(entries.length, entry.index - base - 1);
+            while ((entries.at(-1)?.index ?? 0) >= entry.index) {
+                entries.pop();
+            }
             entries.push(entry);
         }
-        return { initialVoters: this.#initialVoters, hardState, snapshot, entries };
+        if (snapshot !== undefined && isConflicting(entries, snapshot)) {
+            // Entries that are appended to the old log would conflict as well when loaded again.
+            entries.length = 0;
+            replaceFile(join(this.#dir, LOG_FILE), formatRecords([{ hard: hardState }]));
+            syncDirectory(this.#dir);
+        }
+        return {
+            initialVoters: this.#initialVoters,
+            hardState,
+            snapshot,
+            entries: entries.filter(({ index }) => index > (snapshot?.index ?? 0)),
+        };
     }
 
     /** See {@link Storage.append}. */
@@ -278,6 +287,15 @@
     closeSync(fd);
 }
 
+/**
+ * Returns whether a log conflicts with a snapshot, as a crash between the renames of a compaction can
+ * leave it.
+ */
+function isConflicting(entries: readonly LogEntry[], snapshot: Snapshot): boolean {
+    const covered = entries.find(({ index }) => index === snapshot.index);
+    return covered !== undefined && covered.term !== snapshot.term;
+}
+
 function formatRecords(records: readonly LogRecord[]): string {
     return records.map((r) => `${formatLine(JSON.stringify(r))}\n`).join("");
 }
--- a/log/storage_test.ts
+++ b/log/storage_test.ts
@@ -107,6 +107,54 @@
     t.deepEqual(FileStorage.open({ dir }).load().entries, [buildEntry(4)]);
 });
 
+/** Loads a log as a crash between the two renames of a snapshot at index 3 of term 2 leaves it. */
+async function loadAfterCompactionCrash(
+    dir: string,
+    batches: readonly (readonly LogEntry[])[],
+): Promise<FileStorage> {
+    const storage = FileStorage.open({ dir });
+    storage.load();
+    const hardState = { term: 2, votedFor: undefined };
+    for (const entries of batches) {
+        await storage.append(entries, hardState);
+    }
+    const fullLog = readFileSync(join(dir, "log.jsonl"));
+    const snapshot = { index: 3, term: 2, voters: ["m1.0" as MemberId], state: "s" };
+    await storage.compact(snapshot, [], hardState);
+    storage.close();
+    writeFileSync(join(dir, "log.jsonl"), fullLog);
+    return FileStorage.open({ dir });
+}
+
+test("a crash between the renames of a snapshot does not bring back replaced entries", async (t) => {
+    // Guards against votes for a log that lacks committed entries, cast on a tail of an older term.
+    const first = [1, 2, 3, 4].map((i) => buildEntry(i));
+    const replacing = [buildEntry(2, 2), buildEntry(3, 2)];
+    const storage = await loadAfterCompactionCrash(createTempDir(), [first, replacing]);
+    t.deepEqual(storage.load().entries, []);
+});
+
+test("a crash between the renames of a leader's snapshot does not keep a conflicting tail", async (t) => {
+    // Guards against entries of an older term that follow a snapshot of a newer one.
+    const conflicting = [1, 2, 3, 4].map((i) => buildEntry(i));
+    const storage = await loadAfterCompactionCrash(createTempDir(), [conflicting]);
+    t.deepEqual(storage.load().entries, []);
+});
+
+test("entries appended after a crash between the renames of a snapshot are loaded", async (t) => {
+    // Guards against acknowledged entries that are dropped with the tail that they replaced.
+    const dir = createTempDir();
+    const conflicting = [1, 2, 3, 4].map((i) => buildEntry(i));
+    const storage = await loadAfterCompactionCrash(dir, [conflicting]);
+    storage.load();
+    await storage.append([buildEntry(4, 2), buildEntry(5, 2)], undefined);
+    await storage.append([buildEntry(5, 3)], { term: 3, votedFor: undefined });
+    storage.close();
+    const stored = FileStorage.open({ dir }).load();
+    t.deepEqual(stored.entries, [buildEntry(4, 2), buildEntry(5, 3)]);
+    t.is(stored.hardState.term, 3);
+});
+
 test("the initial voters are kept when the settings change later", (t) => {
     // A member that used the changed settings would count a different quorum than the others.
     const dir = mkdtempSync(join(tmpdir(), "poplarhead-first-voters-"));
