Log storage: the names of a new member's directories and log file are durable

A new member creates its group's directory and its log file without a sync of the directories that hold them. A member that keeps its identity and loses its log comes back under the identity that other members count, without the entries that it confirmed and without its vote.

Each created directory's parent is synced, and the log file is created and its directory synced when the storage is opened. Tests see the syncs through an option.

Before, with the option alone: both new tests fail, on the directory; with the directories mended, the first still fails on log.jsonl. After: both pass.

--- a/log/storage.ts
+++ b/log/storage.ts
@@ -27,7 +27,7 @@
     writeFileSync,
 } from "node:fs";
 import { open, rename } from "node:fs/promises";
-import { join } from "node:path";
+import { dirname, join, resolve } from "node:path";
 import { promisify } from "node:util";
 import { crc32 } from "node:zlib";
 import type { HardState, LogEntry, MemberId, Snapshot, Storage, StoredState } from "./types.ts";
@@ -45,6 +45,8 @@
     readonly dir: string;
     /** The voters of the group's first start; ignored if an earlier start stored them. */
     readonly initialVoters?: readonly MemberId[];
+    /** Makes the names in a directory durable; replaced in tests. */
+    readonly syncDirectory?: (dir: string) => void;
 }
 
 /** The payload of one line of the log file. */
@@ -66,11 +68,13 @@
 export class FileStorage implements Storage {
     readonly #dir: string;
     readonly #initialVoters: readonly MemberId[] | undefined;
+    readonly #syncDirectory: (dir: string) => void;
     #log: { readonly fd: number; readonly size: number } | undefined;
 
-    private constructor(dir: string, initialVoters: readonly MemberId[] | undefined) {
-        this.#dir = dir;
-        this.#initialVoters = initialVoters;
+    private constructor(options: FileStorageOptions) {
+        this.#dir = options.dir;
+        this.#initialVoters = options.initialVoters;
+        this.#syncDirectory = options.syncDirectory ?? syncDirectory;
     }
 
     /**
@@ -83,15 +87,19 @@
      */
     static open(options: FileStorageOptions): FileStorage {
         const { dir, initialVoters } = options;
-        mkdirSync(dir, { recursive: true, mode: OWNER_ONLY_DIRECTORY });
+        const sync = options.syncDirectory ?? syncDirectory;
+        createDirectory(dir, sync);
+        createLogFile(dir, sync);
         const file = join(dir, INITIAL_VOTERS_FILE);
         if (existsSync(file)) {
-            return new FileStorage(dir, JSON.parse(readFileSync(file, "utf8")) as MemberId[]);
+            const storedVoters = JSON.parse(readFileSync(file, "utf8")) as MemberId[];
+            return new FileStorage({ ...options, initialVoters: storedVoters });
         }
         if (initialVoters !== undefined) {
-            writeFileDurably(dir, INITIAL_VOTERS_FILE, JSON.stringify(initialVoters));
+            const text = JSON.stringify(initialVoters);
+            writeFileDurably(dir, INITIAL_VOTERS_FILE, text, sync);
         }
-        return new FileStorage(dir, initialVoters);
+        return new FileStorage(options);
     }
 
     /**
@@ -121,7 +129,7 @@
             // Entries that are appended to the old log would conflict as well when loaded again.
             entries.length = 0;
             replaceFile(join(this.#dir, LOG_FILE), formatRecords([{ hard: hardState }]));
-            syncDirectory(this.#dir);
+            this.#syncDirectory(this.#dir);
         }
         return {
             initialVoters: this.#initialVoters,
@@ -225,7 +233,7 @@
         if (validBytes < Buffer.byteLength(text)) {
             // Truncate the torn line, or the next append would continue it and become corrupt.
             replaceFile(file, Buffer.from(text).subarray(0, validBytes).toString("utf8"));
-            syncDirectory(this.#dir);
+            this.#syncDirectory(this.#dir);
         }
         return records;
     }
@@ -238,7 +246,7 @@
         await handle.close();
         await rename(temporary, join(this.#dir, name));
         // A rename is durable only after its directory is synced.
-        syncDirectory(this.#dir);
+        this.#syncDirectory(this.#dir);
     }
 }
 
@@ -265,11 +273,37 @@
  * @param dir The directory; created if it does not exist.
  * @param name The file name.
  * @param text The contents.
+ * @param sync Makes the names in a directory durable; replaced in tests.
  */
-export function writeFileDurably(dir: string, name: string, text: string): void {
-    mkdirSync(dir, { recursive: true, mode: OWNER_ONLY_DIRECTORY });
+export function writeFileDurably(
+    dir: string,
+    name: string,
+    text: string,
+    sync: (dir: string) => void = syncDirectory,
+): void {
+    createDirectory(dir, sync);
     replaceFile(join(dir, name), text);
-    syncDirectory(dir);
+    sync(dir);
+}
+
+/** Creates a directory and its missing parents, and makes their names durable. */
+function createDirectory(dir: string, sync: (dir: string) => void): void {
+    if (existsSync(dir)) {
+        return;
+    }
+    const parent = dirname(resolve(dir));
+    createDirectory(parent, sync);
+    mkdirSync(dir, { recursive: true, mode: OWNER_ONLY_DIRECTORY });
+    sync(parent);
+}
+
+/** Creates an empty log file. The later sync of its contents would not make its name durable. */
+function createLogFile(dir: string, sync: (dir: string) => void): void {
+    const file = join(dir, LOG_FILE);
+    if (!existsSync(file)) {
+        closeSync(openSync(file, "a", OWNER_ONLY_FILE));
+        sync(dir);
+    }
 }
 
 function replaceFile(file: string, text: string): void {
--- a/log/storage_test.ts
+++ b/log/storage_test.ts
@@ -1,9 +1,16 @@
 import { spawnSync } from "node:child_process";
-import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import {
+    appendFileSync,
+    mkdtempSync,
+    readdirSync,
+    readFileSync,
+    rmSync,
+    writeFileSync,
+} from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import test from "ava";
-import { FileStorage, StorageCorruptError } from "./storage.ts";
+import { FileStorage, StorageCorruptError, writeFileDurably } from "./storage.ts";
 import type { LogEntry, MemberId } from "./types.ts";
 
 function createTempDir(): string {
@@ -165,3 +172,40 @@
     t.deepEqual(FileStorage.open({ dir, initialVoters: later }).load().initialVoters, first);
     t.deepEqual(FileStorage.open({ dir }).load().initialVoters, first);
 });
+
+/** Records the names that a directory holds at each sync, which are those that a power loss keeps. */
+class DurableNames {
+    readonly #names = new Map<string, readonly string[]>();
+
+    readonly syncDirectory = (dir: string): void => {
+        this.#names.set(dir, readdirSync(dir));
+    };
+
+    list(dir: string): readonly string[] {
+        return [...(this.#names.get(dir) ?? [])].sort();
+    }
+}
+
+test("a new member's directories and files are durable before its first entry is", async (t) => {
+    // Guards against a member that votes again after a power loss without the log that it confirmed.
+    const names = new DurableNames();
+    const parent = createTempDir();
+    const dir = join(parent, "data", "control");
+    const initialVoters = ["m1.0"] as MemberId[];
+    const storage = FileStorage.open({ dir, initialVoters, syncDirectory: names.syncDirectory });
+    storage.load();
+    await storage.append([buildEntry(1)], undefined);
+    storage.close();
+    t.deepEqual(names.list(parent), ["data"]);
+    t.deepEqual(names.list(join(parent, "data")), ["control"]);
+    t.deepEqual(names.list(dir), ["first_voters.json", "log.jsonl"]);
+});
+
+test("a durable file in a new directory is durable with that directory", (t) => {
+    // Guards against an identity that a power loss removes although the member took part under it.
+    const names = new DurableNames();
+    const parent = createTempDir();
+    writeFileDurably(join(parent, "data"), "identity.json", "{}", names.syncDirectory);
+    t.deepEqual(names.list(parent), ["data"]);
+    t.deepEqual(names.list(join(parent, "data")), ["identity.json"]);
+});
