Log storage: what a killed process wrote is synced before it is loaded

A process that is killed between a write and its sync leaves a log that the next process reads from the page cache. It took that for persisted: it answered a heartbeat, or entries sent again that it held already, with these entries confirmed, and repeated a vote, without another sync. After a loss of power they are gone although the leader counted them. The same holds for a rename that is not durable yet.

load() syncs the directory and the log first.

Before, with the option for the test alone: nothing is synced and the new test fails. After: it passes.

--- a/log/storage.ts
+++ b/log/storage.ts
@@ -47,6 +47,8 @@
     readonly initialVoters?: readonly MemberId[];
     /** Makes the names in a directory durable; replaced in tests. */
     readonly syncDirectory?: (dir: string) => void;
+    /** Makes the contents of a file durable; replaced in tests. */
+    readonly syncFile?: (file: string) => void;
 }
 
 /** The payload of one line of the log file. */
@@ -69,12 +71,14 @@
     readonly #dir: string;
     readonly #initialVoters: readonly MemberId[] | undefined;
     readonly #syncDirectory: (dir: string) => void;
+    readonly #syncFile: (file: string) => void;
     #log: { readonly fd: number; readonly size: number } | undefined;
 
     private constructor(options: FileStorageOptions) {
         this.#dir = options.dir;
         this.#initialVoters = options.initialVoters;
         this.#syncDirectory = options.syncDirectory ?? syncDirectory;
+        this.#syncFile = options.syncFile ?? syncFile;
     }
 
     /**
@@ -104,12 +108,15 @@
 
     /**
      * Loads the snapshot and the log. A torn last line is discarded: the process died before its
-     * sync, so the write was never acknowledged.
+     * sync, so the write was never acknowledged. The rest is synced, as a process that died before
+     * its sync leaves complete lines too, and this member acknowledges what it has loaded.
      *
      * @returns The stored state.
      * @throws {StorageCorruptError} If a file is corrupt other than at the end of the log.
      */
     load(): StoredState {
+        this.#syncDirectory(this.#dir);
+        this.#syncFile(join(this.#dir, LOG_FILE));
         const snapshot = this.#loadSnapshot();
         const entries: LogEntry[] = [];
         let hardState: HardState = { term: 0, votedFor: undefined };
@@ -315,6 +322,13 @@
     renameSync(temporary, file);
 }
 
+function syncFile(file: string): void {
+    // Some systems sync only files that are open for writing.
+    const fd = openSync(file, "r+");
+    fsyncSync(fd);
+    closeSync(fd);
+}
+
 function syncDirectory(dir: string): void {
     const fd = openSync(dir, "r");
     fsyncSync(fd);
--- a/log/storage_test.ts
+++ b/log/storage_test.ts
@@ -209,3 +209,22 @@
     t.deepEqual(names.list(parent), ["data"]);
     t.deepEqual(names.list(join(parent, "data")), ["identity.json"]);
 });
+
+test("what a killed process wrote is durable before it is loaded", async (t) => {
+    // Guards against confirming entries that a power loss removes, as a kill preceded their sync.
+    const dir = createTempDir();
+    const storage = FileStorage.open({ dir });
+    storage.load();
+    await storage.append([buildEntry(1)], undefined);
+    storage.close();
+    const file = join(dir, "log.jsonl");
+    const names = new DurableNames();
+    let durableLog = "";
+    const syncFile = (path: string): void => {
+        durableLog = path === file ? readFileSync(path, "utf8") : durableLog;
+    };
+    const options = { dir, syncFile, syncDirectory: names.syncDirectory };
+    t.is(FileStorage.open(options).load().entries.length, 1);
+    t.is(durableLog, readFileSync(file, "utf8"));
+    t.deepEqual(names.list(dir), ["log.jsonl"]);
+});
