--- a/log/consensus.ts
+++ b/log/consensus.ts
@@ -834,6 +834,12 @@
             this.#sendAppendResponse(from, true, this.#commitIndex, message.sentAt);
             return;
         }
+        if (this.#log.getTermAt(snapshot.index) === snapshot.term) {
+            // The log contains what the snapshot covers, and the entries after it may be committed.
+            this.#commitIndex = snapshot.index;
+            this.#sendAppendResponse(from, true, snapshot.index, message.sentAt);
+            return;
+        }
         this.#log.replace(snapshot);
         this.#unpersisted = [];
         this.#commitIndex = snapshot.index;
--- a/log/consensus_test.ts
+++ b/log/consensus_test.ts
@@ -450,3 +450,28 @@
     leader.receive(learner, { ...answer, index: leader.lastIndex, sentAt }, group.now + 302);
     t.is(leader.getMatchIndex(learner), leader.lastIndex);
 });
+
+test("a late snapshot does not remove the entries that a follower has confirmed", (t) => {
+    // Guards against a committed entry that only one member of its quorum still holds.
+    const entries = [1, 2, 3].map((index) => ({ index, term: 1, type: "noop" }) as const);
+    const voters = ["m1.0", "m2.0", "m3.0"] as MemberId[];
+    const [leader, self, candidate] = voters as [MemberId, MemberId, MemberId];
+    const follower = new Consensus({
+        self,
+        stored: { hardState: { term: 1, votedFor: undefined }, snapshot: undefined, entries },
+        initialVoters: voters,
+        random: () => 0.5,
+        now: 0,
+    });
+    const snapshot = { index: 1, term: 1, voters, state: "" };
+    follower.receive(leader, { type: "snapshot", term: 2, snapshot, sentAt: 10 }, 10);
+    const ready = follower.takeReady();
+    t.is(ready.snapshotToInstall, undefined);
+    t.like(ready.messagesAfterPersist[0]?.message, { type: "appendResponse", ok: true, index: 1 });
+    t.is(follower.lastIndex, 3);
+    t.is(follower.commitIndex, 1);
+    const request = { type: "voteRequest", pre: false, term: 3, isTransfer: false } as const;
+    follower.receive(candidate, { ...request, lastTerm: 1, lastIndex: 2 }, 10_000);
+    const [vote] = follower.takeReady().messagesAfterPersist;
+    t.like(vote?.message, { type: "voteResponse", granted: false });
+});
