Replica: a proposal whose index another leader's entry takes is rejected

While a write lasted, a deposed leader that received its successor's entries together with their commit applied them before it noticed the end of its lead. It dropped its own proposals at these indexes without settling them, so that their callers waited for ever. No proposal was resolved wrongly.

They are rejected now; the outcome counts as unknown, since the entry may be the leader's own, committed by its successor.

Before: the new test sees the proposal pending after 1 s.

--- a/log/replica.ts
+++ b/log/replica.ts
@@ -534,11 +534,16 @@
         if (entry.type !== "commands") {
             return;
         }
-        const proposals = isOwnTerm ? this.#inFlightProposals.get(entry.index) : undefined;
+        const proposals = this.#inFlightProposals.get(entry.index) ?? [];
         this.#inFlightProposals.delete(entry.index);
+        if (!isOwnTerm) {
+            proposals.forEach((p) => p.reject(new OutcomeUnknownError()));
+        }
         entry.commands.forEach((command, i) => {
             const result = this.#options.machine.apply(command as C);
-            proposals?.[i]?.resolve(result);
+            if (isOwnTerm) {
+                proposals[i]?.resolve(result);
+            }
         });
     }
 
--- /dev/null
+++ b/log/replica_test.ts
@@ -0,0 +1,112 @@
+import test from "ava";
+import { OutcomeUnknownError, Replica, type Transport } from "./replica.ts";
+import { MemoryStorage } from "./storage.ts";
+import type { GroupMessage, LogEntry, MemberId, Storage } from "./types.ts";
+
+const SELF = "m1.0" as MemberId;
+const OTHER = "m2.0" as MemberId;
+const TIMINGS = { heartbeatMs: 20, electionMs: 100 };
+const POLL_INTERVAL_MS = 5;
+const SETTLE_TIMEOUT_MS = 1_000;
+
+/** A storage whose writes of entries from an index on last until they are released. */
+class HeldStorage extends MemoryStorage implements Storage {
+    #heldFromIndex: number;
+    #release = (): void => {};
+    isHeld = false;
+
+    constructor(heldFromIndex: number) {
+        super();
+        this.#heldFromIndex = heldFromIndex;
+    }
+
+    override async append(entries: readonly LogEntry[] = []): Promise<void> {
+        if (entries.some(({ index }) => index >= this.#heldFromIndex)) {
+            await new Promise<void>((resolve) => {
+                this.isHeld = true;
+                this.#release = resolve;
+            });
+        }
+    }
+
+    release(): void {
+        this.#heldFromIndex = Number.POSITIVE_INFINITY;
+        this.#release();
+    }
+}
+
+function buildReplica(options: {
+    readonly voters: readonly MemberId[];
+    readonly storage: Storage;
+    readonly transport: Transport;
+}): Replica<string, void> {
+    return new Replica<string, void>({
+        self: SELF,
+        storage: options.storage,
+        machine: { apply: () => {}, encode: () => "", restore: () => {} },
+        transport: options.transport,
+        initialVoters: options.voters,
+        timings: TIMINGS,
+    });
+}
+
+/** Creates a transport that stands for a voter: it grants its vote and confirms the first entry. */
+function createVoterTransport(getReplica: () => Replica<string, void>): Transport {
+    const answer = (message: GroupMessage): GroupMessage | undefined => {
+        if (message.type === "voteRequest") {
+            const { pre, term } = message;
+            return { type: "voteResponse", pre, term, granted: true };
+        }
+        if (message.type === "append") {
+            const { term, sentAt } = message;
+            return { type: "appendResponse", term, ok: true, index: 1, sentAt };
+        }
+        return undefined;
+    };
+    return {
+        send: (to, message) => {
+            const response = answer(message);
+            if (response !== undefined) {
+                setImmediate(() => void getReplica().receive(to, response));
+            }
+        },
+    };
+}
+
+async function waitUntil(isMet: () => boolean): Promise<void> {
+    while (!isMet()) {
+        await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL_MS));
+    }
+}
+
+test("a proposal that another leader's entry replaces is rejected while a write lasts", async (t) => {
+    // Guards against callers of a deposed leader that wait for an answer for ever.
+    const storage = new HeldStorage(2);
+    const replica: Replica<string, void> = buildReplica({
+        voters: [SELF, OTHER, "m3.0" as MemberId],
+        storage,
+        transport: createVoterTransport(() => replica),
+    });
+    t.teardown(async () => {
+        storage.release();
+        await replica.stop();
+    });
+    replica.start();
+    await waitUntil(() => replica.isServing);
+    const { term } = replica;
+    const outcome = Promise.race([
+        replica.propose("replaced").catch((error: Error) => error.name),
+        new Promise((resolve) => setTimeout(() => resolve("pending"), SETTLE_TIMEOUT_MS)),
+    ]);
+    await waitUntil(() => storage.isHeld);
+    void replica.receive(OTHER, {
+        type: "append",
+        term: term + 1,
+        previousIndex: 1,
+        previousTerm: term,
+        entries: [{ index: 2, term: term + 1, type: "commands", commands: ["other"] }],
+        commitIndex: 2,
+        sentAt: 0,
+    });
+    t.is(await outcome, new OutcomeUnknownError().name);
+});
