dispatch: the simulated cluster commits in order, and effects wait for earlier facts

The simulated leader ran the effects of a flush without facts at once, though facts of an earlier flush were still being committed, and commits of unequal latency were applied out of order.

Outputs are now carried out in the order in which they were proposed. An acknowledgement that comes after polling has ended starts it again, as otherwise the worker would keep the end.

--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -33,7 +33,15 @@
 import { buildQueue, POOL, QUEUE } from "./_builders.ts";
 import { Dispatcher, type DispatcherOptions, type SubmissionRefusal } from "./dispatcher.ts";
 import { InvariantChecker, type CrashRecord, type RunRecord } from "./_invariant_checker.ts";
-import type { AdviceCall, Effect, FrontId, Heartbeat, PollAnswer, OrderAnswer } from "./types.ts";
+import type {
+    AdviceCall,
+    DispatchOutput,
+    Effect,
+    FrontId,
+    Heartbeat,
+    PollAnswer,
+    OrderAnswer,
+} from "./types.ts";
 
 export * from "./_builders.ts";
 
@@ -110,6 +118,12 @@
 
 const NO_FAULT: OrderFault = { type: "none" };
 
+/** A leader's output that has not been carried out yet. */
+interface PendingOutput extends DispatchOutput {
+    readonly recordedAtMs: number;
+    isCommitted: boolean;
+}
+
 /** A dispatcher and its workers, simulated in virtual time. */
 export class SimulatedCluster {
     readonly #options: SimulatedClusterOptions;
@@ -139,8 +153,10 @@
     /** Value of {@link SimulatedCluster.#heartbeatSequence} when each worker started. */
     readonly #firstSequences = new Map<WorkerId, number>();
     #term = 1;
-    /** Incremented when a leader stops; commits and answers of earlier epochs are dropped. */
+    /** Incremented when a leader stops; answers of earlier epochs are dropped. */
     #epoch = 0;
+    /** The leader's outputs in the order in which they were proposed. */
+    #pendingOutputs: PendingOutput[] = [];
     dispatcher: Dispatcher;
 
     /**
@@ -321,6 +337,7 @@
     /** Stops the leader; there is none until {@link SimulatedCluster.replaceLeader}. */
     stopLeader(): void {
         this.#epoch += 1;
+        this.#pendingOutputs = [];
         this.#leaderBusyUntilMs = this.now;
         this.#watchedWorkers.clear();
         this.#hasLeader = false;
@@ -524,24 +541,37 @@
         });
     }
 
-    /** Commits the dispatcher's pending facts after the commit delay, then runs its effects. */
+    /**
+     * Commits the dispatcher's pending facts after the commit delay, then runs its effects. Facts
+     * are committed in the order in which they were proposed, and effects wait for all facts that
+     * were proposed before them, also by earlier flushes.
+     */
     #flush(): void {
         const { facts, effects } = this.dispatcher.takeOutput();
         if (facts.length === 0 && effects.length === 0) {
             return;
         }
-        const epoch = this.#epoch;
-        const recordedAtMs = this.now;
+        const output = { facts, effects, recordedAtMs: this.now, isCommitted: false };
+        this.#pendingOutputs.push(output);
         const commitDelayMs = this.#options.computeCommitDelayMs?.() ?? COMMIT_DELAY_MS;
         this.#scheduleEvent(facts.length === 0 ? 0 : commitDelayMs, () => {
-            if (epoch !== this.#epoch) {
+            output.isCommitted = true;
+            this.#applyCommitted();
+        });
+    }
+
+    #applyCommitted(): void {
+        for (;;) {
+            const output = this.#pendingOutputs[0];
+            if (output?.isCommitted !== true) {
                 return;
             }
-            this.committedState.apply({ at: recordedAtMs, facts });
-            effects.forEach((effect) => this.#runAsLeader(() => this.#runEffect(effect)));
+            this.#pendingOutputs.shift();
+            this.committedState.apply({ at: output.recordedAtMs, facts: output.facts });
+            output.effects.forEach((effect) => this.#runAsLeader(() => this.#runEffect(effect)));
             this.dispatcher.placeWaiting();
             this.#flush();
-        });
+        }
     }
 
     #runEffect(effect: Effect): void {
@@ -593,6 +623,8 @@
                 return;
             case "acknowledge":
                 this.dispatcher.confirmEnds(effect.worker, effect.incarnation, effect.cursor);
+                // Polling may have ended while the commit was pending.
+                this.#startWatch(effect.worker);
                 return;
         }
     }
