Effects that only ask don't wait for earlier commits

Since an effect waits for all facts recorded before it, calls for advice and polls waited too: a job's advice, which used to overlap with the commit of its acceptance, came one commit later. They change nothing that a later leader could contradict: what is decided by their answers becomes a fact of its own, and a poll acknowledges committed ends only. They leave at once again, and orders and acknowledgements wait.

commit_order_test asked that advice waits for the commit of the acceptance. That was stricter than the promise: no start may rest on an acceptance that isn't committed.

--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -27,6 +27,7 @@
 import {
     computeCallMs,
     Dispatcher,
+    isQuery,
     type DecisionKind,
     type DispatchClock,
     type DispatchLimits,
@@ -498,8 +499,8 @@
     }
 
     /**
-     * Proposes pending facts and releases the effects once these and all earlier facts are
-     * committed: an effect may rest on facts of earlier calls.
+     * Proposes pending facts and releases the effects once these are committed. Commands wait for
+     * all earlier facts too, since they may rest on them.
      *
      * @returns Resolves when the facts that this call proposed are committed. A call that proposes
      * none doesn't wait, so that polls and heartbeats continue while commits are slow.
@@ -512,9 +513,14 @@
             await commit;
             this.#releaseEffects(effects, newest);
         } else if (effects.length > 0) {
+            this.#releaseEffects(effects.filter(isQuery), 0);
             const { newest } = this.#proposals;
             this.#proposals.waitForCommit().then(
-                () => this.#releaseEffects(effects, newest),
+                () =>
+                    this.#releaseEffects(
+                        effects.filter((effect) => !isQuery(effect)),
+                        newest,
+                    ),
                 // Reported by the call that proposed the facts.
                 () => {},
             );
--- a/dispatch/mod.ts
+++ b/dispatch/mod.ts
@@ -13,6 +13,7 @@
 export * from "./admission.ts";
 export * from "./advice_scheduler.ts";
 export * from "./dispatcher.ts";
+export * from "./effect_kind.ts";
 export * from "./evacuation.ts";
 export * from "./front_assignment.ts";
 export * from "./placement.ts";
