Control: a leadership commits nothing after its term

Leadership proposed through a replica that checked only whether this member leads now. A member that loses the lead regains it 0.25 s later or more, and start orders wait up to 0.4 s for an answer: an answer that arrived after that was judged by the dispatcher of the earlier term, and its facts entered the log of the later one, whose dispatcher knows nothing of them. The next leader then starts from runs that ended, or jobs that were accepted, in no leader's view.

A proposal names the term that decided on it and is refused in any other.

--- a/control/_fixtures.ts
+++ b/control/_fixtures.ts
@@ -22,7 +22,7 @@
 import { createLogger, LogSink } from "../telemetry/mod.ts";
 import type { Configuration, QueueConfig } from "../configuration/mod.ts";
 import { buildQueue, buildWorkerReport, POOL } from "../dispatch/_fixtures.ts";
-import type { PollAnswer, PollOrder, OrderAnswer } from "../dispatch/mod.ts";
+import type { OrderAnswer, PollAnswer, PollOrder, StartOrder } from "../dispatch/mod.ts";
 import { FrontDaemon } from "../front/mod.ts";
 import { StateStore, type Incarnation, type WorkerId } from "../job/mod.ts";
 import type { ConsensusTimings } from "../log/mod.ts";
@@ -44,6 +44,8 @@
     readonly seedCount?: number;
     /** How many members may fail at once; 1 by default. */
     readonly toleratedFailures?: number;
+    /** Delivers a start order; by default the worker answers at once. */
+    readonly sendStart?: (order: StartOrder, worker: TaskWorker) => Promise<OrderAnswer>;
 }
 
 /** How often a simulated worker checks for ended tasks during a long poll, in ms. */
@@ -208,8 +210,12 @@
     #createWorkerCalls(): WorkerCalls {
         const find = (id: WorkerId): TaskWorker => this.workers.get(id) as TaskWorker;
         return {
-            start: (order): Promise<OrderAnswer> =>
-                Promise.resolve(find(order.worker).start(order)),
+            start: (order): Promise<OrderAnswer> => {
+                const worker = find(order.worker);
+                return (
+                    this.#options.sendStart?.(order, worker) ?? Promise.resolve(worker.start(order))
+                );
+            },
             stop: (order): Promise<OrderAnswer> => Promise.resolve(find(order.worker).stop(order)),
             pace: (): Promise<OrderAnswer> => Promise.resolve({ type: "accepted" }),
             poll: (order): Promise<PollAnswer> => waitForEnd(find(order.worker), order),
--- a/control/daemon.ts
+++ b/control/daemon.ts
@@ -557,15 +557,18 @@
             return;
         }
         const startedAtMs = performance.now();
+        const { term } = replica;
         this.#clock.start(this.#committedState.lastBatchAtMs);
         this.#voterPlanner.startLeading(performance.now());
         this.#leadership = new Leadership({
             committedState: this.#committedState,
             stateReader: this.#stateReader,
             accessControl: this.#accessControl,
-            propose: (batch) => replica.propose(batch).catch((error) => this.#refuseCall(error)),
+            // The member may lead again while decisions of this leadership are under way.
+            propose: (batch) =>
+                replica.propose(batch, { term }).catch((error) => this.#refuseCall(error)),
             waitForLease: () => this.#waitForLease(),
-            term: replica.term,
+            term,
             clock: {
                 getNow: () => performance.now(),
                 getWallTimeMs: () => this.#clock.getNow(),
@@ -581,7 +584,7 @@
         this.#leadership.start();
         this.#updateFronts();
         this.#options.log.notice("lead gained", {
-            term: replica.term,
+            term,
             voters: replica.voters.length,
             jobs: this.#committedState.jobs.size,
             appliedIndex: replica.appliedIndex,
--- a/log/replica.ts
+++ b/log/replica.ts
@@ -303,12 +303,14 @@
      * Proposes a command.
      *
      * @param command The command.
+     * @param options The term of the leadership that decided on the command; any by default.
      * @returns The state machine's result, once the command is committed and applied.
      * @throws {NotLeaderError} If the command was not proposed.
      * @throws {OutcomeUnknownError} If leadership ended and the command may still be applied.
      */
-    propose(command: C): Promise<R> {
-        if (!this.#isLeadershipEstablished || this.#isStopped) {
+    propose(command: C, options: { readonly term?: number } = {}): Promise<R> {
+        const { term = this.#leaderTerm } = options;
+        if (!this.#isLeadershipEstablished || term !== this.#leaderTerm || this.#isStopped) {
             return Promise.reject(new NotLeaderError(this.#consensus.leader));
         }
         return new Promise((resolve, reject) => {
--- a/log/replica_test.ts
+++ b/log/replica_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { OutcomeUnknownError, Replica, type Transport } from "./replica.ts";
+import { NotLeaderError, OutcomeUnknownError, Replica, type Transport } from "./replica.ts";
 import { MemoryStorage } from "./storage.ts";
 import type { GroupMessage, LogEntry, MemberId, Storage } from "./types.ts";
 
@@ -37,14 +37,19 @@
 
 function buildReplica(options: {
     readonly voters: readonly MemberId[];
-    readonly storage: Storage;
-    readonly transport: Transport;
+    readonly storage?: Storage;
+    readonly transport?: Transport;
+    readonly applied?: unknown[];
 }): Replica<string, void> {
     return new Replica<string, void>({
         self: SELF,
-        storage: options.storage,
-        machine: { apply: () => {}, encode: () => "", restore: () => {} },
-        transport: options.transport,
+        storage: options.storage ?? new MemoryStorage(),
+        machine: {
+            apply: (command) => void options.applied?.push(command),
+            encode: () => "",
+            restore: () => {},
+        },
+        transport: options.transport ?? { send: () => {} },
         initialVoters: options.voters,
         timings: TIMINGS,
     });
@@ -79,6 +84,23 @@
     }
 }
 
+test("a proposal of an ended leadership is refused after the same member leads again", async (t) => {
+    // Guards against decisions on the state of one term that are committed in a later one.
+    const applied: unknown[] = [];
+    const replica = buildReplica({ voters: [SELF], applied });
+    t.teardown(() => replica.stop());
+    replica.start();
+    await waitUntil(() => replica.isServing);
+    const { term } = replica;
+    const request = { previousIndex: 0, previousTerm: 0, entries: [], commitIndex: 0, sentAt: 0 };
+    void replica.receive(OTHER, { type: "append", term: term + 1, ...request });
+    await waitUntil(() => replica.isServing && replica.term > term + 1);
+    await t.throwsAsync(replica.propose("late", { term }), { instanceOf: NotLeaderError });
+    t.deepEqual(applied, []);
+    await replica.propose("current", { term: replica.term });
+    t.deepEqual(applied, ["current"]);
+});
+
 test("a proposal that another leader's entry replaces is rejected while a write lasts", async (t) => {
     // Guards against callers of a deposed leader that wait for an answer for ever.
     const storage = new HeldStorage(2);
