A repeated start doesn't wait for later commits

A start without an answer is sent again from a call without facts. Since effects wait for all facts recorded before them, a leader that was cut off from the others sent no repetition any more, and the next leader found runs on record that had reached no worker. The attempt was committed before the order was first sent, so a repetition rests on nothing that may be lost; it goes out at once, like queries.

Test: failed (the second send didn't come in 15 s) with repetitions waiting, passes three times of three.

--- a/control/commit_order_test.ts
+++ b/control/commit_order_test.ts
@@ -1,7 +1,7 @@
 import test, { type ExecutionContext } from "ava";
 import { buildSpec } from "../dispatch/_fixtures.ts";
-import type { FrontId, PollAnswer, PollOrder } from "../dispatch/mod.ts";
-import type { Incarnation, JobId, StateStore, StepSpec, WorkerId } from "../job/mod.ts";
+import type { FrontId, OrderAnswer, PollAnswer, PollOrder } from "../dispatch/mod.ts";
+import type { Incarnation, JobId, StateStore, WorkerId } from "../job/mod.ts";
 import { TaskWorker } from "../standin/task_worker.ts";
 import { createControlMetrics } from "../telemetry/control_metrics.ts";
 import { buildLeadership, waitUntil, type LeadershipFixtureOptions } from "./_fixtures.ts";
@@ -9,6 +9,7 @@
 import type { Leadership } from "./leadership.ts";
 
 const JOB = "00000000000000e1" as JobId;
+const OTHER_JOB = "00000000000000e2" as JobId;
 const WORKER = "w1" as WorkerId;
 const INCARNATION = 7 as Incarnation;
 const OTHER_INCARNATION = 6 as Incarnation;
@@ -55,11 +56,14 @@
     readonly countUncommittedEffects: () => Promise<number>;
 }
 
+interface StartOptions extends Partial<LeadershipFixtureOptions> {
+    readonly taskMs?: number;
+    /** Called when a start reaches the worker; returns false to lose the answer. */
+    readonly isStartAnswered?: () => boolean;
+}
+
 /** Starts a leader with one worker, whose polls and commits the test can hold back. */
-function startLeadership(
-    t: ExecutionContext,
-    options: Partial<LeadershipFixtureOptions> & { readonly taskMs?: number } = {},
-): Fixture {
+function startLeadership(t: ExecutionContext, options: StartOptions = {}): Fixture {
     const [commits, longPolls] = [new Gate(), new Gate()];
     const [starts, stops, cursors]: [string[], string[], number[]] = [[], [], []];
     const metrics = createControlMetrics();
@@ -80,7 +84,12 @@
             incarnation: INCARNATION,
             metrics,
             workerCalls: {
-                start: (order) => Promise.resolve(worker.start(order)),
+                start: (order) => {
+                    const answer = worker.start(order);
+                    const isAnswered = options.isStartAnswered?.() ?? true;
+                    const lost: OrderAnswer = { type: "unanswered", cause: "timeout" };
+                    return Promise.resolve(isAnswered ? answer : lost);
+                },
                 stop: (order) => {
                     stops.push(order.task);
                     return Promise.resolve(worker.stop(order));
@@ -117,11 +126,11 @@
     };
 }
 
-function buildCall(type: "submit" | "cancel", step: Partial<StepSpec> = {}): CallerCall {
-    const target = { host: "studio.example", path: `/previews/${JOB}` };
+function buildCall(type: "submit" | "cancel", job: JobId = JOB): CallerCall {
+    const target = { host: "studio.example", path: `/previews/${job}` };
     return type === "cancel"
         ? { type, ...target }
-        : { type, ...target, spec: buildSpec(step), problem: "" };
+        : { type, ...target, spec: buildSpec({}), problem: "" };
 }
 
 /** Ignores the failure of a call whose commit is lost. */
@@ -215,3 +224,22 @@
     await waitUntil(() => fixture.starts.length === 1);
     t.is(await fixture.countUncommittedEffects(), 0);
 });
+
+test("a start without an answer is repeated while the commit of other facts is pending", async (t) => {
+    // Guards against runs on record that reach no worker because a later commit is slow or never comes.
+    let sends = 0;
+    const fixture: Fixture = startLeadership(t, {
+        taskMs: 60_000,
+        isStartAnswered: () => {
+            sends += 1;
+            fixture.commits.close();
+            runInBackground(fixture.leadership.handleCaller(buildCall("submit", OTHER_JOB)));
+            return sends > 1;
+        },
+    });
+    await fixture.leadership.handleCaller(buildCall("submit"));
+    await waitUntil(() => sends === 2);
+    await new Promise((resolve) => setTimeout(resolve, COMMIT_MS));
+    t.is(sends, 2);
+    t.is(await fixture.countUncommittedEffects(), 0);
+});
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -27,7 +27,7 @@
 import {
     computeCallMs,
     Dispatcher,
-    isQuery,
+    isIndependent,
     type DecisionKind,
     type DispatchClock,
     type DispatchLimits,
@@ -499,8 +499,8 @@
     }
 
     /**
-     * Proposes pending facts and releases the effects once these are committed. Commands wait for
-     * all earlier facts too, since they may rest on them.
+     * Proposes pending facts and releases the effects once these are committed. Effects that may rest
+     * on earlier facts wait for those too.
      *
      * @returns Resolves when the facts that this call proposed are committed. A call that proposes
      * none doesn't wait, so that polls and heartbeats continue while commits are slow.
@@ -513,14 +513,11 @@
             await commit;
             this.#releaseEffects(effects, newest);
         } else if (effects.length > 0) {
-            this.#releaseEffects(effects.filter(isQuery), 0);
+            this.#releaseEffects(effects.filter(isIndependent), 0);
+            const dependent = effects.filter((effect) => !isIndependent(effect));
             const { newest } = this.#proposals;
             this.#proposals.waitForCommit().then(
-                () =>
-                    this.#releaseEffects(
-                        effects.filter((effect) => !isQuery(effect)),
-                        newest,
-                    ),
+                () => this.#releaseEffects(dependent, newest),
                 // Reported by the call that proposed the facts.
                 () => {},
             );
--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -32,7 +32,7 @@
 import { VirtualTime } from "../standin/virtual_time.ts";
 import { buildQueue, POOL, QUEUE } from "./_builders.ts";
 import { Dispatcher, type DispatcherOptions, type SubmissionRefusal } from "./dispatcher.ts";
-import { isQuery } from "./effect_kind.ts";
+import { isIndependent } from "./effect_kind.ts";
 import { InvariantChecker, type CrashRecord, type RunRecord } from "./_invariant_checker.ts";
 import type {
     AdviceCall,
@@ -544,16 +544,16 @@
 
     /**
      * Commits the dispatcher's pending facts after the commit delay, then runs its effects. Facts
-     * are committed in the order in which they were proposed, and commands wait for all facts that
-     * were proposed before them, also by earlier flushes.
+     * are committed in the order in which they were proposed, and effects that may rest on earlier
+     * facts wait for them, also if those were proposed by earlier flushes.
      */
     #flush(): void {
         const { facts, effects: allEffects } = this.dispatcher.takeOutput();
         if (facts.length === 0 && allEffects.length === 0) {
             return;
         }
-        const isReady = (effect: Effect): boolean => facts.length === 0 && isQuery(effect);
-        this.#runQueries(allEffects.filter(isReady));
+        const isReady = (effect: Effect): boolean => facts.length === 0 && isIndependent(effect);
+        this.#runAtOnce(allEffects.filter(isReady));
         const effects = allEffects.filter((effect) => !isReady(effect));
         const output = { facts, effects, recordedAtMs: this.now, isCommitted: false };
         this.#pendingOutputs.push(output);
@@ -564,11 +564,11 @@
         });
     }
 
-    #runQueries(queries: readonly Effect[]): void {
+    #runAtOnce(effects: readonly Effect[]): void {
         const epoch = this.#epoch;
         this.#scheduleEvent(0, () => {
             if (epoch === this.#epoch) {
-                queries.forEach((effect) => this.#runAsLeader(() => this.#runEffect(effect)));
+                effects.forEach((effect) => this.#runAsLeader(() => this.#runEffect(effect)));
             }
         });
     }
