An ended leadership sends nothing under the lease of a later one

An order or a poll that waits for the lease asked only whether this process has it. A process that loses the lead and regains it while an order waits sent that order on behalf of the earlier term, with its fence and by its view of the workers.

deposed_leader_test: before, the start and the poll went out after the end of the leadership; now neither does. Found by reading.

--- a/control/_fixtures.ts
+++ b/control/_fixtures.ts
@@ -228,6 +228,8 @@
     readonly waitForLease: () => Promise<boolean>;
     /** Called with the name of each task whose start order reaches its worker. */
     readonly onStart: (task: string) => void;
+    /** Called with the id of each worker that is polled. */
+    readonly onPoll?: (worker: WorkerId) => void;
     /** Called with log lines. */
     readonly onLogLines: (lines: string) => void;
     /** Whether jobs are refused by a forecast; `off` by default. */
@@ -290,7 +292,7 @@
         waitForLease: options.waitForLease,
         term: options.term ?? 1,
         clock: { getNow: () => performance.now(), getWallTimeMs: () => Date.now() },
-        workerCalls: { ...createImmediateWorkerCalls(options.onStart), ...options.workerCalls },
+        workerCalls: { ...createImmediateWorkerCalls(options), ...options.workerCalls },
         advise: options.advise ?? (() => Promise.resolve({ admissions: undefined })),
         admission: options.admission,
         isSubmissionBounded: options.isSubmissionBounded,
@@ -306,7 +308,10 @@
     return { leadership, committedState, sink };
 }
 
-function createImmediateWorkerCalls(onStart: (task: string) => void): WorkerCalls {
+function createImmediateWorkerCalls({
+    onStart,
+    onPoll,
+}: Pick<LeadershipFixtureOptions, "onStart" | "onPoll">): WorkerCalls {
     const accepted: OrderAnswer = { type: "accepted" };
     return {
         start: ({ task }) => {
@@ -315,7 +320,8 @@
         },
         stop: () => Promise.resolve(accepted),
         pace: () => Promise.resolve(accepted),
-        poll: () => {
+        poll: ({ worker }) => {
+            onPoll?.(worker);
             const clockMs = Math.round(performance.now());
             return Promise.resolve({
                 type: "state",
--- a/control/deposed_leader_test.ts
+++ b/control/deposed_leader_test.ts
@@ -6,7 +6,7 @@
 import type { Fact, FactBatch } from "../job/mod.ts";
 import type { LogEntry } from "../log/mod.ts";
 import { RpcClientPool } from "../rpc/mod.ts";
-import { buildConfiguration, ClusterFixture, waitUntil } from "./_fixtures.ts";
+import { buildConfiguration, buildLeadership, ClusterFixture, waitUntil } from "./_fixtures.ts";
 import type { CallerCall } from "./calls.ts";
 
 const HOST = "studio.example";
@@ -85,3 +85,33 @@
         t.is(countEnds(), endsOfNewTerm);
     },
 );
+
+test("an ended leadership sends no order or poll under the lease of a later one", async (t) => {
+    // Guards against orders of an earlier term that are sent after the same process leads again.
+    let isLeaseValid = true;
+    const renewals: (() => void)[] = [];
+    const sent: string[] = [];
+    const { leadership } = buildLeadership({
+        waitForLease: () =>
+            isLeaseValid
+                ? Promise.resolve(true)
+                : new Promise((resolve) => renewals.push(() => resolve(true))),
+        onStart: (task) => sent.push(`start ${task}`),
+        onLogLines: () => {},
+        onPoll: (worker) => sent.push(`poll ${worker}`),
+    });
+    t.teardown(() => leadership.stop());
+    leadership.start();
+    await waitUntil(() => sent.length > 0);
+    await new Promise((resolve) => setTimeout(resolve, COMMIT_TIME_MS));
+    isLeaseValid = false;
+    sent.length = 0;
+    const spec = buildSpec({ count: 1 });
+    await leadership.handleCaller({ type: "submit", host: HOST, path: PATH, spec, problem: "" });
+    // The start and the poll of its worker.
+    await waitUntil(() => renewals.length === 2);
+    leadership.stop();
+    renewals.forEach((renew) => renew());
+    await new Promise((resolve) => setTimeout(resolve, COMMIT_TIME_MS));
+    t.deepEqual(sent, []);
+});
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -660,13 +660,16 @@
         }
     }
 
-    /** Sends an order if this process holds the leader lease; otherwise it counts as unanswered. */
+    /**
+     * Sends an order if this leadership holds the lease; otherwise it counts as unanswered. The
+     * lease may be that of a later leadership of this process.
+     */
     async #sendOrder(
         previousTries: number,
         send: (timeoutMs: number) => Promise<OrderAnswer>,
     ): Promise<OrderAnswer> {
         const hasLease = await this.#options.waitForLease();
-        if (!hasLease) {
+        if (!hasLease || this.#isStopped) {
             return { type: "unanswered", cause: "not serving" };
         }
         const sentAtMs = performance.now();
--- a/control/worker_poller.ts
+++ b/control/worker_poller.ts
@@ -116,7 +116,7 @@
     async #sendPoll(order: PollOrder): Promise<PollAnswer> {
         const { dispatcher, workerCalls, flush, waitForLease } = this.#options;
         const hasLease = await waitForLease();
-        if (!hasLease) {
+        if (!hasLease || this.#isStopped) {
             return { type: "unanswered", cause: "not serving" };
         }
         const sentAtMs = performance.now();
