--- a/log/_fixtures.ts
+++ b/log/_fixtures.ts
@@ -14,11 +14,20 @@
 
 import { createRandom } from "../tools/seeded_random.ts";
 import { Consensus, DEFAULT_TIMINGS, type Ready } from "./consensus.ts";
-import type { GroupMessage, HardState, LogEntry, MemberId, StoredState } from "./types.ts";
+import type {
+    GroupMessage,
+    HardState,
+    LogEntry,
+    MemberId,
+    Snapshot,
+    StoredState,
+} from "./types.ts";
 
 interface Disk {
     hardState: HardState;
+    /** The entries after the snapshot. */
     entries: LogEntry[];
+    snapshot?: Snapshot;
 }
 
 interface InFlightMessage {
@@ -33,6 +42,8 @@
     readonly seed: number;
     /** Share of the writes that last until a later advance of the clock; 0 by default. */
     readonly slowWriteShare?: number;
+    /** Number of committed entries between two snapshots; by default none are taken. */
+    readonly snapshotIntervalEntries?: number;
 }
 
 /** A simulated group that the test drives step by step, with its own clock. */
@@ -45,6 +56,7 @@
     #queue: InFlightMessage[] = [];
     #random: () => number;
     readonly #slowWriteShare: number;
+    readonly #snapshotIntervalEntries: number;
     /** Writes in progress, which a crash loses. */
     readonly #pendingWrites = new Map<MemberId, Ready>();
     /** The simulated time, in ms. */
@@ -60,6 +72,7 @@
     constructor(options: GroupFixtureOptions) {
         this.#random = createRandom(options.seed);
         this.#slowWriteShare = options.slowWriteShare ?? 0;
+        this.#snapshotIntervalEntries = options.snapshotIntervalEntries ?? Number.POSITIVE_INFINITY;
         this.ids = Array.from({ length: options.memberCount }, (_, i) => `m${i + 1}.0` as MemberId);
         this.#initialVoters = [...this.ids];
         for (const id of this.ids) {
@@ -73,19 +86,18 @@
         const disk = this.disks.get(id) as Disk;
         const stored: StoredState = {
             hardState: disk.hardState,
-            snapshot: undefined,
+            snapshot: disk.snapshot,
             entries: [...disk.entries],
         };
-        this.nodes.set(
-            id,
-            new Consensus({
-                self: id,
-                stored,
-                initialVoters: this.#initialVoters.includes(id) ? this.#initialVoters : [],
-                random: this.#random,
-                now: this.now,
-            }),
-        );
+        const node = new Consensus({
+            self: id,
+            stored,
+            initialVoters: this.#initialVoters.includes(id) ? this.#initialVoters : [],
+            random: this.#random,
+            now: this.now,
+        });
+        node.buildSnapshot = () => createSnapshot(node);
+        this.nodes.set(id, node);
     }
 
     /** Crashes a member; state that it did not persist is lost. */
@@ -95,6 +107,17 @@
         this.#queue = this.#queue.filter((m) => m.to !== id);
     }
 
+    /** Replaces a member by another incarnation with an empty disk, which knows no voters. */
+    replaceMember(id: MemberId): MemberId {
+        const replacement = `${id}1` as MemberId;
+        this.crashMember(id);
+        this.disks.delete(id);
+        this.ids.splice(this.ids.indexOf(id), 1, replacement);
+        this.disks.set(replacement, { hardState: { term: 0, votedFor: undefined }, entries: [] });
+        this.startMember(replacement);
+        return replacement;
+    }
+
     /** Cuts or restores the link between two members in both directions. */
     setLink(a: MemberId, b: MemberId, isUp: boolean): void {
         for (const key of [`${a}|${b}`, `${b}|${a}`]) {
@@ -148,9 +171,16 @@
             return;
         }
         this.#pendingWrites.delete(id);
+        if (ready.snapshotToInstall !== undefined) {
+            disk.snapshot = ready.snapshotToInstall;
+            disk.entries = [];
+        }
         for (const entry of ready.entries) {
-            disk.entries.length = Math.min(disk.entries.length, entry.index - 1);
-            disk.entries.push(entry);
+            const position = entry.index - (disk.snapshot?.index ?? 0) - 1;
+            if (position >= 0) {
+                disk.entries.length = Math.min(disk.entries.length, position);
+                disk.entries.push(entry);
+            }
         }
         disk.hardState = ready.hardState ?? disk.hardState;
         const last = ready.entries.at(-1);
@@ -158,6 +188,10 @@
             node.confirmPersisted(last.index, last.term);
         }
         this.#sendAll(id, ready.messagesAfterPersist);
+        if (node.commitIndex - (disk.snapshot?.index ?? 0) >= this.#snapshotIntervalEntries) {
+            disk.snapshot = createSnapshot(node);
+            disk.entries = node.compact(node.commitIndex);
+        }
     }
 
     /** Delivers or drops the message at a position in the queue. */
@@ -175,7 +209,9 @@
         this.now += ms;
         for (const [id, node] of this.nodes) {
             if (id !== paused) {
-                this.#syncWrite(id, node);
+                if (this.#slowWriteShare === 0 || this.#random() >= this.#slowWriteShare) {
+                    this.#syncWrite(id, node);
+                }
                 node.tick(this.now);
                 this.runMember(id);
             }
@@ -212,6 +248,17 @@
         return index;
     }
 
+    /** Counts the disks that hold the newest committed entry or a snapshot that covers it. */
+    countNewestEntryCopies(): number {
+        const newest = Math.max(0, ...this.committed.keys());
+        const term = this.committed.get(newest)?.term;
+        return [...this.disks.values()].filter(
+            ({ snapshot, entries }) =>
+                (snapshot?.index ?? 0) >= newest ||
+                entries.some((entry) => entry.index === newest && entry.term === term),
+        ).length;
+    }
+
     #sendAll(from: MemberId, messages: readonly { to: MemberId; message: GroupMessage }[]): void {
         for (const { to, message } of messages) {
             this.#queue.push({ from, to, message: structuredClone(message) });
@@ -230,7 +277,7 @@
         if (leaseHolders.length > 1) {
             this.violations.push(`several members hold a lease: ${leaseHolders.join(", ")}`);
         }
-        for (const entry of node.listCommitted(0)) {
+        for (const entry of node.listCommitted(node.baseIndex)) {
             const seen = this.committed.get(entry.index);
             if (seen === undefined) {
                 this.committed.set(entry.index, entry);
@@ -241,4 +288,9 @@
     }
 }
 
+function createSnapshot(node: Consensus): Snapshot {
+    const index = node.commitIndex;
+    return { index, ...node.getSnapshotMetadata(index), state: "" };
+}
+
 export { DEFAULT_TIMINGS };
--- a/log/consensus_test.ts
+++ b/log/consensus_test.ts
@@ -184,12 +184,36 @@
     checkSafety(t, { slowWriteShare: 0.5, seed: 20261203 });
 });
 
-/** Checks for one leader per term, one lease at a time and no change of committed entries. */
+test("random losses of all power while members take snapshots never violate safety", (t) => {
+    // Guards against entries that a quorum confirmed and that a restart or a snapshot removes.
+    checkSafety(t, {
+        slowWriteShare: 0.5,
+        snapshotIntervalEntries: 3,
+        powerLossWeight: 2,
+        seed: 20261204,
+    });
+});
+
+/**
+ * Checks for one leader per term, one lease at a time, no change of committed entries and a quorum of
+ * disks that hold them.
+ */
 function checkSafety(
     t: ExecutionContext,
-    options: { readonly slowWriteShare: number; readonly seed: number },
+    options: {
+        readonly slowWriteShare: number;
+        readonly snapshotIntervalEntries?: number;
+        /** Weight of the losses of all members' power among the steps; 0 by default. */
+        readonly powerLossWeight?: number;
+        readonly seed: number;
+    },
 ): void {
+    const powerLoss = {
+        weight: options.powerLossWeight ?? 0,
+        arbitrary: fc.record({ kind: fc.constant("power"), n: fc.nat(4) }),
+    };
     const step = fc.oneof(
+        ...(powerLoss.weight > 0 ? [powerLoss] : []),
         { weight: 6, arbitrary: fc.record({ kind: fc.constant("deliver"), n: fc.nat(30) }) },
         { weight: 1, arbitrary: fc.record({ kind: fc.constant("lose"), n: fc.nat(30) }) },
         { weight: 4, arbitrary: fc.record({ kind: fc.constant("advance"), n: fc.nat(600) }) },
@@ -208,12 +232,20 @@
             fc.constantFrom(3, 5),
             fc.array(step, { minLength: 20, maxLength: 120 }),
             (seed, members, steps) => {
-                const { slowWriteShare } = options;
-                const group = new GroupFixture({ memberCount: members, seed, slowWriteShare });
+                const { slowWriteShare, snapshotIntervalEntries } = options;
+                const group = new GroupFixture({
+                    memberCount: members,
+                    seed,
+                    slowWriteShare,
+                    snapshotIntervalEntries,
+                });
                 group.runFor(2_500);
+                let fewestCopies: number = members;
                 for (const { kind, n } of steps) {
                     applyStep(group, kind, n);
+                    fewestCopies = Math.min(fewestCopies, group.countNewestEntryCopies());
                 }
+                t.true(fewestCopies > members / 2, `a committed entry is on ${fewestCopies} disks`);
                 group.restoreLinks();
                 for (const id of group.ids) {
                     if (!group.nodes.has(id)) {
@@ -255,6 +287,10 @@
             group.crashMember(id);
             group.startMember(id);
             return;
+        case "power":
+            group.ids.forEach((member) => group.crashMember(member));
+            group.ids.forEach((member) => group.startMember(member));
+            return;
         case "isolate":
             group.setIsolated(id, true);
             return;
@@ -475,3 +511,39 @@
     const [vote] = follower.takeReady().messagesAfterPersist;
     t.like(vote?.message, { type: "voteResponse", granted: false });
 });
+
+test("entries survive as many lost disks as failures are tolerated, with all power lost at once", (t) => {
+    // Guards against a quorum without the newest entries, as an emptied member that votes makes one.
+    for (const lossCount of [1, 2]) {
+        for (let seed = 1; seed <= 20; seed++) {
+            const group = new GroupFixture({
+                memberCount: 2 * lossCount + 1,
+                seed,
+                slowWriteShare: 0.5,
+                snapshotIntervalEntries: 3,
+            });
+            group.runFor(5_000);
+            const leader = getLeader(group);
+            const others = group.ids.filter((id) => id !== leader);
+            others.slice(0, lossCount).forEach((id) => group.setIsolated(id, true));
+            for (let i = 0; i < 5; i++) {
+                group.propose(leader, `c${i}`);
+                group.runFor(300);
+            }
+            const newestIndex = Math.max(...group.committed.keys());
+            const holders = [leader, ...others.slice(lossCount)];
+            const lost = holders.filter((_id, i) => i !== seed % holders.length);
+            group.ids.forEach((id) => group.crashMember(id));
+            group.restoreLinks();
+            const replacements = lost.map((id) => group.replaceMember(id));
+            group.ids.forEach((id) => group.startMember(id));
+            group.runFor(8_000);
+            const index = group.propose(getLeader(group), "after the loss") as number;
+            group.runFor(1_000);
+            t.true(index > newestIndex, `seed ${seed}: ${index} after ${newestIndex}`);
+            t.true(group.committed.has(index));
+            t.deepEqual(group.violations, []);
+            t.true(replacements.every((id) => group.nodes.get(id)?.role === "learner"));
+        }
+    }
+});
