dispatch: the invariants see ends that are acknowledged after a second start

By RULES.md (TWICE) a start after a run ended as done breaks the rule if the end is taken note of before or after it, unless the lease lapsed between. It also didn't see two attempts on one worker.

The checker now reports both.

--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -85,6 +85,8 @@
     readonly workspaces?: readonly WorkspaceConfig[];
     /** Whether the leader decides about submissions by a forecast; `off` by default. */
     readonly admission?: AdmissionMode;
+    /** Returns the latency of the next order or answer, in ms; they may overtake each other. */
+    readonly computeNetworkDelayMs?: () => number;
     /** Returns the fault to inject into an order. */
     readonly getFault?: (kind: "start" | "stop" | "look", worker: WorkerId) => OrderFault;
     readonly getOutcome?: (task: string, worker: WorkerId) => MemberOutcome;
@@ -347,11 +349,22 @@
     /**
      * Replaces the leader. Uncommitted facts are lost; orders in flight are not.
      *
-     * @param options Whether the new leader receives all workers' heartbeats immediately.
+     * @param options Whether the new leader receives all workers' heartbeats immediately, and which
+     * share of the pending commits completes without the knowledge of the previous leader.
      */
     replaceLeader({
         hasImmediateHeartbeats = true,
-    }: { readonly hasImmediateHeartbeats?: boolean } = {}): void {
+        committedShare = 0,
+    }: {
+        readonly hasImmediateHeartbeats?: boolean;
+        readonly committedShare?: number;
+    } = {}): void {
+        const committedCount = Math.round(committedShare * this.#pendingOutputs.length);
+        this.#pendingOutputs
+            .slice(0, committedCount)
+            .forEach(({ facts, recordedAtMs }) =>
+                this.committedState.apply({ at: recordedAtMs, facts }),
+            );
         this.stopLeader();
         this.#term += 1;
         this.#hasLeader = true;
@@ -443,7 +456,8 @@
             getLoad: this.#options.getTailLatencyMs,
             getOutcome: (task) => this.#options.getOutcome?.(task, id) ?? "done",
             onStart: (run) => this.#handleRun(id, run),
-            onAcknowledge: (end) => this.#invariants.recordAcknowledgedEnd(end),
+            onEnd: (run, how) => this.#invariants.recordEnd(id, run, how),
+            onAcknowledge: (end) => this.#invariants.recordAcknowledgedEnd(id, end),
         });
     }
 
@@ -718,15 +732,26 @@
             });
             return;
         }
-        this.#scheduleEvent(NETWORK_DELAY_MS, () => {
+        const requestDelayMs = this.#computeNetworkDelayMs();
+        this.#scheduleEvent(requestDelayMs, () => {
             if (worker.isKilled) {
                 reply(timeoutMs, noAnswer);
+                return;
+            }
+            const answer = execute(worker);
+            const answerDelayMs = this.#computeNetworkDelayMs();
+            if (requestDelayMs + answerDelayMs <= timeoutMs) {
+                reply(answerDelayMs, answer);
             } else {
-                reply(NETWORK_DELAY_MS, execute(worker));
+                reply(Math.max(0, timeoutMs - requestDelayMs), noAnswer);
             }
         });
     }
 
+    #computeNetworkDelayMs(): number {
+        return this.#options.computeNetworkDelayMs?.() ?? NETWORK_DELAY_MS;
+    }
+
     /** Finds the incarnation that now answers at the address of a dead worker. */
     #findSuccessor(id: WorkerId): TaskWorker | undefined {
         const address = this.#addresses.get(id);
--- a/dispatch/_invariant_checker.ts
+++ b/dispatch/_invariant_checker.ts
@@ -1,7 +1,8 @@
 /**
  * Checks the safety invariants of a simulated cluster: a task runs on one worker at a time, never
- * again after its completion or its last allowed failure is acknowledged, within its worker's
- * capacity and its workspace's limit, and not on a worker whose shutdown notice was acknowledged.
+ * again after its completion if that is acknowledged then or later, nor after its last allowed
+ * failure is acknowledged, within its worker's capacity and its workspace's limit, and not on a
+ * worker whose shutdown notice was acknowledged.
  *
  * @example
  * ```ts
@@ -15,7 +16,7 @@
  * @module
  */
 
-import type { Resources, WorkerId } from "../job/mod.ts";
+import type { MemberOutcome, Resources, WorkerId } from "../job/mod.ts";
 import type { WorkspaceConfig, WorkspaceName } from "../workspace/mod.ts";
 import type { TaskRun, TaskWorker } from "../standin/task_worker.ts";
 import type { EndReport } from "./types.ts";
@@ -57,6 +58,14 @@
     readonly crashedAtMs: number;
 }
 
+/** The end of a task run that ended as done. */
+interface Completion {
+    readonly worker: WorkerId;
+    readonly task: string;
+    readonly attempt: number;
+    readonly endedAtMs: number;
+}
+
 /** Records the events of one simulated cluster and checks them against the invariants. */
 export class InvariantChecker {
     readonly #options: InvariantCheckerOptions;
@@ -64,7 +73,12 @@
     readonly violations: string[] = [];
     readonly runs: RunRecord[] = [];
     readonly crashes: CrashRecord[] = [];
+    readonly #runsByTask = new Map<string, RunRecord[]>();
     readonly #completedTasks = new Set<string>();
+    /** Runs that ended as done on their worker, by task; acknowledged or not. */
+    readonly #completions = new Map<string, Completion[]>();
+    /** Runs that have not ended, by worker and task. */
+    readonly #openRuns = new Map<WorkerId, Map<string, number>>();
     /** Acknowledged failures by task. */
     readonly #failureCounts = new Map<string, number>();
     /** When the shutdown notice of a live worker was acknowledged, in ms. */
@@ -117,6 +131,7 @@
                 );
             }
         }
+        this.#recordOpenRun(worker, run);
         if (this.#completedTasks.has(run.task)) {
             this.violations.push(
                 `${run.task} started again at ${nowMs} ms after its completion was acknowledged`,
@@ -131,11 +146,60 @@
         if (nowMs - (this.#drainedAtMs.get(worker) ?? nowMs) > DRAIN_GRACE_MS) {
             this.violations.push(`${run.task} started on the draining ${worker} at ${nowMs} ms`);
         }
-        this.runs.push({ task: run.task, attempt: run.attempt, worker, startedAtMs: nowMs });
+        const record = { task: run.task, attempt: run.attempt, worker, startedAtMs: nowMs };
+        this.runs.push(record);
+        this.#runsByTask.set(run.task, [...(this.#runsByTask.get(run.task) ?? []), record]);
         this.#checkStartCapacity(worker);
         this.#checkQuota(run.task);
     }
 
+    #recordOpenRun(worker: WorkerId, { task, attempt }: TaskRun): void {
+        const openRuns = this.#openRuns.get(worker) ?? new Map<string, number>();
+        const other = openRuns.get(task);
+        if (other !== undefined) {
+            this.violations.push(
+                `attempts ${other} and ${attempt} of ${task} run on ${worker} at ${this.#options.getNow()} ms`,
+            );
+        }
+        openRuns.set(task, attempt);
+        this.#openRuns.set(worker, openRuns);
+    }
+
+    /** Records that a run has ended on its worker, which may not have reported it yet. */
+    recordEnd(
+        worker: WorkerId,
+        { task, attempt, finishesAtMs }: TaskRun,
+        how: MemberOutcome,
+    ): void {
+        this.#openRuns.get(worker)?.delete(task);
+        if (how === "done") {
+            const completions = this.#completions.get(task) ?? [];
+            completions.push({ worker, task, attempt, endedAtMs: finishesAtMs });
+            this.#completions.set(task, completions);
+        }
+    }
+
+    /** Checks that no other run of a task started between its completion and the acknowledgement. */
+    #checkRestart(worker: WorkerId, { task, attempt }: EndReport): void {
+        const completion = this.#completions
+            .get(task)
+            ?.find((other) => other.worker === worker && other.attempt === attempt);
+        const restart =
+            completion &&
+            this.#runsByTask
+                .get(task)
+                ?.find(
+                    (run) =>
+                        run.startedAtMs >= completion.endedAtMs &&
+                        (run.worker !== worker || run.attempt !== attempt),
+                );
+        if (restart !== undefined) {
+            this.violations.push(
+                `${task} started again at ${restart.startedAtMs} ms, and its completion was acknowledged at ${this.#options.getNow()} ms`,
+            );
+        }
+    }
+
     /** Checks that what the task's workspace runs fits a limit that it had within the grace period. */
     #checkQuota(task: string): void {
         const nowMs = this.#options.getNow();
@@ -165,9 +229,13 @@
         this.crashes.push({ worker, tasks, crashedAtMs: this.#options.getNow() });
     }
 
-    /** Records a task end whose acknowledgement has reached the worker. */
-    recordAcknowledgedEnd(end: EndReport): void {
+    /**
+     * Records a task end whose acknowledgement has reached the worker under the lease under which it
+     * was reported.
+     */
+    recordAcknowledgedEnd(worker: WorkerId, end: EndReport): void {
         if (end.how === "done") {
+            this.#checkRestart(worker, end);
             this.#completedTasks.add(end.task);
         } else if (end.how === "failed") {
             this.#failureCounts.set(end.task, (this.#failureCounts.get(end.task) ?? 0) + 1);
@@ -183,6 +251,7 @@
 
     /** Records that a worker is gone; its successor may have the same id. */
     recordExit(worker: WorkerId): void {
+        this.#openRuns.delete(worker);
         this.#drainedAtMs.delete(worker);
     }
 
