--- a/log/replica.ts
+++ b/log/replica.ts
@@ -515,6 +515,10 @@
     }
 
     #applyCommitted(): void {
+        if (this.#appliedIndex < this.#consensus.baseIndex) {
+            // A snapshot that covers the entries in between is not restored yet.
+            return;
+        }
         const entries = this.#consensus.listCommitted(this.#appliedIndex);
         for (const entry of entries) {
             this.#applyEntry(entry);
--- a/log/replica_test.ts
+++ b/log/replica_test.ts
@@ -9,6 +9,23 @@
 const POLL_INTERVAL_MS = 5;
 const SETTLE_TIMEOUT_MS = 1_000;
 
+/** A storage whose snapshots are written only when they are released. */
+class HeldSnapshotStorage extends MemoryStorage implements Storage {
+    #release = (): void => {};
+    isHeld = false;
+
+    override compact(): Promise<void> {
+        this.isHeld = true;
+        return new Promise((resolve) => {
+            this.#release = resolve;
+        });
+    }
+
+    release(): void {
+        this.#release();
+    }
+}
+
 /** A storage whose writes of entries from an index on last until they are released. */
 class HeldStorage extends MemoryStorage implements Storage {
     #heldFromIndex: number;
@@ -39,6 +56,7 @@
     readonly voters: readonly MemberId[];
     readonly storage?: Storage;
     readonly transport?: Transport;
+    /** Receives the commands that are applied and the states that are restored. */
     readonly applied?: unknown[];
 }): Replica<string, void> {
     return new Replica<string, void>({
@@ -47,7 +65,7 @@
         machine: {
             apply: (command) => void options.applied?.push(command),
             encode: () => "",
-            restore: () => {},
+            restore: (state) => void options.applied?.push(state),
         },
         transport: options.transport ?? { send: () => {} },
         initialVoters: options.voters,
@@ -132,3 +150,32 @@
     });
     t.is(await outcome, new OutcomeUnknownError().name);
 });
+
+test("entries after a snapshot are applied once the snapshot is restored", async (t) => {
+    // Guards against reads of a replica from a state that lacks what the snapshot contains.
+    const storage = new HeldSnapshotStorage();
+    const applied: unknown[] = [];
+    const voters = [SELF, OTHER, "m3.0" as MemberId];
+    const replica = buildReplica({ voters, storage, applied });
+    t.teardown(async () => {
+        storage.release();
+        await replica.stop();
+    });
+    replica.start();
+    const snapshot = { index: 10, term: 2, voters, state: "snapshot" };
+    void replica.receive(OTHER, { type: "snapshot", term: 2, snapshot, sentAt: 0 });
+    await waitUntil(() => storage.isHeld);
+    void replica.receive(OTHER, {
+        type: "append",
+        term: 2,
+        previousIndex: 10,
+        previousTerm: 2,
+        entries: [{ index: 11, term: 2, type: "commands", commands: ["later"] }],
+        commitIndex: 11,
+        sentAt: 0,
+    });
+    t.deepEqual(applied, []);
+    storage.release();
+    await waitUntil(() => replica.appliedIndex === 11);
+    t.deepEqual(applied, ["snapshot", "later"]);
+});
