--- a/log/replica.ts
+++ b/log/replica.ts
@@ -588,7 +588,8 @@
     async #takeSnapshotIfDue(): Promise<void> {
         const intervalEntries =
             this.#options.snapshotIntervalEntries ?? DEFAULT_SNAPSHOT_INTERVAL_ENTRIES;
-        if (this.#appliedIndex - this.#snapshotIndex < intervalEntries) {
+        const isBehindLog = this.#appliedIndex < this.#consensus.baseIndex;
+        if (isBehindLog || this.#appliedIndex - this.#snapshotIndex < intervalEntries) {
             return;
         }
         const snapshot = this.#buildSnapshot();
--- a/log/replica_test.ts
+++ b/log/replica_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { NotLeaderError, OutcomeUnknownError, Replica, type Transport } from "./replica.ts";
 import { MemoryStorage } from "./storage.ts";
-import type { GroupMessage, LogEntry, MemberId, Storage } from "./types.ts";
+import type { GroupMessage, LogEntry, MemberId, Snapshot, Storage } from "./types.ts";
 
 const SELF = "m1.0" as MemberId;
 const OTHER = "m2.0" as MemberId;
@@ -31,6 +31,8 @@
     #heldFromIndex: number;
     #release = (): void => {};
     isHeld = false;
+    /** The indexes of the snapshots that were written. */
+    readonly snapshotIndexes: number[] = [];
 
     constructor(heldFromIndex: number) {
         super();
@@ -46,6 +48,11 @@
         }
     }
 
+    override compact(snapshot?: Snapshot): Promise<void> {
+        this.snapshotIndexes.push(snapshot?.index ?? 0);
+        return Promise.resolve();
+    }
+
     release(): void {
         this.#heldFromIndex = Number.POSITIVE_INFINITY;
         this.#release();
@@ -58,6 +65,7 @@
     readonly transport?: Transport;
     /** Receives the commands that are applied and the states that are restored. */
     readonly applied?: unknown[];
+    readonly snapshotIntervalEntries?: number;
 }): Replica<string, void> {
     return new Replica<string, void>({
         self: SELF,
@@ -70,6 +78,7 @@
         transport: options.transport ?? { send: () => {} },
         initialVoters: options.voters,
         timings: TIMINGS,
+        snapshotIntervalEntries: options.snapshotIntervalEntries,
     });
 }
 
@@ -179,3 +188,35 @@
     await waitUntil(() => replica.appliedIndex === 11);
     t.deepEqual(applied, ["snapshot", "later"]);
 });
+
+test("no snapshot is taken while a leader's snapshot waits to be written", async (t) => {
+    // Guards against a stored log that lacks the entries between its snapshot and its first entry.
+    const storage = new HeldStorage(2);
+    const voters = [SELF, OTHER, "m3.0" as MemberId];
+    const replica = buildReplica({ voters, storage, snapshotIntervalEntries: 1 });
+    t.teardown(async () => {
+        storage.release();
+        await replica.stop();
+    });
+    replica.start();
+    const receiveEntry = (index: number, previousTerm: number): void =>
+        void replica.receive(OTHER, {
+            type: "append",
+            term: 2,
+            previousIndex: index - 1,
+            previousTerm,
+            entries: [{ index, term: 2, type: "commands", commands: [`c${index}`] }],
+            commitIndex: index,
+            sentAt: index,
+        });
+    receiveEntry(1, 0);
+    await waitUntil(() => storage.snapshotIndexes.length === 1);
+    receiveEntry(2, 2);
+    await waitUntil(() => storage.isHeld && replica.appliedIndex === 2);
+    const snapshot = { index: 10, term: 2, voters, state: "" };
+    void replica.receive(OTHER, { type: "snapshot", term: 2, snapshot, sentAt: 10 });
+    receiveEntry(11, 2);
+    storage.release();
+    await waitUntil(() => replica.appliedIndex === 11);
+    t.deepEqual(storage.snapshotIndexes.slice(0, 2), [1, 10]);
+});
