Tests: a deposed leader polls no worker

That it sends no start orders had a test; that it polls nobody, and so acknowledges no end and renews no lease, had none.

No fault found.

--- a/control/_fixtures.ts
+++ b/control/_fixtures.ts
@@ -228,8 +228,8 @@
     readonly waitForLease: () => Promise<boolean>;
     /** Called with the name of each task whose start order reaches its worker. */
     readonly onStart: (task: string) => void;
-    /** Called with the id of each worker that is polled. */
-    readonly onPoll?: (worker: WorkerId) => void;
+    /** Called for each poll that reaches the worker. */
+    readonly onPoll?: (order: PollOrder) => void;
     /** Called with log lines. */
     readonly onLogLines: (lines: string) => void;
     /** Whether jobs are refused by a forecast; `off` by default. */
@@ -320,8 +320,8 @@
         },
         stop: () => Promise.resolve(accepted),
         pace: () => Promise.resolve(accepted),
-        poll: ({ worker }) => {
-            onPoll?.(worker);
+        poll: (order) => {
+            onPoll?.(order);
             const clockMs = Math.round(performance.now());
             return Promise.resolve({
                 type: "state",
--- a/control/busy_leader_test.ts
+++ b/control/busy_leader_test.ts
@@ -112,3 +112,23 @@
     await new Promise((resolve) => setTimeout(resolve, LEASE_RENEWAL_DELAY_MS));
     t.deepEqual(orders, []);
 });
+
+test("a deposed leader polls no worker", async (t) => {
+    // Guards against ends that are acknowledged and leases that are renewed after a successor leads.
+    let isLeading = true;
+    let pollCount = 0;
+    const { leadership } = buildLeadership({
+        waitForLease: () => Promise.resolve(isLeading),
+        onStart: () => {},
+        onPoll: () => (pollCount += 1),
+        onLogLines: () => {},
+    });
+    t.teardown(() => leadership.stop());
+    leadership.start();
+    await leadership.handleCaller(buildSubmit());
+    await waitUntil(() => pollCount > 1);
+    isLeading = false;
+    const pollsWhileLeading = pollCount;
+    await new Promise((resolve) => setTimeout(resolve, 3 * LEASE_RENEWAL_DELAY_MS));
+    t.is(pollCount, pollsWhileLeading);
+});
--- a/control/deposed_leader_test.ts
+++ b/control/deposed_leader_test.ts
@@ -98,7 +98,7 @@
                 : new Promise((resolve) => renewals.push(() => resolve(true))),
         onStart: (task) => sent.push(`start ${task}`),
         onLogLines: () => {},
-        onPoll: (worker) => sent.push(`poll ${worker}`),
+        onPoll: ({ worker }) => sent.push(`poll ${worker}`),
     });
     t.teardown(() => leadership.stop());
     leadership.start();
