--- /dev/null
+++ b/control/pending_answers_test.ts
@@ -0,0 +1,56 @@
+import test, { type ExecutionContext } from "ava";
+import { buildSpec } from "../dispatch/_fixtures.ts";
+import type { Incarnation, WorkerId } from "../job/mod.ts";
+import { buildLeadership } from "./_fixtures.ts";
+import type { CallerCall } from "./calls.ts";
+import type { Leadership } from "./leadership.ts";
+
+const INCARNATION = 7 as Incarnation;
+const NOTICE = { worker: "w1" as WorkerId, incarnation: INCARNATION };
+const TARGET = { host: "studio.example", path: "/previews/00000000000000e1" };
+const SUBMISSION: CallerCall = { type: "submit", ...TARGET, spec: buildSpec({}), problem: "" };
+/** Longer than the interval of ticks. */
+const COMMIT_MS = 250;
+
+/** Starts a leader whose commits wait until they are released. */
+function startLeadership(t: ExecutionContext): { leadership: Leadership; release: () => void } {
+    let release = (): void => {};
+    const released = new Promise<void>((resolve) => (release = resolve));
+    const { leadership } = buildLeadership({
+        waitForLease: () => Promise.resolve(true),
+        onStart: () => {},
+        onLogLines: () => {},
+        incarnation: INCARNATION,
+        waitForCommit: () => released,
+    });
+    t.teardown(() => leadership.stop());
+    return { leadership, release };
+}
+
+/** Makes a call twice while commits are held back, and returns both answers. */
+async function callTwice<T>(
+    t: ExecutionContext,
+    release: () => void,
+    call: () => Promise<T>,
+): Promise<T[]> {
+    let settledCount = 0;
+    const answers = [call(), call()];
+    answers.forEach((answer) => answer.finally(() => (settledCount += 1)).catch(() => {}));
+    await new Promise((resolve) => setTimeout(resolve, COMMIT_MS));
+    t.is(settledCount, 0);
+    release();
+    return Promise.all(answers);
+}
+
+test("a repeated departure is acknowledged only after the commit of the removal", async (t) => {
+    // Guards against an acknowledged departure of a worker that the next leader still knows.
+    const { leadership, release } = startLeadership(t);
+    await t.notThrowsAsync(callTwice(t, release, () => leadership.handleLeave(NOTICE)));
+});
+
+test("a repeated submission is answered only after the commit of the job", async (t) => {
+    // Guards against an accepted job that is lost with its leader, and against a false refusal.
+    const { leadership, release } = startLeadership(t);
+    const answers = await callTwice(t, release, () => leadership.handleCaller(SUBMISSION));
+    t.deepEqual(answers, [{ type: "accepted" }, { type: "accepted" }]);
+});
