A cancellation is acknowledged only after its commit, also if the job's acceptance is pending

A client that cancels a job while its acceptance is being committed, and cancels again, was told so at once: the committed state doesn't know the job yet, which was taken for a job that ended long ago. If the leader failed then, the job might run although its cancellation had been acknowledged.

A cancellation waits for everything proposed before it, as a departure does.

--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -380,13 +380,11 @@
      */
     async handleLeave({ worker, incarnation }: LeaveCall): Promise<void> {
         const isRemoved = this.#dispatcher.handleLeave(worker, incarnation);
-        await this.#flush();
-        this.#schedulePlacement();
         if (!isRemoved) {
+            this.#flushInBackground();
             throw new NotRecordedError();
         }
-        // An earlier call may have proposed the removal.
-        await this.#proposals.waitForCommit();
+        await this.#flushAll();
     }
 
     /**
@@ -450,6 +448,8 @@
         if (!this.#dispatcher.cancel(job)) {
             return { type: "unknownJob" };
         }
+        // The committed state may not know the job yet, or not any more.
+        await this.#flushAll();
         await this.#ensureCommitted(() => hasEnded(this.#options.committedState.jobs.get(job)));
         return { type: "cancelled" };
     }
@@ -470,6 +470,13 @@
         }
     }
 
+    /** Commits pending decisions, including those that earlier calls have proposed. */
+    async #flushAll(): Promise<void> {
+        await this.#flush();
+        this.#schedulePlacement();
+        await this.#proposals.waitForCommit();
+    }
+
     #schedulePlacement(): void {
         if (this.#isPlacementScheduled || this.#isStopped || this.#effectQueue.isFull()) {
             return;
--- a/control/pending_answers_test.ts
+++ b/control/pending_answers_test.ts
@@ -9,6 +9,7 @@
 const NOTICE = { worker: "w1" as WorkerId, incarnation: INCARNATION };
 const TARGET = { host: "studio.example", path: "/previews/00000000000000e1" };
 const SUBMISSION: CallerCall = { type: "submit", ...TARGET, spec: buildSpec({}), problem: "" };
+const CANCELLATION: CallerCall = { type: "cancel", ...TARGET };
 /** Longer than the interval of ticks. */
 const COMMIT_MS = 250;
 
@@ -54,3 +55,11 @@
     const answers = await callTwice(t, release, () => leadership.handleCaller(SUBMISSION));
     t.deepEqual(answers, [{ type: "accepted" }, { type: "accepted" }]);
 });
+
+test("a repeated cancellation is answered only after the commit of the first", async (t) => {
+    // Guards against an acknowledged cancellation that is lost with its leader.
+    const { leadership, release } = startLeadership(t);
+    void leadership.handleCaller(SUBMISSION).catch(() => {});
+    const answers = await callTwice(t, release, () => leadership.handleCaller(CANCELLATION));
+    t.deepEqual(answers, [{ type: "cancelled" }, { type: "cancelled" }]);
+});
