A shutdown notice is acknowledged only after its commit, also if another incarnation was removed

A worker that starts again under its id reports for the first time that it drains, and repeats the notice. While the first was being committed, the second was acknowledged at once if any earlier incarnation of the worker had been removed. If the leader failed then, the next one might start tasks on a worker whose drain had been acknowledged (DRAIN). Only notices of the removed incarnation itself need no record.

--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -354,7 +354,7 @@
         await this.#ensureCommitted(() => {
             const known = committedState.workers.get(record.id);
             return known === undefined
-                ? committedState.hasRemovedIncarnation(record.id)
+                ? committedState.isRemovedWorker(record.id, record.incarnation)
                 : (known.isDraining || !record.isDraining) &&
                       known.incarnation === record.incarnation;
         });
--- a/control/pending_answers_test.ts
+++ b/control/pending_answers_test.ts
@@ -1,11 +1,12 @@
 import test, { type ExecutionContext } from "ava";
-import { buildSpec } from "../dispatch/_fixtures.ts";
-import type { Incarnation, WorkerId } from "../job/mod.ts";
+import { buildSpec, buildWorkerReport } from "../dispatch/_fixtures.ts";
+import { StateStore, type Incarnation, type WorkerId } from "../job/mod.ts";
 import { buildLeadership } from "./_fixtures.ts";
 import type { CallerCall } from "./calls.ts";
 import type { Leadership } from "./leadership.ts";
 
 const INCARNATION = 7 as Incarnation;
+const NEXT_INCARNATION = 8 as Incarnation;
 const NOTICE = { worker: "w1" as WorkerId, incarnation: INCARNATION };
 const TARGET = { host: "studio.example", path: "/previews/00000000000000e1" };
 const SUBMISSION: CallerCall = { type: "submit", ...TARGET, spec: buildSpec({}), problem: "" };
@@ -14,7 +15,10 @@
 const COMMIT_MS = 250;
 
 /** Starts a leader whose commits wait until they are released. */
-function startLeadership(t: ExecutionContext): { leadership: Leadership; release: () => void } {
+function startLeadership(
+    t: ExecutionContext,
+    committedState?: StateStore,
+): { leadership: Leadership; release: () => void } {
     let release = (): void => {};
     const released = new Promise<void>((resolve) => (release = resolve));
     const { leadership } = buildLeadership({
@@ -22,6 +26,7 @@
         onStart: () => {},
         onLogLines: () => {},
         incarnation: INCARNATION,
+        committedState,
         waitForCommit: () => released,
     });
     t.teardown(() => leadership.stop());
@@ -63,3 +68,30 @@
     const answers = await callTwice(t, release, () => leadership.handleCaller(CANCELLATION));
     t.deepEqual(answers, [{ type: "cancelled" }, { type: "cancelled" }]);
 });
+
+test("a repeated shutdown notice is acknowledged only after the commit of the first", async (t) => {
+    // Guards against an acknowledged drain of a worker that the next leader does not know, if another
+    // incarnation of the worker was removed before.
+    const committedState = new StateStore();
+    const earlier = buildWorkerReport({ incarnation: INCARNATION });
+    committedState.apply({
+        at: 0,
+        facts: [
+            { type: "workerSeen", worker: earlier },
+            { type: "workerGone", worker: earlier.id },
+        ],
+    });
+    const { leadership, release } = startLeadership(t, committedState);
+    const record = buildWorkerReport({ incarnation: NEXT_INCARNATION, isDraining: true });
+    let sequence = 0;
+    const answers = callTwice(t, release, () => {
+        sequence += 1;
+        return leadership.handleHeartbeat({
+            record,
+            sequence,
+            clockMs: undefined,
+            leavesInMs: undefined,
+        });
+    });
+    await t.notThrowsAsync(answers);
+});
