A stop order is queued once, also while commits stall

Each tick asked for the stop of a member whose stop hadn't been sent for 0.4 s. A member now has at most one stop that waits to be sent.

--- a/control/commit_order_test.ts
+++ b/control/commit_order_test.ts
@@ -199,6 +199,8 @@
     t.deepEqual(fixture.stops, []);
     fixture.commits.open();
     await waitUntil(() => fixture.stops.length > 0);
+    await new Promise((resolve) => setTimeout(resolve, TASK_MS));
+    t.is(fixture.stops.length, 1);
     t.is(await fixture.countUncommittedEffects(), 0);
 });
 
--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -149,6 +149,7 @@
             // Unknown after a failover: an earlier leader may have sent a pace.
             pacePercent: undefined,
             stopSentAtMs: Number.NEGATIVE_INFINITY,
+            isStopQueued: false,
             ticket,
             isAdopted: false,
         };
@@ -357,7 +358,19 @@
             return;
         }
         member.state = "stopping";
-        this.#context.emit({ type: "stop", member });
+        this.enqueueStop(member);
+    }
+
+    /**
+     * Has a stop order sent to a member that is being stopped, unless one waits to be sent.
+     *
+     * @param member The member.
+     */
+    enqueueStop(member: MemberRun): void {
+        if (!member.isStopQueued) {
+            member.isStopQueued = true;
+            this.#context.emit({ type: "stop", member });
+        }
     }
 
     /**
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -147,6 +147,7 @@
      * @returns The order, or `undefined` if the member has ended.
      */
     prepareStop(member: MemberRun): StopOrder | undefined {
+        member.isStopQueued = false;
         const worker = this.#attempts.findMemberWorker(member);
         if (worker === undefined) {
             return undefined;
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -394,7 +394,7 @@
         }
         for (const member of worker.members.values()) {
             if (member.state === "stopping" && now - member.stopSentAtMs > STOP_RETRY_MS) {
-                this.#context.emit({ type: "stop", member });
+                this.#attempts.enqueueStop(member);
             }
         }
         if (hasOverdueTask(worker, now) || isRestartPollDue(worker, now)) {
--- a/dispatch/types.ts
+++ b/dispatch/types.ts
@@ -107,6 +107,8 @@
     /** Newest pace that was ordered, in percent of full speed; `undefined` if unknown. */
     pacePercent: number | undefined;
     stopSentAtMs: number;
+    /** Whether a stop order waits to be sent. */
+    isStopQueued: boolean;
     readonly ticket: string | undefined;
     /** Whether an earlier leader recorded the attempt. */
     isAdopted: boolean;
