A repeated submission that fails is not told that its job never runs

A caller repeats a submission whose first try is still being committed. When leadership ends, proposals that were not sent yet fail with "not the leader", and the repetition got that answer although the first try's entry may be committed by the next leader. The front then says 503, which promises that the job never runs (REFUSED). The outcome of such a repetition counts as unknown now, as that of the first try does.

--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -48,6 +48,7 @@
     type JobSpec,
 } from "../job/mod.ts";
 import { computeHash } from "../hashing/mod.ts";
+import { OUTCOME_UNKNOWN_CODE } from "../membership/mod.ts";
 import { MethodError } from "../rpc/mod.ts";
 import { isOwnJob, type AccessControl, type WorkspaceName } from "../workspace/mod.ts";
 import type { ControlMetrics } from "../telemetry/control_metrics.ts";
@@ -150,6 +151,14 @@
     }
 }
 
+/** A submission that failed although an earlier one for the same job may be accepted. */
+export class PendingJobError extends MethodError {
+    constructor() {
+        super("leadership ended; the job may be accepted", OUTCOME_UNKNOWN_CODE);
+        this.name = "PendingJobError";
+    }
+}
+
 /** The leadership of one term. */
 export class Leadership {
     readonly #options: LeadershipOptions;
@@ -329,11 +338,16 @@
         spec: JobSpec,
     ): Promise<CallerAnswer> {
         const { name, pool } = queue;
+        const isRepeated = this.#dispatcher.findJob(job) !== undefined;
         const refusal = this.#dispatcher.submit({ job, queue: name, pool, workspace, spec });
         if (refusal !== undefined) {
             return createRefusalAnswer(refusal);
         }
-        await this.#ensureCommitted(() => this.#options.committedState.jobs.has(job));
+        try {
+            await this.#ensureCommitted(() => this.#options.committedState.jobs.has(job));
+        } catch (error) {
+            throw isRepeated ? new PendingJobError() : error;
+        }
         return { type: "accepted" };
     }
 
--- a/control/pending_answers_test.ts
+++ b/control/pending_answers_test.ts
@@ -1,6 +1,8 @@
 import test, { type ExecutionContext } from "ava";
 import { buildSpec, buildWorkerReport } from "../dispatch/_fixtures.ts";
 import { StateStore, type Incarnation, type WorkerId } from "../job/mod.ts";
+import { NOT_LEADER_CODE, OUTCOME_UNKNOWN_CODE } from "../membership/mod.ts";
+import { MethodError } from "../rpc/mod.ts";
 import { buildLeadership } from "./_fixtures.ts";
 import type { CallerCall } from "./calls.ts";
 import type { Leadership } from "./leadership.ts";
@@ -61,6 +63,29 @@
     t.deepEqual(answers, [{ type: "accepted" }, { type: "accepted" }]);
 });
 
+test("a repeated submission whose leader fails may have been accepted", async (t) => {
+    // Guards against a caller who is told that a job never runs while its first submission is pending.
+    let commits = 0;
+    const { leadership } = buildLeadership({
+        waitForLease: () => Promise.resolve(true),
+        onStart: () => {},
+        onLogLines: () => {},
+        waitForCommit: () => {
+            commits += 1;
+            return commits === 1
+                ? new Promise(() => {})
+                : Promise.reject(new MethodError("not the leader", NOT_LEADER_CODE));
+        },
+    });
+    t.teardown(() => leadership.stop());
+    const other: CallerCall = { ...SUBMISSION, path: "/previews/00000000000000e2" };
+    void leadership.handleCaller(SUBMISSION).catch(() => {});
+    const refused = { instanceOf: MethodError, code: NOT_LEADER_CODE };
+    const unknown = { instanceOf: MethodError, code: OUTCOME_UNKNOWN_CODE };
+    await t.throwsAsync(leadership.handleCaller(other), refused);
+    await t.throwsAsync(leadership.handleCaller(SUBMISSION), unknown);
+});
+
 test("a repeated cancellation is answered only after the commit of the first", async (t) => {
     // Guards against an acknowledged cancellation that is lost with its leader.
     const { leadership, release } = startLeadership(t);
