A job is checked against the configuration that it is recorded after

A client handed a job in while the removal of its route was being committed.

Submissions and cancellations that arrive while a configuration is being committed wait for it, and are checked then. That takes no proposal; calls keep their order. Keys and the queue's pool are checked by the same configuration.

pending_answers_test: accepted before, 404 now, and nothing on record.

--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -294,7 +294,18 @@
         };
     }
 
+    /** Returns whether a configuration is being committed. */
+    #isConfigurationPending(): boolean {
+        const { configuration } = this.#options.committedState;
+        return configuration?.version !== this.#dispatcher.configurationVersion;
+    }
+
     async #handleCall(call: CallerCall): Promise<CallerAnswer> {
+        // A job is recorded after the newest configuration, so it is checked against that: an older
+        // one may have a queue that nothing serves any more. Calls keep their order.
+        while (call.type !== "state" && this.#isConfigurationPending()) {
+            await this.#proposals.waitForCommit();
+        }
         const { configuration } = this.#options.committedState;
         if (configuration === undefined) {
             return { type: "refused", reason: "no configuration yet", retryAfterMs: 1_000 };
--- a/control/pending_answers_test.ts
+++ b/control/pending_answers_test.ts
@@ -3,7 +3,7 @@
 import { StateStore, type Incarnation, type WorkerId } from "../job/mod.ts";
 import { NOT_LEADER_CODE, OUTCOME_UNKNOWN_CODE } from "../membership/mod.ts";
 import { MethodError } from "../rpc/mod.ts";
-import { buildLeadership } from "./_fixtures.ts";
+import { buildConfiguration, buildLeadership } from "./_fixtures.ts";
 import type { CallerCall } from "./calls.ts";
 import type { Leadership } from "./leadership.ts";
 
@@ -19,20 +19,20 @@
 /** Starts a leader whose commits wait until they are released. */
 function startLeadership(
     t: ExecutionContext,
-    committedState?: StateStore,
-): { leadership: Leadership; release: () => void } {
+    state?: StateStore,
+): { leadership: Leadership; committedState: StateStore; release: () => void } {
     let release = (): void => {};
     const released = new Promise<void>((resolve) => (release = resolve));
-    const { leadership } = buildLeadership({
+    const { leadership, committedState } = buildLeadership({
         waitForLease: () => Promise.resolve(true),
         onStart: () => {},
         onLogLines: () => {},
         incarnation: INCARNATION,
-        committedState,
+        committedState: state,
         waitForCommit: () => released,
     });
     t.teardown(() => leadership.stop());
-    return { leadership, release };
+    return { leadership, committedState, release };
 }
 
 /** Makes a call twice while commits are held back, and returns both answers. */
@@ -86,6 +86,19 @@
     await t.throwsAsync(leadership.handleCaller(SUBMISSION), unknown);
 });
 
+test("a job that arrives while its queue is being removed is refused", async (t) => {
+    // Guards against an accepted job in a queue that nothing serves.
+    const { leadership, committedState, release } = startLeadership(t);
+    const { queues, ...rest } = buildConfiguration(2);
+    const changed = queues.map((queue) => ({ ...queue, pathPrefix: "/reels/" }));
+    const configured = leadership.handleConfigure({ ...rest, queues: changed });
+    const answer = leadership.handleCaller(SUBMISSION);
+    release();
+    t.deepEqual(await configured, { type: "acknowledged" });
+    t.deepEqual(await answer, { type: "unknownQueue" });
+    t.is(committedState.jobs.size, 0);
+});
+
 test("a repeated cancellation is answered only after the commit of the first", async (t) => {
     // Guards against an acknowledged cancellation that is lost with its leader.
     const { leadership, release } = startLeadership(t);
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -168,6 +168,11 @@
         }));
     }
 
+    /** The version of the newest configuration, which may not be committed yet. */
+    get configurationVersion(): number | undefined {
+        return this.#context.stateStore.configuration?.version;
+    }
+
     /** The durations that this leader has learned. */
     get durationModel(): DurationModel {
         return this.#context.durationModel;
