dispatch: no end is acknowledged while another poll of its worker is pending

What callers may see: a finished task runs again (TWICE) after its executor restarted under its id.

Cause: a poll that reaches the next incarnation with the cursor of the previous one discards ends that nobody has read. Cursors were withheld only once a call had timed out. Until then (0.5 s, 2 s for a long poll) the next incarnation could run a short task and lose its end to an immediate poll. Besides, an answer that was delayed since before the failed call permitted cursors again.

Now a poll carries no cursor while another poll of the worker is pending, and only an answer to a poll that was sent after the failure permits cursors. An end is thus acknowledged by the next poll of the loop, not by an immediate one beside a pending long poll. A poll that is not sent, for want of the lease, counts as pending no longer.

Evidence: the first two tests failed before.

--- a/control/worker_poller.ts
+++ b/control/worker_poller.ts
@@ -117,6 +117,7 @@
         const { dispatcher, workerCalls, flush, waitForLease } = this.#options;
         const hasLease = await waitForLease();
         if (!hasLease || this.#isStopped) {
+            dispatcher.dropPoll(order);
             return { type: "unanswered", cause: "not serving" };
         }
         const sentAtMs = performance.now();
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -293,7 +293,7 @@
             tries: member.startSends,
             cause,
         });
-        worker.mayHaveRestarted = true;
+        this.#context.registry.recordUnansweredCall(worker, this.#context.clock.getNow());
         if (member.startSends < MAX_START_SENDS && member.state === "ordered") {
             // Starts are idempotent: resending over another connection distinguishes a lost answer
             // from a lost worker.
--- a/dispatch/_worker_failures.ts
+++ b/dispatch/_worker_failures.ts
@@ -39,7 +39,7 @@
      * @param cause Why its last order or poll failed.
      */
     setSuspect(worker: WorkerState, cause: string): void {
-        worker.mayHaveRestarted = true;
+        this.#context.registry.recordUnansweredCall(worker, this.#context.clock.getNow());
         if (!worker.isSuspect) {
             worker.isSuspect = true;
             this.#context.recordDecision("failure", "worker silent", {
--- a/dispatch/_worker_poller.ts
+++ b/dispatch/_worker_poller.ts
@@ -86,7 +86,7 @@
         if (mayWait && worker.members.size === 0 && !hasUnacknowledged) {
             return undefined;
         }
-        return {
+        const order: PollOrder = {
             worker: id,
             // Only the worker itself can tell whether a pending heartbeat is its own.
             address: (worker.pendingHeartbeat?.heartbeat.record ?? worker.record).address,
@@ -105,6 +105,8 @@
                     ? this.#context.limits.pollWaitMs
                     : 0,
         };
+        worker.pendingPolls[mayWait ? "waiting" : "immediate"] = order;
+        return order;
     }
 
     /**
@@ -119,6 +121,7 @@
         if (worker === undefined) {
             return;
         }
+        this.#removePending(worker, order);
         if (answer.type === "gone") {
             this.#failures.handleReplacement(worker);
             return;
@@ -140,6 +143,26 @@
         }
     }
 
+    /**
+     * Forgets a poll that was not sent.
+     *
+     * @param order The poll.
+     */
+    dropPoll(order: PollOrder): void {
+        const worker = this.#context.registry.findWorker(order.worker);
+        if (worker !== undefined) {
+            this.#removePending(worker, order);
+        }
+    }
+
+    #removePending({ pendingPolls }: WorkerState, order: PollOrder): void {
+        if (pendingPolls.waiting === order) {
+            pendingPolls.waiting = undefined;
+        } else if (pendingPolls.immediate === order) {
+            pendingPolls.immediate = undefined;
+        }
+    }
+
     #handleState(
         worker: WorkerState,
         order: PollOrder,
@@ -154,7 +177,7 @@
             });
             this.#context.recordFreedCapacity(worker);
         }
-        this.#context.registry.recordPollAnswer(worker, answer.clockMs, now);
+        this.#context.registry.recordPollAnswer(worker, answer.clockMs, sentAtMs, now);
         this.#failures.clearLeaseExpiry(order.worker);
         const { incarnation } = worker.record;
         if (order.incarnation === incarnation) {
@@ -367,9 +390,13 @@
 
 /**
  * Selects the ends that a poll acknowledges. Polls do not name the incarnation that they are meant
- * for, and another one would discard ends that nobody has read.
+ * for, and another one would discard ends that nobody has read. A poll without an answer may be the
+ * first sign of it.
  */
 function selectCursor(worker: WorkerState): number {
     const hasUnacknowledged = worker.committedCursor > worker.acknowledgedCursor;
-    return hasUnacknowledged && !worker.mayHaveRestarted ? worker.committedCursor : 0;
+    const { waiting, immediate } = worker.pendingPolls;
+    const hasPending = waiting !== undefined || immediate !== undefined;
+    const mayHaveRestarted = worker.mayHaveRestarted || hasPending;
+    return hasUnacknowledged && !mayHaveRestarted ? worker.committedCursor : 0;
 }
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -465,6 +465,11 @@
         return this.#poller.preparePoll(id, mayWait);
     }
 
+    /** See {@link WorkerPoller.dropPoll}. */
+    dropPoll(order: PollOrder): void {
+        this.#poller.dropPoll(order);
+    }
+
     /** See {@link WorkerPoller.handlePollAnswer}. */
     handlePollAnswer(order: PollOrder, sentAtMs: number, answer: PollAnswer): void {
         this.#poller.handlePollAnswer(order, sentAtMs, answer);
--- a/dispatch/worker_registry.ts
+++ b/dispatch/worker_registry.ts
@@ -15,7 +15,7 @@
 
 import type { QuotaLedger } from "../workspace/mod.ts";
 import type { Resources, TaskName, WorkerId, WorkerRecord } from "../job/mod.ts";
-import type { Heartbeat, MemberRun } from "./types.ts";
+import type { Heartbeat, MemberRun, PollOrder } from "./types.ts";
 import { SLOWEST_CLOCK_FACTOR, WorkerClock } from "./worker_clock.ts";
 import { WorkerSpeed } from "./worker_speed.ts";
 
@@ -85,8 +85,12 @@
      * still describes the previous one.
      */
     isReportMissing: boolean;
-    /** Whether a call was left unanswered since the worker last answered a poll. */
+    /** Whether a call was left unanswered since the last answered poll was sent. */
     mayHaveRestarted: boolean;
+    /** When a call was last left unanswered, in ms. */
+    callUnansweredAtMs: number;
+    /** The newest poll that may wait and the newest other one, until answered or timed out. */
+    readonly pendingPolls: { waiting: PollOrder | undefined; immediate: PollOrder | undefined };
     /** When the worker last answered a poll, in ms. */
     pollAnsweredAtMs: number;
     /** When the worker last got an extra poll, for an overdue or a starting task, in ms. */
@@ -232,6 +236,8 @@
             pendingHeartbeat: undefined,
             isReportMissing: false,
             mayHaveRestarted: false,
+            callUnansweredAtMs: Number.NEGATIVE_INFINITY,
+            pendingPolls: { waiting: undefined, immediate: undefined },
             pollAnsweredAtMs: Number.NEGATIVE_INFINITY,
             extraPollAtMs: Number.NEGATIVE_INFINITY,
             isSuspect: false,
@@ -438,13 +444,28 @@
      *
      * @param worker The worker.
      * @param clockMs The worker's clock, in ms.
+     * @param sentAtMs When the poll was sent, in ms.
      * @param now The current monotonic time, in ms.
      */
-    recordPollAnswer(worker: WorkerState, clockMs: number, now: number): void {
+    recordPollAnswer(worker: WorkerState, clockMs: number, sentAtMs: number, now: number): void {
         this.recordAnswer(worker, now);
         worker.clock.record(clockMs, now);
         worker.pollAnsweredAtMs = now;
-        worker.mayHaveRestarted = false;
+        // An answer may have been delayed since before the worker left the other call unanswered.
+        if (sentAtMs > worker.callUnansweredAtMs) {
+            worker.mayHaveRestarted = false;
+        }
+    }
+
+    /**
+     * Records that a worker left a call unanswered.
+     *
+     * @param worker The worker.
+     * @param now The current monotonic time, in ms.
+     */
+    recordUnansweredCall(worker: WorkerState, now: number): void {
+        worker.mayHaveRestarted = true;
+        worker.callUnansweredAtMs = now;
     }
 
     /**
--- a/dispatch/worker_restart_test.ts
+++ b/dispatch/worker_restart_test.ts
@@ -10,7 +10,7 @@
     type OrderFault,
     type SimulatedClusterOptions,
 } from "./_fixtures.ts";
-import type { Heartbeat } from "./types.ts";
+import type { Heartbeat, StateAnswer } from "./types.ts";
 
 const W1 = "w1" as WorkerId;
 const WORKER_COUNT = 3;
@@ -320,3 +320,80 @@
     });
     t.notThrows(() => fc.assert(property, { numRuns: 25 }));
 });
+
+/** Builds a cluster whose worker `w1` has listed an end that is committed but not acknowledged. */
+function buildClusterWithEnd(): SimulatedCluster {
+    const cluster = buildRestartingCluster({ workers: 1 });
+    cluster.runFor(3_000);
+    const { incarnation } = getHeartbeat(cluster).record;
+    sendPoll(cluster, 0, 1);
+    cluster.dispatcher.confirmEnds(W1, incarnation, 1);
+    cluster.runFor(1);
+    return cluster;
+}
+
+/** Polls `w1`, which answers at once with the given number of ends, and returns the cursor sent. */
+function sendPoll(cluster: SimulatedCluster, delayMs: number, ends: number): number | undefined {
+    const order = cluster.dispatcher.preparePoll(W1, false);
+    const sentAtMs = cluster.now;
+    cluster.runFor(delayMs);
+    if (order !== undefined) {
+        cluster.dispatcher.handlePollAnswer(order, sentAtMs, buildAnswer(cluster, ends));
+    }
+    return order?.cursor;
+}
+
+function buildAnswer(cluster: SimulatedCluster, ends: number): StateAnswer {
+    const { record, clockMs = 0 } = getHeartbeat(cluster);
+    const ended = Array.from({ length: ends }, (_unused, i) => ({
+        number: i + 1,
+        task: "00000000000000a1.0.0.0",
+        attempt: i + 1,
+        how: "done" as const,
+        checkpoint: "",
+    }));
+    return { type: "state", incarnation: record.incarnation, clockMs, running: [], ended };
+}
+
+// Guards against acknowledging ends of a worker whose restart its pending poll would tell of.
+test("ends are not acknowledged while another poll is pending", (t) => {
+    const cluster = buildClusterWithEnd();
+    const pending = cluster.dispatcher.preparePoll(W1, true);
+    t.is(pending?.cursor, 1);
+    t.is(sendPoll(cluster, 1, 1), 0);
+    if (pending !== undefined) {
+        cluster.dispatcher.handlePollAnswer(pending, cluster.now, buildAnswer(cluster, 1));
+    }
+    cluster.dispatcher.confirmEnds(W1, getHeartbeat(cluster).record.incarnation, 2);
+    t.is(sendPoll(cluster, 1, 2), 2);
+});
+
+// Guards against taking an answer from before a restart for a sign that there was none.
+test("an answer to a poll that was sent before another call failed permits no acknowledgement", (t) => {
+    const cluster = buildClusterWithEnd();
+    const late = cluster.dispatcher.preparePoll(W1, false);
+    const failed = cluster.dispatcher.preparePoll(W1, true);
+    const sentAtMs = cluster.now;
+    cluster.runFor(10);
+    if (late === undefined || failed === undefined) {
+        t.fail();
+        return;
+    }
+    const noAnswer = { type: "unanswered", cause: "reset" } as const;
+    cluster.dispatcher.handlePollAnswer(failed, sentAtMs, noAnswer);
+    cluster.dispatcher.handlePollAnswer(late, sentAtMs, buildAnswer(cluster, 1));
+    cluster.runFor(1);
+    cluster.dispatcher.confirmEnds(W1, getHeartbeat(cluster).record.incarnation, 2);
+    t.is(sendPoll(cluster, 1, 2), 0);
+    t.is(sendPoll(cluster, 1, 2), 2);
+});
+
+// Guards against ends that are never acknowledged after a poll that the leader could not send.
+test("a poll that was not sent does not hold back acknowledgements", (t) => {
+    const cluster = buildClusterWithEnd();
+    const unsent = cluster.dispatcher.preparePoll(W1, false);
+    if (unsent !== undefined) {
+        cluster.dispatcher.dropPoll(unsent);
+    }
+    t.is(cluster.dispatcher.preparePoll(W1, true)?.cursor, 1);
+});
