A call to an ended leadership doesn't wait for a configuration that only a later one knows

A call that was queued when its leadership ended, and handled after a later leader's configuration had been applied, would wait for a commit that is never pending, without giving way to other events: the process would hang. Only a configuration that is newer than the committed one is waited for now.

Effects that wait for a commit have a function of their own.

--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -294,10 +294,11 @@
         };
     }
 
-    /** Returns whether a configuration is being committed. */
+    /** Returns whether this leadership is committing a configuration. */
     #isConfigurationPending(): boolean {
         const { configuration } = this.#options.committedState;
-        return configuration?.version !== this.#dispatcher.configurationVersion;
+        const { configurationVersion = -1 } = this.#dispatcher;
+        return configurationVersion > (configuration?.version ?? -1);
     }
 
     async #handleCall(call: CallerCall): Promise<CallerAnswer> {
@@ -546,10 +547,15 @@
             this.#releaseEffects(effects, newest);
         } else if (effects.length > 0) {
             this.#releaseEffects(effects.filter(isIndependent), 0);
-            const dependent = effects.filter((effect) => !isIndependent(effect));
-            const { newest } = this.#proposals;
+            this.#releaseAfterCommit(effects.filter((effect) => !isIndependent(effect)));
+        }
+    }
+
+    #releaseAfterCommit(effects: readonly Effect[]): void {
+        const { newest } = this.#proposals;
+        if (effects.length > 0) {
             this.#proposals.waitForCommit().then(
-                () => this.#releaseEffects(dependent, newest),
+                () => this.#releaseEffects(effects, newest),
                 // Reported by the call that proposed the facts.
                 () => {},
             );
--- a/control/pending_answers_test.ts
+++ b/control/pending_answers_test.ts
@@ -99,6 +99,16 @@
     t.is(committedState.jobs.size, 0);
 });
 
+test("a call to an ended leadership does not wait for a configuration of a later one", async (t) => {
+    // Guards against a process that hangs in a call that was queued when its leadership ended.
+    const { leadership, committedState, release } = startLeadership(t);
+    release();
+    leadership.stop();
+    const configuration = buildConfiguration(2);
+    committedState.apply({ at: 0, facts: [{ type: "configurationSet", configuration }] });
+    await t.notThrowsAsync(leadership.handleCaller(SUBMISSION));
+});
+
 test("a repeated cancellation is answered only after the commit of the first", async (t) => {
     // Guards against an acknowledged cancellation that is lost with its leader.
     const { leadership, release } = startLeadership(t);
