--- a/control/commit_order_test.ts
+++ b/control/commit_order_test.ts
@@ -45,6 +45,8 @@
     readonly stops: string[];
     /** The cursors of all polls. */
     readonly cursors: number[];
+    /** The number of ends in each answer to a poll. */
+    readonly endCounts: number[];
     readonly commits: Gate;
     /** Holds back the answers to long polls. */
     readonly longPolls: Gate;
@@ -65,7 +67,8 @@
 /** Starts a leader with one worker, whose polls and commits the test can hold back. */
 function startLeadership(t: ExecutionContext, options: StartOptions = {}): Fixture {
     const [commits, longPolls] = [new Gate(), new Gate()];
-    const [starts, stops, cursors]: [string[], string[], number[]] = [[], [], []];
+    const [starts, stops]: [string[], string[]] = [[], []];
+    const [cursors, endCounts]: [number[], number[]] = [[], []];
     const metrics = createControlMetrics();
     const worker = new TaskWorker({
         id: WORKER,
@@ -104,7 +107,9 @@
         if (order.waitMs > 0) {
             await longPolls.wait();
         }
-        return worker.poll(order);
+        const answer = worker.poll(order);
+        endCounts.push(answer.type === "state" ? answer.ended.length : 0);
+        return answer;
     };
     const { leadership, committedState } = build({ waitForCommit: () => commits.wait() });
     t.teardown(() => leadership.stop());
@@ -121,7 +126,7 @@
         return values.reduce((sum, { value }) => sum + value, 0);
     };
     return {
-        ...{ worker, starts, stops, cursors, commits, longPolls },
+        ...{ worker, starts, stops, cursors, endCounts, commits, longPolls },
         ...{ leadership, committedState, replaceLeader, countUncommittedEffects },
     };
 }
@@ -169,6 +174,7 @@
     // Guards against an acknowledgement by a second poll that lists an end whose commit is pending.
     const fixture = startLeadership(t);
     await endTaskWithTwoPolls(fixture);
+    t.true(fixture.endCounts.filter((count) => count === 1).length >= 2);
     t.true(fixture.cursors.every((cursor) => cursor === 0));
     fixture.commits.open();
     await waitUntil(() => fixture.cursors.includes(1));
