--- a/control/commit_faults_test.ts
+++ b/control/commit_faults_test.ts
@@ -3,6 +3,7 @@
 import { buildJobIds, buildQueue, buildSpec, buildWorkerReport } from "../dispatch/_fixtures.ts";
 import type { EndReport, OrderAnswer, PollAnswer, PollOrder } from "../dispatch/mod.ts";
 import {
+    parseTaskName,
     StateStore,
     type Incarnation,
     type JobId,
@@ -279,14 +280,12 @@
     }
 }
 
-function parseUnit(task: string): UnitRef {
-    const [job = "", occurrence, step, unit] = task.split(".");
-    return {
-        job: job as JobId,
-        occurrence: Number(occurrence),
-        step: Number(step),
-        unit: Number(unit),
-    };
+function parseUnit(name: string): UnitRef {
+    const task = parseTaskName(name);
+    if (task === undefined) {
+        throw new Error(`not a task's name: ${name}`);
+    }
+    return { ...task, unit: task.index };
 }
 
 for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
