The critical paths of a job are computed once

The paths of a spec are computed together, in time linear in its steps and dependencies, and kept while the spec is: a stored spec doesn't change.

--- a/dispatch/ranking.ts
+++ b/dispatch/ranking.ts
@@ -200,8 +200,8 @@
     queue: Pick<QueueConfig, "stretch" | "targetLatencyMs">,
     medianRatio = 1,
 ): number {
-    const pathsMs = (spec?.steps ?? []).map((_step, i) => computeCriticalPathMs(spec, i));
-    return queue.stretch * medianRatio * Math.max(0, ...pathsMs) + queue.targetLatencyMs;
+    const { longestMs } = getCriticalPaths(spec);
+    return queue.stretch * medianRatio * longestMs + queue.targetLatencyMs;
 }
 
 /**
@@ -212,14 +212,45 @@
  * @returns The duration, in ms.
  */
 export function computeCriticalPathMs(spec: JobSpec | undefined, from: number): number {
-    const steps = spec?.steps ?? [];
+    return getCriticalPaths(spec).pathsMs[from] ?? 0;
+}
+
+/** The critical paths of a job. */
+interface CriticalPaths {
+    /** The estimated duration of the longest chain that begins with each step, in ms. */
+    readonly pathsMs: readonly number[];
+    /** The longest of them, in ms. */
+    readonly longestMs: number;
+}
+
+const NO_PATHS: CriticalPaths = { pathsMs: [], longestMs: 0 };
+/** Specs don't change, and steps are ranked many times a second. */
+const pathsBySpec = new WeakMap<JobSpec, CriticalPaths>();
+
+function getCriticalPaths(spec: JobSpec | undefined): CriticalPaths {
+    if (spec === undefined) {
+        return NO_PATHS;
+    }
+    const known = pathsBySpec.get(spec);
+    if (known !== undefined) {
+        return known;
+    }
+    const paths = computeCriticalPaths(spec);
+    pathsBySpec.set(spec, paths);
+    return paths;
+}
+
+function computeCriticalPaths({ steps }: JobSpec): CriticalPaths {
     const pathsMs = new Array<number>(steps.length).fill(0);
-    // Steps depend only on earlier ones, so the paths of later steps are computed first.
-    for (let i = steps.length - 1; i >= from; i--) {
-        const dependentPathsMs = steps.map((step, k) =>
-            step.after.includes(i) ? (pathsMs[k] ?? 0) : 0,
-        );
-        pathsMs[i] = (steps[i]?.estimateMs ?? 0) + Math.max(0, ...dependentPathsMs);
+    let longestMs = 0;
+    // Steps depend only on earlier ones, so a step's path is complete once all later ones are.
+    for (let i = steps.length - 1; i >= 0; i--) {
+        const pathMs = (pathsMs[i] ?? 0) + (steps[i]?.estimateMs ?? 0);
+        pathsMs[i] = pathMs;
+        longestMs = Math.max(longestMs, pathMs);
+        for (const before of steps[i]?.after ?? []) {
+            pathsMs[before] = Math.max(pathsMs[before] ?? 0, pathMs);
+        }
     }
-    return pathsMs[from] ?? 0;
+    return { pathsMs, longestMs };
 }
--- a/dispatch/ranking_test.ts
+++ b/dispatch/ranking_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import fc from "fast-check";
 import { buildQueue, buildSpec, SimulatedCluster } from "./_fixtures.ts";
 import {
     computeCriticalPathMs,
@@ -173,3 +174,50 @@
     );
     t.is(computeCriticalPathMs(undefined, 0), 0);
 });
+
+/** Computes the longest chain from a step by its definition. */
+function computeReferencePathMs({ steps }: JobSpec, from: number): number {
+    const dependentPathsMs = steps.map((step, i) =>
+        step.after.includes(from) ? computeReferencePathMs({ steps } as JobSpec, i) : 0,
+    );
+    return (steps[from]?.estimateMs ?? 0) + Math.max(0, ...dependentPathsMs);
+}
+
+test("the critical paths of any job are its longest chains", (t) => {
+    const arbitrarySpec = fc
+        .array(fc.record({ estimateMs: fc.nat(1_000), after: fc.array(fc.nat(6)) }), {
+            minLength: 1,
+            maxLength: 7,
+        })
+        .map((steps) =>
+            buildSpec(
+                ...steps.map(({ estimateMs, after }, i) => ({
+                    estimateMs,
+                    after: after.filter((before) => before < i),
+                })),
+            ),
+        );
+    fc.assert(
+        fc.property(arbitrarySpec, (spec) => {
+            spec.steps.forEach((_step, i) => {
+                t.is(computeCriticalPathMs(spec, i), computeReferencePathMs(spec, i));
+            });
+        }),
+    );
+});
+
+// Guards against a leader that ranks a long chain for longer than its lease.
+test("the steps of a chain of 1,000 are ranked within a turn of the event loop", (t) => {
+    const spec = buildSpec(
+        ...Array.from({ length: 1_000 }, (_none, i) => ({
+            estimateMs: 1,
+            after: i === 0 ? [] : [i - 1],
+        })),
+    );
+    const startedAtMs = performance.now();
+    for (let i = 0; i < 1_000; i++) {
+        t.is(computeCriticalPathMs(spec, i), 1_000 - i);
+        t.is(computeLatencyObjectiveMs(spec, URGENT), 1.5 * 1_000 + 250);
+    }
+    t.true(performance.now() - startedAtMs < 250);
+});
