A job that exceeds the bounds of single jobs is refused before it is recorded

Cause: nothing bounded what a job may be. Dispatcher.submit recorded the fact and then opened the job, which threw a RangeError; the caller got an error, and the next commit made the fact durable all the same. Each new leader opens all jobs in its constructor, and threw there.

The size of a job is checked first, against the tasks, steps, occurrences times steps, dependencies and gang members that a leader can hold and handle in a turn of its event loop. The answer is 400 with the bound that is exceeded: no later try can succeed, so 503 with Retry-After would mislead. A job that is on record already is still accepted again.

--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -745,6 +745,9 @@
 
 function createRefusalAnswer(refusal: SubmissionRefusal): CallerAnswer {
     const { cause, problem: reason } = refusal;
+    if (cause === "tooLarge") {
+        return { type: "invalid", problem: reason };
+    }
     if (cause === "infeasible") {
         return { type: "refused", reason, retryAfterMs: INFEASIBLE_RETRY_AFTER_MS };
     }
--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -29,6 +29,7 @@
     RecordDecision,
 } from "./types.ts";
 import { WorkerRegistry, type WorkerState } from "./worker_registry.ts";
+import { createWorkLimits, type WorkLimits } from "./work_limits.ts";
 
 /** Options of {@link DispatchContext}. */
 export interface DispatchContextOptions {
@@ -38,6 +39,8 @@
     /** The first fencing token; higher than any token of earlier leaders. */
     readonly firstFence: number;
     readonly limits?: Partial<DispatchLimits>;
+    /** Bounds of jobs; see {@link DEFAULT_WORK_LIMITS}. */
+    readonly workLimits?: Partial<WorkLimits>;
     /**
      * Whether jobs that can't be of use to their callers any more are refused, and the order follows
      * the shares of workspaces; "off" by default.
@@ -68,6 +71,7 @@
     readonly stateStore: StateStore;
     readonly clock: DispatchClock;
     readonly limits: DispatchLimits;
+    readonly workLimits: WorkLimits;
     readonly quotaLedger: QuotaLedger;
     readonly registry: WorkerRegistry;
     readonly readySteps: ReadySteps;
@@ -90,6 +94,7 @@
         this.stateStore = options.stateStore;
         this.clock = options.clock;
         this.limits = { ...DEFAULT_DISPATCH_LIMITS, ...options.limits };
+        this.workLimits = createWorkLimits(options.workLimits);
         this.durationModel = options.durationModel ?? new DurationModel();
         this.recordDecision = options.recordDecision ?? (() => {});
         this.quotaLedger = new QuotaLedger(
--- a/dispatch/_workload_arrivals.ts
+++ b/dispatch/_workload_arrivals.ts
@@ -156,7 +156,7 @@
     if (answer === undefined) {
         return undefined;
     }
-    const retryAfterMs = answer.cause === "infeasible" ? undefined : answer.retryAfterMs;
+    const retryAfterMs = "retryAfterMs" in answer ? answer.retryAfterMs : undefined;
     return {
         retryAfterMs:
             retryAfterMs === undefined ? undefined : 1_000 * Math.ceil(retryAfterMs / 1_000),
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -49,6 +49,7 @@
 } from "./types.ts";
 import { SLOWEST_CLOCK_FACTOR } from "./worker_clock.ts";
 import { NO_RESOURCES, type WorkerState } from "./worker_registry.ts";
+import { checkJobSize, computeJobSize } from "./work_limits.ts";
 
 export { DEFAULT_DISPATCH_LIMITS } from "./_context.ts";
 export { isSameReport } from "./_heartbeats.ts";
@@ -70,7 +71,9 @@
 export type SubmissionRefusal =
     | AdmissionRefusal
     /** No worker, or not the limit of the workspace, will ever allow it. */
-    | { readonly type: "refused"; readonly cause: "infeasible"; readonly problem: string };
+    | { readonly type: "refused"; readonly cause: "infeasible"; readonly problem: string }
+    /** It exceeds a bound of single jobs. */
+    | { readonly type: "refused"; readonly cause: "tooLarge"; readonly problem: string };
 
 /** Time after which a stop is resent if the worker has not reported the task's end, in ms. */
 const STOP_RETRY_MS = 400;
@@ -197,6 +200,11 @@
         if (this.#context.stateStore.jobs.has(submission.job)) {
             return undefined;
         }
+        const excess = checkJobSize(computeJobSize(submission.spec), this.#context.workLimits);
+        if (excess !== undefined) {
+            this.#recordFailedCheck(submission, excess, "size");
+            return { type: "refused", cause: "tooLarge", problem: excess };
+        }
         const problem =
             checkFeasible(
                 submission.spec,
@@ -205,12 +213,7 @@
                 ),
             ) ?? checkWithinQuota(submission.spec, submission.workspace, this.#context.quotaLedger);
         if (problem !== undefined) {
-            this.#context.recordDecision("failure", "job refused", {
-                request: submission.job,
-                queue: submission.queue,
-                workspace: submission.workspace,
-                problem,
-            });
+            this.#recordFailedCheck(submission, problem);
             return { type: "refused", cause: "infeasible", problem };
         }
         const decision = this.#admission.checkJob(submission);
@@ -236,6 +239,20 @@
         return undefined;
     }
 
+    #recordFailedCheck(
+        { job, queue, workspace }: Submission,
+        problem: string,
+        reason?: string,
+    ): void {
+        this.#context.recordDecision("failure", "job refused", {
+            request: job,
+            queue,
+            workspace,
+            problem,
+            reason,
+        });
+    }
+
     /** Records a refusal as a decision, which may be sampled out: an overload causes many. */
     #recordRefusal(submission: Submission, refusal: AdmissionRefusal): void {
         this.#context.recordDecision("decision", "job refused", {
--- a/dispatch/mod.ts
+++ b/dispatch/mod.ts
@@ -25,3 +25,4 @@
 export * from "./worker_registry.ts";
 export * from "./worker_clock.ts";
 export * from "./worker_speed.ts";
+export * from "./work_limits.ts";
--- /dev/null
+++ b/dispatch/work_limits.ts
@@ -0,0 +1,110 @@
+/**
+ * Bounds of what a job may be. They keep the memory of an instance and each turn of a leader's event
+ * loop bounded, whatever is submitted; `docs/CAPACITY.md` has the derivation.
+ *
+ * @example
+ * ```ts
+ * import { checkJobSize, DEFAULT_WORK_LIMITS } from "./work_limits.ts";
+ * const problem = checkJobSize(computeJobSize(spec), DEFAULT_WORK_LIMITS);
+ * ```
+ *
+ * @module
+ */
+
+import type { JobSpec } from "../job/mod.ts";
+
+/** Bounds of single jobs. */
+export interface WorkLimits {
+    /** Tasks of a job, of all its occurrences together. */
+    readonly maxJobTasks: number;
+    /** Steps of a job. */
+    readonly maxJobSteps: number;
+    /** Steps of a job, counted once for each of its occurrences. */
+    readonly maxJobStepRuns: number;
+    /** Dependencies between the steps of a job. */
+    readonly maxJobDependencies: number;
+    /** Tasks of a gang. */
+    readonly maxGangTasks: number;
+}
+
+/** The default bounds, for an instance with a heap of 200 MB. */
+export const DEFAULT_WORK_LIMITS: WorkLimits = {
+    maxJobTasks: 100_000,
+    maxJobSteps: 1_000,
+    maxJobStepRuns: 50_000,
+    maxJobDependencies: 10_000,
+    maxGangTasks: 5_000,
+};
+
+/** What a job takes of an instance's memory and time. */
+export interface JobSize {
+    /** Tasks of all occurrences. */
+    readonly tasks: number;
+    readonly steps: number;
+    /** Steps of all occurrences. */
+    readonly stepRuns: number;
+    readonly dependencies: number;
+    /** Tasks of the largest gang; 0 if there is none. */
+    readonly gangTasks: number;
+}
+
+/**
+ * Creates bounds.
+ *
+ * @param overrides Bounds that differ from {@link DEFAULT_WORK_LIMITS}.
+ * @returns The bounds.
+ * @throws {RangeError} If a bound is not a positive integer.
+ */
+export function createWorkLimits(overrides: Partial<WorkLimits> = {}): WorkLimits {
+    const limits = { ...DEFAULT_WORK_LIMITS, ...overrides };
+    for (const [name, value] of Object.entries(limits)) {
+        if (!Number.isSafeInteger(value) || value <= 0) {
+            throw new RangeError(`${name} must be a positive integer, not ${value}`);
+        }
+    }
+    return limits;
+}
+
+/**
+ * Computes the size of a job.
+ *
+ * @param spec The job.
+ * @returns Its size; a count may be infinite.
+ */
+export function computeJobSize({ steps, repeats }: JobSpec): JobSize {
+    const occurrences = Math.max(1, repeats);
+    let [tasks, dependencies, gangTasks] = [0, 0, 0];
+    for (const step of steps) {
+        tasks += step.count;
+        gangTasks = Math.max(gangTasks, step.isGang ? step.count : 0);
+        dependencies += step.after.length;
+    }
+    return {
+        tasks: occurrences * tasks,
+        steps: steps.length,
+        stepRuns: occurrences * steps.length,
+        dependencies,
+        gangTasks,
+    };
+}
+
+/**
+ * Checks a job against the bounds of single jobs.
+ *
+ * @param size The size of the job.
+ * @param limits The bounds.
+ * @returns The bound that the job exceeds, in words, or `undefined` if it is within all of them.
+ */
+export function checkJobSize(size: JobSize, limits: WorkLimits): string | undefined {
+    return (
+        checkCount("tasks", size.tasks, limits.maxJobTasks) ??
+        checkCount("steps", size.steps, limits.maxJobSteps) ??
+        checkCount("steps of all occurrences", size.stepRuns, limits.maxJobStepRuns) ??
+        checkCount("dependencies", size.dependencies, limits.maxJobDependencies) ??
+        checkCount("tasks in a gang", size.gangTasks, limits.maxGangTasks)
+    );
+}
+
+function checkCount(name: string, count: number, limit: number): string | undefined {
+    return count <= limit ? undefined : `too large: ${count} ${name}, at most ${limit}`;
+}
