Open jobs together have bounds: tasks, steps and characters

A submission for which the open jobs leave no room is refused with 503, a Retry-After of 5 to 14 s, spread by the job's id, and the bound in words; it is logged and counted (reason "openWork"). The counts are restored from the state by each leader. Known jobs are still accepted again.

The tests of the two bounds fail without the check.

--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -26,6 +26,7 @@
 import { createUnitKey } from "./ready_steps.ts";
 import type { MemberRun } from "./types.ts";
 import { NO_RESOURCES, type WorkerState } from "./worker_registry.ts";
+import { computeJobSize } from "./work_limits.ts";
 
 /** Number of unanswered sends of a start after which the worker becomes suspect. */
 export const MAX_START_SENDS = 3;
@@ -64,7 +65,8 @@
         const now = this.#context.clock.getNow();
         this.#context.jobShares.restore();
         for (const job of this.#context.stateStore.jobs.values()) {
-            if (job.endedAt === undefined) {
+            if (job.endedAt === undefined && job.spec !== undefined) {
+                this.#context.openWork.addJob(job.id, computeJobSize(job.spec));
                 this.#context.readySteps.openJob(job);
             }
             for (const [number, occurrence] of job.occurrences) {
@@ -323,6 +325,7 @@
     closeJob(job: Job): void {
         this.#begunJobs.delete(job.id);
         this.#context.jobShares.removeJob(job.id);
+        this.#context.openWork.removeJob(job.id);
         this.#context.readySteps
             .closeJob(job.id)
             .forEach((key) => this.#context.adviceScheduler.removeCalls(key));
--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -20,6 +20,7 @@
 import { AdviceScheduler } from "./advice_scheduler.ts";
 import { AdmissionRates } from "./advice_plan.ts";
 import { JobShares } from "./_job_shares.ts";
+import { OpenWork } from "./_open_work.ts";
 import { ReadySteps } from "./ready_steps.ts";
 import type {
     DispatchClock,
@@ -72,6 +73,7 @@
     readonly clock: DispatchClock;
     readonly limits: DispatchLimits;
     readonly workLimits: WorkLimits;
+    readonly openWork: OpenWork;
     readonly quotaLedger: QuotaLedger;
     readonly registry: WorkerRegistry;
     readonly readySteps: ReadySteps;
@@ -95,6 +97,7 @@
         this.clock = options.clock;
         this.limits = { ...DEFAULT_DISPATCH_LIMITS, ...options.limits };
         this.workLimits = createWorkLimits(options.workLimits);
+        this.openWork = new OpenWork(this.workLimits);
         this.durationModel = options.durationModel ?? new DurationModel();
         this.recordDecision = options.recordDecision ?? (() => {});
         this.quotaLedger = new QuotaLedger(
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -17,6 +17,7 @@
 import type { AdmissionPrediction, AdmissionRefusal } from "../admission/mod.ts";
 import type { Configuration, PoolName, QueueName } from "../configuration/mod.ts";
 import type { DurationModel } from "../estimation/mod.ts";
+import { computeHash } from "../hashing/mod.ts";
 import type { Incarnation, Job, JobId, JobSpec, WorkerId, WorkerRecord } from "../job/mod.ts";
 import type { WorkspaceName, WorkspaceUsage } from "../workspace/mod.ts";
 import { checkFeasible, checkWithinQuota } from "./admission.ts";
@@ -73,7 +74,15 @@
     /** No worker, or not the limit of the workspace, will ever allow it. */
     | { readonly type: "refused"; readonly cause: "infeasible"; readonly problem: string }
     /** It exceeds a bound of single jobs. */
-    | { readonly type: "refused"; readonly cause: "tooLarge"; readonly problem: string };
+    | { readonly type: "refused"; readonly cause: "tooLarge"; readonly problem: string }
+    /** The open jobs hold as much as an instance can. */
+    | {
+          readonly type: "refused";
+          readonly cause: "openWork";
+          readonly problem: string;
+          /** Whole seconds, in ms. */
+          readonly retryAfterMs: number;
+      };
 
 /** Time after which a stop is resent if the worker has not reported the task's end, in ms. */
 const STOP_RETRY_MS = 400;
@@ -83,6 +92,13 @@
 const RESTART_POLL_INTERVAL_MS = 200;
 /** A worker that runs nothing and has been silent for this long is removed, in ms. */
 const IDLE_WORKER_RETENTION_MS = 120_000;
+/**
+ * The shortest `retryAfterMs` for a job for which the open jobs leave no room, in ms, and the number
+ * of seconds over which the callers are spread.
+ */
+const FULL_RETRY_AFTER_MS = 5_000;
+const FULL_RETRY_SECONDS = 10;
+
 /** Makes the scheduling decisions of one leader. */
 export class Dispatcher {
     readonly #context: DispatchContext;
@@ -200,7 +216,8 @@
         if (this.#context.stateStore.jobs.has(submission.job)) {
             return undefined;
         }
-        const excess = checkJobSize(computeJobSize(submission.spec), this.#context.workLimits);
+        const size = computeJobSize(submission.spec);
+        const excess = checkJobSize(size, this.#context.workLimits);
         if (excess !== undefined) {
             this.#recordFailedCheck(submission, excess, "size");
             return { type: "refused", cause: "tooLarge", problem: excess };
@@ -216,6 +233,12 @@
             this.#recordFailedCheck(submission, problem);
             return { type: "refused", cause: "infeasible", problem };
         }
+        const fullness = this.#context.openWork.checkCapacityFor(size);
+        if (fullness !== undefined) {
+            this.#recordFailedCheck(submission, fullness, "openWork");
+            const retryAfterMs = computeFullRetryAfterMs(submission.job);
+            return { type: "refused", cause: "openWork", problem: fullness, retryAfterMs };
+        }
         const decision = this.#admission.checkJob(submission);
         if (decision.type === "refused") {
             this.#recordRefusal(submission, decision);
@@ -225,6 +248,7 @@
         const job = this.#context.stateStore.jobs.get(submission.job);
         const share = job === undefined ? undefined : this.#context.jobShares.recordAccepted(job);
         if (job !== undefined) {
+            this.#context.openWork.addJob(job.id, size);
             this.#context.readySteps.openJob(job);
         }
         this.#context.recordDecision("decision", "job accepted", {
@@ -513,6 +537,11 @@
     }
 }
 
+/** Computes when a job is to be sent again; jobs that were refused together don't return together. */
+function computeFullRetryAfterMs(job: JobId): number {
+    return FULL_RETRY_AFTER_MS + 1_000 * (computeHash(job) % FULL_RETRY_SECONDS);
+}
+
 /** Rounds a prediction for the log; empty if there is none. */
 function formatPrediction(prediction: Partial<AdmissionPrediction>): Partial<AdmissionPrediction> {
     const { predictedMs, objectiveMs } = prediction;
--- a/dispatch/work_limits.ts
+++ b/dispatch/work_limits.ts
@@ -1,6 +1,7 @@
 /**
- * Bounds of what a job may be. They keep the memory of an instance and each turn of a leader's event
- * loop bounded, whatever is submitted; `docs/CAPACITY.md` has the derivation.
+ * Bounds of what a job may be and of what all open jobs hold together. They keep the memory of an
+ * instance and each turn of a leader's event loop bounded, whatever is submitted; `docs/CAPACITY.md`
+ * has the derivation.
  *
  * @example
  * ```ts
@@ -11,9 +12,9 @@
  * @module
  */
 
-import type { JobSpec } from "../job/mod.ts";
+import type { JobSpec, StepSpec } from "../job/mod.ts";
 
-/** Bounds of single jobs. */
+/** Bounds of single jobs and of all open jobs together. */
 export interface WorkLimits {
     /** Tasks of a job, of all its occurrences together. */
     readonly maxJobTasks: number;
@@ -25,6 +26,12 @@
     readonly maxJobDependencies: number;
     /** Tasks of a gang. */
     readonly maxGangTasks: number;
+    /** Tasks of all open jobs. */
+    readonly maxOpenTasks: number;
+    /** Steps of all open jobs. */
+    readonly maxOpenSteps: number;
+    /** Characters in the payloads, labels and names of all open jobs. */
+    readonly maxOpenCharacters: number;
 }
 
 /** The default bounds, for an instance with a heap of 200 MB. */
@@ -34,6 +41,9 @@
     maxJobStepRuns: 50_000,
     maxJobDependencies: 10_000,
     maxGangTasks: 5_000,
+    maxOpenTasks: 250_000,
+    maxOpenSteps: 20_000,
+    maxOpenCharacters: 32_000_000,
 };
 
 /** What a job takes of an instance's memory and time. */
@@ -46,6 +56,8 @@
     readonly dependencies: number;
     /** Tasks of the largest gang; 0 if there is none. */
     readonly gangTasks: number;
+    /** Characters in the payload, labels and names. */
+    readonly characters: number;
 }
 
 /**
@@ -53,7 +65,8 @@
  *
  * @param overrides Bounds that differ from {@link DEFAULT_WORK_LIMITS}.
  * @returns The bounds.
- * @throws {RangeError} If a bound is not a positive integer.
+ * @throws {RangeError} If a bound is not a positive integer, or if one job within its bounds exceeds
+ *     those of all open jobs.
  */
 export function createWorkLimits(overrides: Partial<WorkLimits> = {}): WorkLimits {
     const limits = { ...DEFAULT_WORK_LIMITS, ...overrides };
@@ -62,6 +75,9 @@
             throw new RangeError(`${name} must be a positive integer, not ${value}`);
         }
     }
+    if (limits.maxJobTasks > limits.maxOpenTasks || limits.maxJobSteps > limits.maxOpenSteps) {
+        throw new RangeError("one job may not hold more than all open jobs together");
+    }
     return limits;
 }
 
@@ -71,13 +87,14 @@
  * @param spec The job.
  * @returns Its size; a count may be infinite.
  */
-export function computeJobSize({ steps, repeats }: JobSpec): JobSize {
+export function computeJobSize({ payload, steps, repeats }: JobSpec): JobSize {
     const occurrences = Math.max(1, repeats);
-    let [tasks, dependencies, gangTasks] = [0, 0, 0];
+    let [tasks, dependencies, gangTasks, characters] = [0, 0, 0, payload.length];
     for (const step of steps) {
         tasks += step.count;
         gangTasks = Math.max(gangTasks, step.isGang ? step.count : 0);
         dependencies += step.after.length;
+        characters += countCharacters(step);
     }
     return {
         tasks: occurrences * tasks,
@@ -85,6 +102,7 @@
         stepRuns: occurrences * steps.length,
         dependencies,
         gangTasks,
+        characters,
     };
 }
 
@@ -108,3 +126,7 @@
 function checkCount(name: string, count: number, limit: number): string | undefined {
     return count <= limit ? undefined : `too large: ${count} ${name}, at most ${limit}`;
 }
+
+function countCharacters({ requiredLabel, preferredRack, image }: StepSpec): number {
+    return (requiredLabel?.length ?? 0) + (preferredRack?.length ?? 0) + image.length;
+}
--- a/dispatch/work_limits_test.ts
+++ b/dispatch/work_limits_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { buildSpec } from "./_fixtures.ts";
+import { buildJobIds, buildSpec, SimulatedCluster } from "./_fixtures.ts";
 import { checkJobSize, computeJobSize, createWorkLimits } from "./work_limits.ts";
 import type { JobSpec } from "../job/mod.ts";
 
@@ -44,3 +44,38 @@
     t.throws(() => createWorkLimits({ maxJobSteps: 1.5 }), { message: /maxJobSteps/ });
     t.throws(() => createWorkLimits({ maxGangTasks: Number.NaN }), { message: /maxGangTasks/ });
 });
+
+// Guards against jobs that are each within the bounds and together fill the memory of a leader.
+test("a job beyond the capacity for open jobs is refused until one of them ends", (t) => {
+    const cluster = new SimulatedCluster({
+        workers: 2,
+        dispatcherOptions: { workLimits: { maxJobTasks: 6, maxOpenTasks: 10 } },
+    });
+    cluster.runFor(500);
+    const [first = "", second = "", third = "", fourth = ""] = buildJobIds(4);
+    t.is(cluster.submit(first, buildSpec({ count: 6 })), undefined);
+    t.regex(cluster.submit(second, buildSpec({ count: 6 })) ?? "", /up to 10 tasks together/);
+    const refusal = cluster.refusals.get(second);
+    t.true(refusal?.cause === "openWork" && refusal.retryAfterMs >= 5_000);
+    t.is(cluster.submit(third, buildSpec({ count: 4 })), undefined);
+    t.is(cluster.submit(first, buildSpec({ count: 6 })), undefined);
+    cluster.runFor(5_000);
+    t.is(cluster.getJobState(first), "complete");
+    t.is(cluster.getJobState(second), "unknown");
+    t.is(cluster.submit(second, buildSpec({ count: 6 })), undefined);
+    cluster.runFor(100);
+    cluster.replaceLeader();
+    t.regex(cluster.submit(fourth, buildSpec({ count: 6 })) ?? "", /up to 10 tasks together/);
+});
+
+test("payloads and labels of open jobs are bounded together", (t) => {
+    const cluster = new SimulatedCluster({
+        workers: 2,
+        dispatcherOptions: { workLimits: { maxOpenCharacters: 100 } },
+    });
+    cluster.runFor(500);
+    const [first = "", second = ""] = buildJobIds(2);
+    const spec = { ...buildSpec({ image: "x".repeat(20) }), payload: "y".repeat(60) };
+    t.is(cluster.submit(first, spec), undefined);
+    t.regex(cluster.submit(second, spec) ?? "", /up to 100 characters together/);
+});
