--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -26,7 +26,7 @@
 import { createUnitKey } from "./ready_steps.ts";
 import type { MemberRun } from "./types.ts";
 import { NO_RESOURCES, type WorkerState } from "./worker_registry.ts";
-import { computeJobSize } from "./work_limits.ts";
+import { checkStoredSize, computeJobSize } from "./work_limits.ts";
 
 /** Number of unanswered sends of a start after which the worker becomes suspect. */
 export const MAX_START_SENDS = 3;
@@ -65,9 +65,8 @@
         const now = this.#context.clock.getNow();
         this.#context.jobShares.restore();
         for (const job of this.#context.stateStore.jobs.values()) {
-            if (job.endedAt === undefined && job.spec !== undefined) {
-                this.#context.openWork.addJob(job.id, computeJobSize(job.spec));
-                this.#context.readySteps.openJob(job);
+            if (job.endedAt === undefined) {
+                this.openJob(job);
             }
             for (const [number, occurrence] of job.occurrences) {
                 occurrence.steps.forEach((units, step) =>
@@ -88,6 +87,34 @@
         this.#endOrphanedMembers();
     }
 
+    /**
+     * Opens the ready steps of a job on record. A job that no instance can hold, which an earlier
+     * release may have accepted, fails. Any other job that can't be opened is set aside.
+     *
+     * @param job A job that has not ended.
+     */
+    openJob(job: Job): void {
+        this.#context.runGuarded(job, () => {
+            const size = job.spec && computeJobSize(job.spec);
+            const excess = size && checkStoredSize(size, this.#context.workLimits);
+            if (excess !== undefined) {
+                this.#endOversizedJob(job, excess);
+            } else if (size !== undefined) {
+                this.#context.openWork.addJob(job.id, size);
+                this.#context.readySteps.openJob(job);
+            }
+        });
+    }
+
+    #endOversizedJob(job: Job, problem: string): void {
+        this.#context.recordFact({ type: "jobFailed", job: job.id });
+        this.#context.recordDecision("failure", "job failed", {
+            request: job.id,
+            cause: "size",
+            problem,
+        });
+    }
+
     /** Ends members whose workers were removed before the members' ends were recorded. */
     #endOrphanedMembers(): void {
         for (const members of [...this.#membersByUnit.values()]) {
@@ -277,9 +304,11 @@
         }
         const unit = this.#context.stateStore.findUnit(ref);
         if (unit?.isDone === true) {
-            this.#context.readySteps
-                .handleUnitDone(ref)
-                .forEach((key) => this.#context.adviceScheduler.removeCalls(key));
+            this.#context.runGuarded(job, () =>
+                this.#context.readySteps
+                    .handleUnitDone(ref)
+                    .forEach((key) => this.#context.adviceScheduler.removeCalls(key)),
+            );
             return;
         }
         if (!this.endJobIfUnitFailed(ref)) {
--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -16,7 +16,7 @@
 import type { QueueConfig, QueueName } from "../configuration/mod.ts";
 import { DurationModel, type QueueRatio } from "../estimation/mod.ts";
 import { QuotaLedger } from "../workspace/mod.ts";
-import type { Fact, StateStore } from "../job/mod.ts";
+import type { Fact, Job, StateStore } from "../job/mod.ts";
 import { AdviceScheduler } from "./advice_scheduler.ts";
 import { AdmissionRates } from "./advice_plan.ts";
 import { JobShares } from "./_job_shares.ts";
@@ -110,7 +110,11 @@
             maxReportAgeMs: this.limits.maxReportAgeMs,
             quotaLedger: this.quotaLedger,
         });
-        this.readySteps = new ReadySteps({ stateStore: this.stateStore, clock: this.clock });
+        this.readySteps = new ReadySteps({
+            stateStore: this.stateStore,
+            clock: this.clock,
+            runGuarded: (job, run) => this.runGuarded(job, run),
+        });
         this.admission = options.admission ?? "off";
         this.jobShares = new JobShares({
             stateStore: this.stateStore,
@@ -129,6 +133,29 @@
         this.stateStore.apply({ at: this.clock.getWallTimeMs(), facts: [fact] });
     }
 
+    /**
+     * Does something for a job. If it throws, the job is set aside: this leader gives its steps up
+     * and goes on with the other jobs.
+     *
+     * @param job The job.
+     * @param run What to do.
+     */
+    runGuarded(job: Job, run: () => void): void {
+        try {
+            run();
+        } catch (error) {
+            this.readySteps
+                .closeJob(job.id)
+                .forEach((key) => this.adviceScheduler.removeCalls(key));
+            this.isDirty = true;
+            this.recordDecision("failure", "job set aside", {
+                request: job.id,
+                queue: job.queue,
+                error: (error as Error).message,
+            });
+        }
+    }
+
     /**
      * Records that a worker gained capacity or became usable.
      *
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -111,8 +111,12 @@
             }
             gangCount += entry.step.spec.isGang ? 1 : 0;
             const scope = this.#selectMatchScope(entry, gangCount, now);
-            if (scope !== "none") {
-                this.#placeStep(entry, scope, now);
+            // The step may have been closed with its job in this run.
+            if (
+                scope !== "none" &&
+                this.#context.readySteps.findStep(entry.step.key) !== undefined
+            ) {
+                this.#context.runGuarded(job, () => this.#placeStep(entry, scope, now));
             }
             if (this.#isHoldingPool(entry, now)) {
                 heldPools.add(entry.queue.pool);
@@ -159,8 +163,10 @@
         for (const step of this.#context.readySteps.steps) {
             const queue = step.waiting.size > 0 ? this.#context.findQueue(step.queue) : undefined;
             if (queue !== undefined) {
-                const rank = rankWaitingStep(this.#context, { step, queue, wallTimeMs });
-                ranked.push({ step, queue, rank });
+                this.#context.runGuarded(step.job, () => {
+                    const rank = rankWaitingStep(this.#context, { step, queue, wallTimeMs });
+                    ranked.push({ step, queue, rank });
+                });
             }
         }
         return ranked.sort((a, b) => a.rank - b.rank);
--- a/dispatch/ready_steps.ts
+++ b/dispatch/ready_steps.ts
@@ -94,6 +94,8 @@
 export interface ReadyStepsOptions {
     readonly stateStore: StateStore;
     readonly clock: DispatchClock;
+    /** Does something for a job that must not fail the others; by default errors are thrown. */
+    readonly runGuarded?: (job: Job, run: () => void) => void;
 }
 
 interface OccurrenceSchedule {
@@ -105,6 +107,7 @@
 export class ReadySteps {
     readonly #stateStore: StateStore;
     readonly #clock: DispatchClock;
+    readonly #runGuarded: (job: Job, run: () => void) => void;
     readonly #steps = new Map<StepKey, ReadyStep>();
     readonly #keysByJob = new Map<JobId, Set<StepKey>>();
     readonly #schedules = new Map<JobId, OccurrenceSchedule>();
@@ -115,6 +118,7 @@
     constructor(options: ReadyStepsOptions) {
         this.#stateStore = options.stateStore;
         this.#clock = options.clock;
+        this.#runGuarded = options.runGuarded ?? ((_job, run) => run());
     }
 
     /** The number of ready steps. */
@@ -158,14 +162,16 @@
         for (const [id, schedule] of this.#schedules) {
             const { job } = schedule;
             const spec = job.spec;
-            while (spec !== undefined && schedule.nextOccurrence < countOccurrences(job)) {
-                if (spec.firstAtMs + schedule.nextOccurrence * spec.periodMs > wallTimeMs) {
-                    break;
+            this.#runGuarded(job, () => {
+                while (spec !== undefined && schedule.nextOccurrence < countOccurrences(job)) {
+                    if (spec.firstAtMs + schedule.nextOccurrence * spec.periodMs > wallTimeMs) {
+                        break;
+                    }
+                    this.#openOccurrence(job, schedule.nextOccurrence);
+                    schedule.nextOccurrence += 1;
+                    hasOpened = true;
                 }
-                this.#openOccurrence(job, schedule.nextOccurrence);
-                schedule.nextOccurrence += 1;
-                hasOpened = true;
-            }
+            });
             if (spec === undefined || schedule.nextOccurrence >= countOccurrences(job)) {
                 this.#schedules.delete(id);
             }
--- a/dispatch/work_limits.ts
+++ b/dispatch/work_limits.ts
@@ -123,6 +123,21 @@
     );
 }
 
+/**
+ * Checks a job on record, which an earlier release may have accepted, against what an instance can
+ * hold.
+ *
+ * @param size The size of the job.
+ * @param limits The bounds.
+ * @returns The bound that the job exceeds, in words, or `undefined` if an instance can hold it.
+ */
+export function checkStoredSize(size: JobSize, limits: WorkLimits): string | undefined {
+    return (
+        checkCount("tasks", size.tasks, limits.maxOpenTasks) ??
+        checkCount("steps", size.steps, limits.maxOpenSteps)
+    );
+}
+
 function checkCount(name: string, count: number, limit: number): string | undefined {
     return count <= limit ? undefined : `too large: ${count} ${name}, at most ${limit}`;
 }
