Overdue occurrences are opened a limited number at a time

A call opens 1,000 steps at most; a job has 2,000 ready steps at most and all jobs 20,000, beyond which a job has at least one occurrence open; the others follow as steps end. Jobs take turns, so that none waits behind another one's overdue occurrences. Opening a job doesn't go through the schedules of all others any more.

--- a/dispatch/ready_steps.ts
+++ b/dispatch/ready_steps.ts
@@ -90,6 +90,18 @@
     hasWaitedForQuota: boolean;
 }
 
+/**
+ * Steps that are opened in one call; takes some 10 ms. Counted with the steps of each occurrence that
+ * aren't ready yet.
+ */
+const MAX_OPENED_STEPS_PER_CALL = 1_000;
+/**
+ * Ready steps of one job, and of all, from which on no further occurrence is opened while the job
+ * has a ready step. Each takes some 2 KB and is ranked in every placement run.
+ */
+const MAX_READY_STEPS_PER_JOB = 2_000;
+const MAX_READY_STEPS = 20_000;
+
 /** Options of {@link ReadySteps}. */
 export interface ReadyStepsOptions {
     readonly stateStore: StateStore;
@@ -147,36 +159,69 @@
         for (const number of job.occurrences.keys()) {
             this.#openOccurrence(job, number);
         }
-        this.#schedules.set(job.id, { job, nextOccurrence: 0 });
-        this.openDueOccurrences();
+        const schedule = { job, nextOccurrence: 0 };
+        this.#schedules.set(job.id, schedule);
+        this.#openDue(schedule, MAX_OPENED_STEPS_PER_CALL);
     }
 
     /**
-     * Opens the occurrences that have become due.
+     * Opens occurrences that have become due, a limited number at a time. The others are opened by
+     * later calls, once fewer steps are ready.
      *
      * @returns Whether any were opened.
      */
     openDueOccurrences(): boolean {
+        let left = MAX_OPENED_STEPS_PER_CALL;
         const wallTimeMs = this.#clock.getWallTimeMs();
-        let hasOpened = false;
-        for (const [id, schedule] of this.#schedules) {
-            const { job } = schedule;
-            const spec = job.spec;
-            this.#runGuarded(job, () => {
-                while (spec !== undefined && schedule.nextOccurrence < countOccurrences(job)) {
-                    if (spec.firstAtMs + schedule.nextOccurrence * spec.periodMs > wallTimeMs) {
-                        break;
-                    }
-                    this.#openOccurrence(job, schedule.nextOccurrence);
-                    schedule.nextOccurrence += 1;
-                    hasOpened = true;
-                }
+        for (const schedule of [...this.#schedules.values()]) {
+            if (!isDue(schedule, wallTimeMs)) {
+                continue;
+            }
+            if (left <= 0) {
+                break;
+            }
+            const { id } = schedule.job;
+            this.#runGuarded(schedule.job, () => {
+                left -= this.#openDue(schedule, left);
             });
-            if (spec === undefined || schedule.nextOccurrence >= countOccurrences(job)) {
-                this.#schedules.delete(id);
+            if (this.#schedules.delete(id)) {
+                // The next call begins with another job.
+                this.#schedules.set(id, schedule);
+            }
+        }
+        return left < MAX_OPENED_STEPS_PER_CALL;
+    }
+
+    /** Opens due occurrences of a job and returns the number of steps that this took. */
+    #openDue(schedule: OccurrenceSchedule, maxSteps: number): number {
+        const { job } = schedule;
+        const { spec } = job;
+        let opened = 0;
+        const wallTimeMs = this.#clock.getWallTimeMs();
+        while (
+            spec !== undefined &&
+            opened < maxSteps &&
+            isDue(schedule, wallTimeMs) &&
+            this.#hasRoomFor(job)
+        ) {
+            if (!job.occurrences.has(schedule.nextOccurrence)) {
+                this.#openOccurrence(job, schedule.nextOccurrence);
+                opened += spec.steps.length;
             }
+            schedule.nextOccurrence += 1;
+        }
+        if (spec === undefined || schedule.nextOccurrence >= countOccurrences(job)) {
+            this.#schedules.delete(job.id);
         }
-        return hasOpened;
+        return opened;
+    }
+
+    /** Returns whether another occurrence may be opened; a job can always have one. */
+    #hasRoomFor(job: Job): boolean {
+        const ready = this.#keysByJob.get(job.id)?.size ?? 0;
+        return (
+            ready === 0 || (ready < MAX_READY_STEPS_PER_JOB && this.#steps.size < MAX_READY_STEPS)
+        );
     }
 
     /**
@@ -325,6 +370,16 @@
     }
 }
 
+/** Returns whether the next occurrence of a job exists and is due. */
+function isDue({ job, nextOccurrence }: OccurrenceSchedule, wallTimeMs: number): boolean {
+    const { spec } = job;
+    return (
+        spec !== undefined &&
+        nextOccurrence < countOccurrences(job) &&
+        spec.firstAtMs + nextOccurrence * spec.periodMs <= wallTimeMs
+    );
+}
+
 /**
  * Creates a step's key.
  *
