A fact that can't be applied is not replicated

DispatchContext queued a fact for replication before it applied it to the leader's own state.

It is queued once it is applied.

--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -127,10 +127,11 @@
      * Records a fact: applies it locally and queues it for replication.
      *
      * @param fact The fact.
+     * @throws {Error} If it can't be applied; then it is not replicated either.
      */
     recordFact(fact: Fact): void {
-        this.#facts.push(fact);
         this.stateStore.apply({ at: this.clock.getWallTimeMs(), facts: [fact] });
+        this.#facts.push(fact);
     }
 
     /**
