A placement run starts 500 tasks at most

Tasks that need little or nothing all fit at once: a step of 100,000 such tasks would be started by one run, in one turn of the event loop and one entry of the log. A run stops after 500 starts, and the rest of a gang; the step is matched again by the next run, which the effects of the first ones trigger when they have drained. The waiting units of a step without failures aren't copied for each match any more.

The test failed before (one run with 1,700 starts).

--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -65,6 +65,12 @@
 /** Time between two matches of the gangs behind them, in ms; limits the cost of a backlog. */
 const BACKLOG_GANG_MATCH_INTERVAL_MS = 250;
 
+/**
+ * Tasks that one run starts at most, beside the rest of the last gang. The others follow in the next
+ * run: each takes a part of the entry that is committed, and of this turn of the event loop.
+ */
+const MAX_STARTS_PER_RUN = 500;
+
 /** The workers that a step is matched with: none, those whose capacity changed, or all. */
 type MatchScope = "none" | "changed" | "all";
 
@@ -75,6 +81,7 @@
     readonly #gangReservations: GangReservations;
     readonly #isolation: CrashIsolation;
     #nextCallId = 1;
+    #startsLeft = MAX_STARTS_PER_RUN;
 
     /**
      * @param context The shared state of the dispatcher.
@@ -100,7 +107,12 @@
         const quotaRound = new QuotaRound(this.#context.quotaLedger);
         const heldPools = new Set<PoolName>();
         let gangCount = 0;
+        this.#startsLeft = MAX_STARTS_PER_RUN;
         for (const entry of ranked) {
+            if (this.#startsLeft <= 0) {
+                this.#context.isDirty = true;
+                break;
+            }
             const { job, spec } = entry.step;
             if (heldPools.has(entry.queue.pool) && isBehindEntitled(entry.rank)) {
                 continue;
@@ -296,11 +308,13 @@
     #listByFailures(
         step: ReadyStep,
         suspects: readonly number[],
-    ): { retries: number[]; firstAttempts: number[] } {
-        const units = [...step.waiting].filter((unit) => !suspects.includes(unit));
-        if (step.failedWorkers.size === 0) {
-            return { retries: [], firstAttempts: units };
+    ): { retries: Iterable<number>; firstAttempts: Iterable<number> } {
+        if (step.failedWorkers.size === 0 && suspects.length === 0) {
+            // Not copied: a run starts few of the units of a wide step.
+            return { retries: [], firstAttempts: step.waiting };
         }
+        const suspectUnits = new Set(suspects);
+        const units = [...step.waiting].filter((unit) => !suspectUnits.has(unit));
         const hasFailed = (unit: number): boolean =>
             (this.#context.stateStore.findUnit(createUnitRef(step, unit))?.failures ?? 0) > 0;
         return {
@@ -311,7 +325,7 @@
 
     #placeEach(
         step: ReadyStep,
-        units: readonly number[],
+        units: Iterable<number>,
         candidates: readonly Candidate[],
         requiredSpeed: number | undefined,
     ): boolean {
@@ -321,6 +335,10 @@
         const tasksByZone = this.#countTasksByZone(step);
         let hasPlaced = false;
         for (const unit of units) {
+            if (this.#startsLeft <= 0) {
+                step.matchedVersion = undefined;
+                break;
+            }
             if (!this.#hasQuota(step)) {
                 break;
             }
@@ -385,6 +403,7 @@
         );
         this.#context.recordFact({ type: "attemptStarted", unit: ref, attempt, members });
         step.waiting.delete(unitNumber);
+        this.#startsLeft -= members.length;
         for (const [index, worker] of members) {
             const ticket = step.advice.admitted.get(worker)?.ticket;
             const member = this.#attempts.createMember(step.job, ref, index, worker, ticket);
--- a/dispatch/ready_steps_test.ts
+++ b/dispatch/ready_steps_test.ts
@@ -68,3 +68,23 @@
     t.is(cluster.getJobState(small), "complete");
     t.is(cluster.getJobState(large), "complete");
 });
+
+// Guards against one run that decides and commits the starts of a whole fleet of tiny tasks.
+test("a run starts a limited number of tasks, and the next ones the others", (t) => {
+    const cluster = new SimulatedCluster({ workers: 4, taskMs: 10, hasInvariantChecks: false });
+    cluster.runFor(500);
+    const [job = ""] = buildJobIds(1);
+    const needs = { cpu: 0, memoryMb: 0, gpu: 0 };
+    const runs: number[] = [];
+    const { dispatcher } = cluster;
+    const takeOutput = dispatcher.takeOutput.bind(dispatcher);
+    dispatcher.takeOutput = () => {
+        const output = takeOutput();
+        runs.push(output.facts.filter(({ type }) => type === "attemptStarted").length);
+        return output;
+    };
+    t.is(cluster.submit(job, buildSpec({ count: 1_700, needs })), undefined);
+    cluster.runFor(3_000);
+    t.is(cluster.getJobState(job), "complete");
+    t.is(Math.max(...runs), 500);
+});
