A call is checked at once against the configuration that it is recorded after

So a submission waited as long as configurations kept coming, and a cancellation could overtake the submission of its job: it was told 410, and the job ran.

The configuration that a call is recorded after is known at once: the newest of the leader, committed or not. Calls are checked against that one when they come, which keeps their order, and answered once it is committed; if it never is, the answer isn't told. Keys are indexed by configuration, as state calls read the committed one meanwhile.

Two of the three new tests of control/pending_answers_test failed before (the cancellation was told "unknownJob"; no answer while configurations came).

--- a/bench/large_jobs_bench.ts
+++ b/bench/large_jobs_bench.ts
@@ -119,7 +119,7 @@
     const snapshotMb = encode.result.length / 1_048_576;
     console.log(
         `${name}: ${texts.join(", ")}, snapshot ${snapshotMb.toFixed(1)} MB, heap ${heapMb.toFixed(0)} MB`,
-        lead.result.configurationVersion,
+        lead.result.configuration?.version,
     );
 }
 
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -275,7 +275,7 @@
     }
 
     #isKnownJob({ host, path }: CallerCall): boolean {
-        const { configuration } = this.#options.committedState;
+        const { configuration } = this.#dispatcher;
         const match = configuration && findQueue(configuration, host, path);
         return (
             match !== undefined && this.#dispatcher.findJob(match.pathSuffix as JobId) !== undefined
@@ -297,17 +297,25 @@
     /** Returns whether this leadership is committing a configuration. */
     #isConfigurationPending(): boolean {
         const { configuration } = this.#options.committedState;
-        const { configurationVersion = -1 } = this.#dispatcher;
-        return configurationVersion > (configuration?.version ?? -1);
+        return (this.#dispatcher.configuration?.version ?? -1) > (configuration?.version ?? -1);
     }
 
     async #handleCall(call: CallerCall): Promise<CallerAnswer> {
-        // A job is recorded after the newest configuration, so it is checked against that: an older
-        // one may have a queue that nothing serves any more. Calls keep their order.
-        while (call.type !== "state" && this.#isConfigurationPending()) {
-            await this.#proposals.waitForCommit();
+        if (call.type === "state") {
+            return this.#handleCallUnder(this.#options.committedState.configuration, call);
         }
-        const { configuration } = this.#options.committedState;
+        // A job is recorded after the newest configuration, so it is checked against that one at once:
+        // a later check could find calls in another order. The answer waits until it is committed.
+        const commit = this.#isConfigurationPending() ? this.#proposals.waitForCommit() : undefined;
+        const answer = this.#handleCallUnder(this.#dispatcher.configuration, call);
+        await Promise.all([answer, commit]);
+        return answer;
+    }
+
+    async #handleCallUnder(
+        configuration: Configuration | undefined,
+        call: CallerCall,
+    ): Promise<CallerAnswer> {
         if (configuration === undefined) {
             return { type: "refused", reason: "no configuration yet", retryAfterMs: 1_000 };
         }
--- a/control/pending_answers_test.ts
+++ b/control/pending_answers_test.ts
@@ -99,6 +99,86 @@
     t.is(committedState.jobs.size, 0);
 });
 
+/** Starts a leader of which each commit waits until it is released, in order. */
+function startSteppedLeadership(t: ExecutionContext): {
+    leadership: Leadership;
+    committedState: StateStore;
+    releaseNext: () => Promise<void>;
+    rejectAll: () => void;
+} {
+    const pending: { resolve: () => void; reject: (error: Error) => void }[] = [];
+    const { leadership, committedState } = buildLeadership({
+        waitForLease: () => Promise.resolve(true),
+        onStart: () => {},
+        onLogLines: () => {},
+        waitForCommit: () =>
+            new Promise((resolve, reject) => pending.push({ resolve, reject: reject })),
+    });
+    t.teardown(() => leadership.stop());
+    return {
+        leadership,
+        committedState,
+        releaseNext: async () => {
+            pending.shift()?.resolve();
+            await new Promise((resolve) => setTimeout(resolve, 5));
+        },
+        rejectAll: () => pending.forEach(({ reject }) => reject(new Error("leadership ended"))),
+    };
+}
+
+// Guards against a cancelled job that runs: calls that wait for one configuration each may be handled
+// in another order than they came in.
+test("a cancellation stays behind its submission while configurations are committed", async (t) => {
+    const { leadership, committedState, releaseNext } = startSteppedLeadership(t);
+    await releaseNext();
+    const configured = leadership.handleConfigure(buildConfiguration(2));
+    const submitted = leadership.handleCaller(SUBMISSION);
+    const configuredAgain = leadership.handleConfigure(buildConfiguration(3));
+    const cancelled = leadership.handleCaller(CANCELLATION);
+    for (let i = 0; i < 10; i++) {
+        await releaseNext();
+    }
+    t.deepEqual(await Promise.all([configured, configuredAgain]), [
+        { type: "acknowledged" },
+        { type: "acknowledged" },
+    ]);
+    t.deepEqual(await submitted, { type: "accepted" });
+    t.deepEqual(await cancelled, { type: "cancelled" });
+    t.is([...committedState.jobs.values()][0]?.state, "cancelled");
+});
+
+// Guards against calls that wait as long as configurations keep coming.
+test("a submission doesn't wait for configurations that come after it", async (t) => {
+    const { leadership, releaseNext } = startSteppedLeadership(t);
+    await releaseNext();
+    const configured = [leadership.handleConfigure(buildConfiguration(2))];
+    const submitted = leadership.handleCaller(SUBMISSION);
+    let answer: unknown;
+    void submitted.then((result) => (answer = result));
+    for (let version = 3; version < 8; version++) {
+        configured.push(leadership.handleConfigure(buildConfiguration(version)));
+        await releaseNext();
+    }
+    t.deepEqual(answer, { type: "accepted" });
+    for (let i = 0; i < 10; i++) {
+        await releaseNext();
+    }
+    await Promise.all(configured);
+});
+
+// Guards against a refusal by a configuration that is never in force.
+test("a refusal by a configuration that isn't committed is not told", async (t) => {
+    const { leadership, releaseNext, rejectAll } = startSteppedLeadership(t);
+    await releaseNext();
+    const { queues, ...rest } = buildConfiguration(2);
+    const changed = queues.map((queue) => ({ ...queue, pathPrefix: "/reels/" }));
+    const configured = leadership.handleConfigure({ ...rest, queues: changed });
+    const answer = leadership.handleCaller(SUBMISSION);
+    rejectAll();
+    await t.throwsAsync(configured);
+    await t.throwsAsync(answer, { message: /leadership ended/ });
+});
+
 test("a call to an ended leadership does not wait for a configuration of a later one", async (t) => {
     // Guards against a process that hangs in a call that was queued when its leadership ended.
     const { leadership, committedState, release } = startLeadership(t);
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -187,9 +187,9 @@
         }));
     }
 
-    /** The version of the newest configuration, which may not be committed yet. */
-    get configurationVersion(): number | undefined {
-        return this.#context.stateStore.configuration?.version;
+    /** The newest configuration, which may not be committed yet. */
+    get configuration(): Configuration | undefined {
+        return this.#context.stateStore.configuration;
     }
 
     /** The durations that this leader has learned. */
--- a/workspace/access.ts
+++ b/workspace/access.ts
@@ -33,8 +33,8 @@
 
 /** Checks calls against the keys of the newest configuration. */
 export class AccessControl {
-    #workspaces: readonly WorkspaceConfig[] | undefined;
-    #index = new KeyIndex([]);
+    /** By configuration: while one is being committed, the one before it is still read. */
+    readonly #indexes = new WeakMap<readonly WorkspaceConfig[], KeyIndex>();
 
     /**
      * Checks the key of a call. A configuration without a list of workspaces grants every call.
@@ -63,11 +63,12 @@
         workspaces: readonly WorkspaceConfig[],
         apiKey: string,
     ): WorkspaceName | undefined {
-        if (this.#workspaces !== workspaces) {
-            this.#workspaces = workspaces;
-            this.#index = new KeyIndex(workspaces);
+        if (apiKey === "") {
+            return undefined;
         }
-        return apiKey === "" ? undefined : this.#index.findWorkspace(apiKey);
+        const index = this.#indexes.get(workspaces) ?? new KeyIndex(workspaces);
+        this.#indexes.set(workspaces, index);
+        return index.findWorkspace(apiKey);
     }
 }
 
