A stored job whose queue is lost runs on its pool

The state has no queue for it, and the placement passed over its steps for ever, on this leader and all later ones.

The pool is on record with the job. Where the queue is lost, the leader takes a substitute: that pool, the lowest priority and the most attempts of all configured queues, no advice and no objective; each such job is logged and counted ("queue lost"). The replicated state is unchanged, so replicas of both releases stay equal: refusing such a job when it is applied, or keeping its queue, would let them differ.

--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -100,6 +100,13 @@
             if (excess !== undefined) {
                 this.#endOversizedJob(job, excess);
             } else if (size !== undefined) {
+                if (this.#context.findQueue(job.queue) === undefined) {
+                    this.#context.recordDecision("failure", "queue lost", {
+                        request: job.id,
+                        queue: job.queue,
+                        pool: job.pool,
+                    });
+                }
                 this.#context.openWork.addJob(job.id, size);
                 this.#context.readySteps.openJob(job);
             }
@@ -157,7 +164,7 @@
             demand: spec?.needs ?? NO_RESOURCES,
             priority: this.#context.jobShares.computePreemptionPriority(
                 job.id,
-                this.#context.findQueue(job.queue)?.priority ?? 0,
+                this.#context.getQueueOf(job).priority,
             ),
             state: "planned",
             startSends: 0,
@@ -329,7 +336,7 @@
             return false;
         }
         const isPerpetual = job.spec?.steps[ref.step]?.isPerpetual ?? false;
-        const limit = this.#context.findQueue(job.queue)?.maxAttempts ?? Number.POSITIVE_INFINITY;
+        const limit = this.#context.getQueueOf(job).maxAttempts;
         const hasFailed = !isPerpetual && unit.failures >= limit;
         if (!hasFailed && !isCrashLoop(unit.crashes)) {
             return false;
--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -21,6 +21,7 @@
 import { AdmissionRates } from "./advice_plan.ts";
 import { JobShares } from "./_job_shares.ts";
 import { OpenWork } from "./_open_work.ts";
+import { RemovedQueues } from "./_removed_queues.ts";
 import { ReadySteps } from "./ready_steps.ts";
 import type {
     DispatchClock,
@@ -74,6 +75,7 @@
     readonly limits: DispatchLimits;
     readonly workLimits: WorkLimits;
     readonly openWork: OpenWork;
+    readonly removedQueues: RemovedQueues;
     readonly quotaLedger: QuotaLedger;
     readonly registry: WorkerRegistry;
     readonly readySteps: ReadySteps;
@@ -98,6 +100,7 @@
         this.limits = { ...DEFAULT_DISPATCH_LIMITS, ...options.limits };
         this.workLimits = createWorkLimits(options.workLimits);
         this.openWork = new OpenWork(this.workLimits);
+        this.removedQueues = new RemovedQueues(this.stateStore);
         this.durationModel = options.durationModel ?? new DurationModel();
         this.recordDecision = options.recordDecision ?? (() => {});
         this.quotaLedger = new QuotaLedger(
@@ -201,7 +204,7 @@
     }
 
     /**
-     * Finds a queue, including a removed queue that still has open jobs.
+     * Finds the queue of a new job.
      *
      * @param name The queue.
      * @returns Its latest configuration, or `undefined` if it is unknown.
@@ -209,4 +212,14 @@
     findQueue(name: QueueName): QueueConfig | undefined {
         return this.stateStore.queues.get(name);
     }
+
+    /**
+     * Returns the queue of a job on record, which may be a removed one.
+     *
+     * @param job The job.
+     * @returns Its latest configuration; a substitute if that is lost.
+     */
+    getQueueOf(job: Job): QueueConfig {
+        return this.stateStore.queues.get(job.queue) ?? this.removedQueues.getQueue(job);
+    }
 }
--- a/dispatch/_forecast_input.ts
+++ b/dispatch/_forecast_input.ts
@@ -126,7 +126,7 @@
     const quota = new QuotaAllowance(context);
     const groups: BacklogGroup[] = [];
     for (const step of context.readySteps.steps) {
-        const queue = step.waiting.size > 0 ? context.findQueue(step.queue) : undefined;
+        const queue = step.waiting.size > 0 ? context.getQueueOf(step.job) : undefined;
         if (queue === undefined || queue.pool !== pool || step.spec.isFiller) {
             continue;
         }
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -173,9 +173,9 @@
         const wallTimeMs = this.#context.clock.getWallTimeMs();
         const ranked: RankedStep[] = [];
         for (const step of this.#context.readySteps.steps) {
-            const queue = step.waiting.size > 0 ? this.#context.findQueue(step.queue) : undefined;
-            if (queue !== undefined) {
+            if (step.waiting.size > 0) {
                 this.#context.runGuarded(step.job, () => {
+                    const queue = this.#context.getQueueOf(step.job);
                     const rank = rankWaitingStep(this.#context, { step, queue, wallTimeMs });
                     ranked.push({ step, queue, rank });
                 });
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -332,6 +332,7 @@
         }
         this.#context.recordFact({ type: "configurationSet", configuration });
         this.#context.jobShares.updateWeights();
+        this.#context.removedQueues.clear();
         this.#context.recordDecision("milestone", "configuration set", {
             version: configuration.version,
             before: current,
