--- a/log/replica.ts
+++ b/log/replica.ts
@@ -92,6 +92,11 @@
     readonly createExtraCommands?: (commands: readonly C[]) => readonly C[];
     /** Number of entries between snapshots. */
     readonly snapshotIntervalEntries?: number;
+    /**
+     * Size of the log from which on a snapshot is taken earlier, in bytes. The entries since the
+     * last snapshot are kept in memory as well.
+     */
+    readonly maxLogBytes?: number;
     readonly random?: () => number;
     /** Returns the time of a monotonic clock, in ms. */
     readonly getNow?: () => number;
@@ -133,6 +138,7 @@
 const LEADERSHIP_TRANSFER_TIMEOUT_MS = 500;
 const DEFAULT_BATCH_WINDOW_MS = 2;
 const DEFAULT_SNAPSHOT_INTERVAL_ENTRIES = 2_000;
+const DEFAULT_MAX_LOG_BYTES = 24_000_000;
 
 /** A member's replica of a state machine. */
 export class Replica<C, R> {
@@ -141,6 +147,8 @@
     readonly #getNow: () => number;
     #appliedIndex = 0;
     #snapshotIndex = 0;
+    /** Size of the log after the last snapshot, in bytes. */
+    #remainingLogBytes = 0;
     #pendingProposals: Proposal<C, R>[] = [];
     readonly #inFlightProposals = new Map<number, readonly Proposal<C, R>[]>();
     readonly #applyWaiters = new ApplyWaiters();
@@ -589,7 +597,9 @@
         const intervalEntries =
             this.#options.snapshotIntervalEntries ?? DEFAULT_SNAPSHOT_INTERVAL_ENTRIES;
         const isBehindLog = this.#appliedIndex < this.#consensus.baseIndex;
-        if (isBehindLog || this.#appliedIndex - this.#snapshotIndex < intervalEntries) {
+        const newEntries = this.#appliedIndex - this.#snapshotIndex;
+        const isDue = newEntries >= intervalEntries || (newEntries > 0 && this.#isLogLarge());
+        if (isBehindLog || !isDue) {
             return;
         }
         const snapshot = this.#buildSnapshot();
@@ -605,6 +615,16 @@
             // The previous snapshot and the log remain; the next snapshot is a new attempt.
             this.#options.onStorageError?.(error as Error);
         }
+        this.#remainingLogBytes = this.#options.storage.logBytes;
+    }
+
+    /**
+     * Returns whether the log has grown beyond its maximum size. What the last snapshot has left
+     * doesn't count: it may be large while it can't be committed.
+     */
+    #isLogLarge(): boolean {
+        const { storage, maxLogBytes = DEFAULT_MAX_LOG_BYTES } = this.#options;
+        return storage.logBytes - this.#remainingLogBytes >= maxLogBytes;
     }
 }
 
--- a/log/replica_test.ts
+++ b/log/replica_test.ts
@@ -1,6 +1,9 @@
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import test from "ava";
 import { NotLeaderError, OutcomeUnknownError, Replica, type Transport } from "./replica.ts";
-import { MemoryStorage } from "./storage.ts";
+import { FileStorage, MemoryStorage } from "./storage.ts";
 import type { GroupMessage, LogEntry, MemberId, Snapshot, Storage } from "./types.ts";
 
 const SELF = "m1.0" as MemberId;
@@ -66,6 +69,7 @@
     /** Receives the commands that are applied and the states that are restored. */
     readonly applied?: unknown[];
     readonly snapshotIntervalEntries?: number;
+    readonly maxLogBytes?: number;
 }): Replica<string, void> {
     return new Replica<string, void>({
         self: SELF,
@@ -79,6 +83,7 @@
         initialVoters: options.voters,
         timings: TIMINGS,
         snapshotIntervalEntries: options.snapshotIntervalEntries,
+        maxLogBytes: options.maxLogBytes,
     });
 }
 
@@ -220,3 +225,22 @@
     await waitUntil(() => replica.appliedIndex === 11);
     t.deepEqual(storage.snapshotIndexes.slice(0, 2), [1, 10]);
 });
+
+// Guards against few but large entries that fill the memory of all members before a snapshot is due.
+test("a snapshot is taken once the log has reached its maximum size", async (t) => {
+    const dir = mkdtempSync(join(tmpdir(), "poplarhead-replica-"));
+    const storage = FileStorage.open({ dir, initialVoters: [SELF] });
+    const maxLogBytes = 2_000;
+    const replica = buildReplica({ voters: [SELF], storage, maxLogBytes });
+    t.teardown(async () => {
+        await replica.stop();
+        rmSync(dir, { recursive: true });
+    });
+    replica.start();
+    await waitUntil(() => replica.isServing);
+    for (let i = 0; i < 20; i++) {
+        await replica.propose("x".repeat(500));
+        t.true(storage.logBytes < 2 * maxLogBytes);
+    }
+    t.true(replica.appliedIndex > 20);
+});
--- a/log/storage.ts
+++ b/log/storage.ts
@@ -189,6 +189,11 @@
         await this.#replaceFile(LOG_FILE, text);
     }
 
+    /** See {@link Storage.logBytes}. */
+    get logBytes(): number {
+        return this.#openLog().size;
+    }
+
     /** Closes the log file. */
     close(): void {
         if (this.#log !== undefined) {
@@ -259,6 +264,9 @@
 
 /** Stores nothing, for members without a disk, which never vote. */
 export class MemoryStorage implements Storage {
+    /** Always 0. */
+    readonly logBytes: number = 0;
+
     /** Returns the empty state. */
     load(): StoredState {
         return { hardState: { term: 0, votedFor: undefined }, snapshot: undefined, entries: [] };
--- a/log/types.ts
+++ b/log/types.ts
@@ -160,6 +160,8 @@
         remainingEntries: readonly LogEntry[],
         hardState: HardState,
     ) => Promise<void>;
+    /** The size of the stored log without the snapshot, in bytes; 0 if nothing is stored. */
+    readonly logBytes: number;
     /** Closes open files. */
     readonly close: () => void;
 }
