The bounds of open jobs follow from a heap of 200 MB

With the first bounds (250,000 tasks, 20,000 steps and 32,000,000 characters) all reached at once, the new workload of bench/large_jobs_bench.ts ran out of memory in a heap of 200 MB, that of deploy/system.toml. Dependencies count as four characters each.

--- a/bench/large_jobs_bench.ts
+++ b/bench/large_jobs_bench.ts
@@ -5,11 +5,13 @@
  * @module
  */
 
-import { Dispatcher, type Submission } from "../dispatch/mod.ts";
+import { DEFAULT_WORK_LIMITS, Dispatcher, type Submission } from "../dispatch/mod.ts";
 import { buildQueue, buildSpec, buildWorkerReport, POOL, QUEUE } from "../dispatch/_builders.ts";
 import { StateStore, type JobId, type JobSpec, type StepSpec, type WorkerId } from "../job/mod.ts";
 
 const WORKERS = 30;
+/** Wide jobs of the workload that reaches all bounds. */
+const WIDE_JOBS = 2;
 
 interface Workload {
     readonly name: string;
@@ -44,10 +46,25 @@
         { name: "two of 100,000 tasks", specs: [1, 2].map(() => buildSpec({ count: 100_000 })) },
         { name: "50,000 overdue occurrences", specs: [repeating] },
         { name: "5,000 small jobs", specs: buildSmall(5_000) },
-        { name: "20,000 small jobs", specs: buildSmall(20_000) },
+        { name: "10,000 small jobs", specs: buildSmall(10_000) },
+        { name: "all bounds of open jobs at once", specs: buildFullLoad() },
     ];
 }
 
+/** Builds jobs that together hold as many tasks, steps and characters as all open jobs may. */
+function buildFullLoad(): JobSpec[] {
+    const { maxOpenTasks, maxOpenSteps, maxOpenCharacters } = DEFAULT_WORK_LIMITS;
+    const smallCount = maxOpenSteps - WIDE_JOBS;
+    const wideTasks = Math.floor((maxOpenTasks - smallCount) / WIDE_JOBS);
+    const wide = Array.from({ length: WIDE_JOBS }, () => buildSpec({ count: wideTasks }));
+    const payloadLength = Math.floor(maxOpenCharacters / maxOpenSteps) - 20;
+    const small = Array.from({ length: smallCount }, (_none, i) => {
+        const spec = JSON.parse(JSON.stringify(buildSpec({ count: 1 }))) as JobSpec;
+        return { ...spec, payload: String(i).padEnd(payloadLength, "x") };
+    });
+    return [...wide, ...small];
+}
+
 function createDispatcher(stateStore: StateStore): Dispatcher {
     return new Dispatcher({
         stateStore,
@@ -88,14 +105,12 @@
 function runWorkload({ name, specs }: Workload): void {
     const committed = createStateStore();
     const heapBeforeMb = readHeapMb();
-    const dispatcher = createDispatcher(committed.copy());
+    let dispatcher = createDispatcher(committed.copy());
     const submissions = specs.map((spec, i): Submission => {
         const job = i.toString(16).padStart(16, "0") as JobId;
         return { job, queue: QUEUE, pool: POOL, spec };
     });
-    const accept = measure(() =>
-        submissions.forEach((submission) => dispatcher.submit(submission)),
-    );
+    const accept = measure(() => submissions.filter((job) => dispatcher.submit(job) !== undefined));
     const { facts } = dispatcher.takeOutput();
     const apply = measure(() => committed.apply({ at: Date.now(), facts }));
     const tick = measure(() => dispatcher.tick());
@@ -104,7 +119,8 @@
     committed.apply({ at: Date.now(), facts: dispatcher.takeOutput().facts });
     const encode = measure(() => committed.encode());
     const restore = measure(() => new StateStore().restore(encode.result));
-    const lead = measure(() => createDispatcher(committed.copy()));
+    const lead = measure(() => (dispatcher = createDispatcher(committed.copy())));
+    const placeAgain = measure(() => dispatcher.tick());
     const figures = {
         accept: accept.tookMs,
         apply: apply.tookMs,
@@ -113,13 +129,16 @@
         snapshot: encode.tookMs,
         restore: restore.tookMs,
         leaderStart: lead.tookMs,
+        nextTick: placeAgain.tookMs,
     };
     const texts = Object.entries(figures).map(([key, ms]) => `${key} ${ms.toFixed(1)} ms`);
+    if (accept.result.length > 0) {
+        throw new Error(`${accept.result.length} jobs were refused`);
+    }
     const heapMb = readHeapMb() - heapBeforeMb;
     const snapshotMb = encode.result.length / 1_048_576;
     console.log(
         `${name}: ${texts.join(", ")}, snapshot ${snapshotMb.toFixed(1)} MB, heap ${heapMb.toFixed(0)} MB`,
-        lead.result.configuration?.version,
     );
 }
 
--- a/dispatch/ready_steps.ts
+++ b/dispatch/ready_steps.ts
@@ -100,7 +100,7 @@
  * has a ready step. Each takes some 2 KB and is ranked in every placement run.
  */
 const MAX_READY_STEPS_PER_JOB = 2_000;
-const MAX_READY_STEPS = 20_000;
+const MAX_READY_STEPS = 10_000;
 
 /** Options of {@link ReadySteps}. */
 export interface ReadyStepsOptions {
--- a/dispatch/work_limits.ts
+++ b/dispatch/work_limits.ts
@@ -30,7 +30,7 @@
     readonly maxOpenTasks: number;
     /** Steps of all open jobs. */
     readonly maxOpenSteps: number;
-    /** Characters in the payloads, labels and names of all open jobs. */
+    /** Characters in the payloads, labels, names and dependencies of all open jobs. */
     readonly maxOpenCharacters: number;
 }
 
@@ -41,9 +41,9 @@
     maxJobStepRuns: 50_000,
     maxJobDependencies: 10_000,
     maxGangTasks: 5_000,
-    maxOpenTasks: 250_000,
-    maxOpenSteps: 20_000,
-    maxOpenCharacters: 32_000_000,
+    maxOpenTasks: 200_000,
+    maxOpenSteps: 10_000,
+    maxOpenCharacters: 16_000_000,
 };
 
 /** What a job takes of an instance's memory and time. */
@@ -56,10 +56,12 @@
     readonly dependencies: number;
     /** Tasks of the largest gang; 0 if there is none. */
     readonly gangTasks: number;
-    /** Characters in the payload, labels and names. */
+    /** Characters in the payload, labels, names and dependencies. */
     readonly characters: number;
 }
 
+const CHARACTERS_PER_DEPENDENCY = 4;
+
 /**
  * Creates bounds.
  *
@@ -142,6 +144,7 @@
     return count <= limit ? undefined : `too large: ${count} ${name}, at most ${limit}`;
 }
 
-function countCharacters({ requiredLabel, preferredRack, image }: StepSpec): number {
-    return (requiredLabel?.length ?? 0) + (preferredRack?.length ?? 0) + image.length;
+function countCharacters({ requiredLabel, preferredRack, image, after }: StepSpec): number {
+    const names = (requiredLabel?.length ?? 0) + (preferredRack?.length ?? 0) + image.length;
+    return names + CHARACTERS_PER_DEPENDENCY * after.length;
 }
