Feasibility looks at no more workers than it takes

A single task needs one worker, a gang as many as it takes. The findings are unchanged; the test failed before.

--- a/dispatch/admission.ts
+++ b/dispatch/admission.ts
@@ -66,25 +66,27 @@
     return { cpu: tasks * cpu, memoryMb: tasks * memoryMb, gpu: tasks * gpu };
 }
 
+/** Looks at no more workers than it takes: a job may have many steps. */
 function checkStep(step: StepSpec, workers: readonly WorkerRecord[]): string | undefined {
     const { requiredLabel } = step;
-    const matchingWorkers = workers.filter(
-        (worker) => requiredLabel === undefined || worker.labels.includes(requiredLabel),
-    );
-    if (matchingWorkers.length === 0) {
-        return `no worker carries the label ${String(requiredLabel)}`;
-    }
-    const taskCounts = matchingWorkers.map((worker) =>
-        countTasksOnIdleWorker(step, worker.fullCapacity),
-    );
-    if (taskCounts.every((count) => count === 0)) {
-        return "no worker is large enough for one of its tasks";
+    const neededRoom = step.isGang ? step.count : 1;
+    let hasLabel = false;
+    let room = 0;
+    for (const { labels, fullCapacity } of workers) {
+        if (requiredLabel === undefined || labels.includes(requiredLabel)) {
+            hasLabel = true;
+            room += countTasksOnIdleWorker(step, fullCapacity);
+            if (room >= neededRoom) {
+                return undefined;
+            }
+        }
     }
-    const total = taskCounts.reduce((sum, count) => sum + count, 0);
-    if (step.isGang && total < step.count) {
-        return `the workers have room for ${total} of its ${step.count} tasks at once`;
+    if (!hasLabel) {
+        return `no worker carries the label ${String(requiredLabel)}`;
     }
-    return undefined;
+    return room === 0
+        ? "no worker is large enough for one of its tasks"
+        : `the workers have room for ${room} of its ${step.count} tasks at once`;
 }
 
 function countTasksOnIdleWorker(step: StepSpec, capacity: Resources): number {
--- a/dispatch/admission_test.ts
+++ b/dispatch/admission_test.ts
@@ -34,3 +34,14 @@
     t.is(cluster.getJobState("00000000000000a1"), "complete");
     t.is(cluster.getJobState("0000000000010000"), "unknown");
 });
+
+// Guards against a submission that keeps a leader busy for longer than its lease lasts.
+test("many steps are checked against many workers within a turn of the event loop", (t) => {
+    const workers = Array.from({ length: 1_100 }, () => buildWorkerRecord());
+    const steps = Array.from({ length: 1_000 }, (_none, i) => ({
+        needs: { cpu: 100 + i, memoryMb: 1, gpu: 0 },
+    }));
+    const startedAtMs = performance.now();
+    t.is(checkFeasible(buildSpec(...steps), workers), undefined);
+    t.true(performance.now() - startedAtMs < 100);
+});
