Tests: keys and pools of a configuration that is being committed

A key that the pending configuration removes grants nothing, and a job is recorded with the pool that its queue moves to.

--- a/control/pending_answers_test.ts
+++ b/control/pending_answers_test.ts
@@ -1,5 +1,6 @@
 import test, { type ExecutionContext } from "ava";
-import { buildSpec, buildWorkerReport } from "../dispatch/_fixtures.ts";
+import type { PoolName } from "../configuration/mod.ts";
+import { buildSpec, buildWorkerReport, buildWorkspace } from "../dispatch/_fixtures.ts";
 import { StateStore, type Incarnation, type WorkerId } from "../job/mod.ts";
 import { NOT_LEADER_CODE, OUTCOME_UNKNOWN_CODE } from "../membership/mod.ts";
 import { MethodError } from "../rpc/mod.ts";
@@ -166,6 +167,48 @@
     await Promise.all(configured);
 });
 
+// Guards against a job that is run for a key which the configuration before it has removed.
+test("a key that is being removed grants no submission", async (t) => {
+    const { leadership, committedState, releaseNext } = startSteppedLeadership(t);
+    await releaseNext();
+    const workspace = buildWorkspace();
+    const withKey = { ...buildConfiguration(2), workspaces: [workspace] };
+    const configured = leadership.handleConfigure(withKey);
+    await releaseNext();
+    await configured;
+    const removed = leadership.handleConfigure({
+        ...buildConfiguration(3),
+        workspaces: [{ ...workspace, apiKeys: [] }],
+    });
+    const answer = leadership.handleCaller({ ...SUBMISSION, apiKey: workspace.apiKeys[0] });
+    for (let i = 0; i < 5; i++) {
+        await releaseNext();
+    }
+    await removed;
+    t.deepEqual(await answer, { type: "unauthenticated" });
+    t.is(committedState.jobs.size, 0);
+});
+
+// Guards against a job that is recorded with the pool that its queue has left.
+test("a job that arrives while its queue moves is recorded with the new pool", async (t) => {
+    const { leadership, committedState, releaseNext } = startSteppedLeadership(t);
+    await releaseNext();
+    const pool = "annex" as PoolName;
+    const { queues, pools, ...rest } = buildConfiguration(2);
+    const configured = leadership.handleConfigure({
+        ...rest,
+        queues: queues.map((queue) => ({ ...queue, pool })),
+        pools: [...pools, { name: pool, hasAdmissionCheck: false, isStandby: false }],
+    });
+    const answer = leadership.handleCaller(SUBMISSION);
+    for (let i = 0; i < 5; i++) {
+        await releaseNext();
+    }
+    await configured;
+    t.deepEqual(await answer, { type: "accepted" });
+    t.is([...committedState.jobs.values()][0]?.pool, pool);
+});
+
 // Guards against a refusal by a configuration that is never in force.
 test("a refusal by a configuration that isn't committed is not told", async (t) => {
     const { leadership, releaseNext, rejectAll } = startSteppedLeadership(t);
