Adoption alone checks stored jobs; one piece records failed jobs and removes advice calls

Found when the change was read once more; behaviour is unchanged. A submission computed the size of its job twice and looked for a lost queue, which only jobs on record can have. The fact and the line of a failed job, and the removal of calls for advice about closed steps, each stood in two or three places.

--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -26,7 +26,7 @@
 import { createUnitKey } from "./ready_steps.ts";
 import type { MemberRun } from "./types.ts";
 import { NO_RESOURCES, type WorkerState } from "./worker_registry.ts";
-import { checkStoredSize, computeJobSize } from "./work_limits.ts";
+import { checkStoredSize, computeJobSize, type JobSize } from "./work_limits.ts";
 
 /** Number of unanswered sends of a start after which the worker becomes suspect. */
 export const MAX_START_SENDS = 3;
@@ -66,7 +66,7 @@
         this.#context.jobShares.restore();
         for (const job of this.#context.stateStore.jobs.values()) {
             if (job.endedAt === undefined) {
-                this.openJob(job);
+                this.#adoptJob(job);
             }
             for (const [number, occurrence] of job.occurrences) {
                 occurrence.steps.forEach((units, step) =>
@@ -88,38 +88,39 @@
     }
 
     /**
-     * Opens the ready steps of a job on record. A job that no instance can hold, which an earlier
-     * release may have accepted, fails. Any other job that can't be opened is set aside.
+     * Opens the ready steps of a job. A job that can't be opened is set aside.
      *
      * @param job A job that has not ended.
+     * @param size Its size.
      */
-    openJob(job: Job): void {
+    openJob(job: Job, size: JobSize): void {
+        this.#context.openWork.addJob(job.id, size);
+        this.#context.runGuarded(job, () => this.#context.readySteps.openJob(job));
+    }
+
+    /** Opens a job on record. One that no instance can hold, accepted by an earlier release, fails. */
+    #adoptJob(job: Job): void {
         this.#context.runGuarded(job, () => {
             const size = job.spec && computeJobSize(job.spec);
             const excess = size && checkStoredSize(size, this.#context.workLimits);
             if (excess !== undefined) {
-                this.#endOversizedJob(job, excess);
+                this.#recordJobFailure(job, { cause: "size", problem: excess });
             } else if (size !== undefined) {
-                if (this.#context.findQueue(job.queue) === undefined) {
-                    this.#context.recordDecision("failure", "queue lost", {
-                        request: job.id,
-                        queue: job.queue,
-                        pool: job.pool,
-                    });
-                }
-                this.#context.openWork.addJob(job.id, size);
-                this.#context.readySteps.openJob(job);
+                this.#recordLostQueue(job);
+                this.openJob(job, size);
             }
         });
     }
 
-    #endOversizedJob(job: Job, problem: string): void {
-        this.#context.recordFact({ type: "jobFailed", job: job.id });
-        this.#context.recordDecision("failure", "job failed", {
-            request: job.id,
-            cause: "size",
-            problem,
-        });
+    #recordLostQueue({ id, queue, pool }: Job): void {
+        if (this.#context.findQueue(queue) === undefined) {
+            this.#context.recordDecision("failure", "queue lost", { request: id, queue, pool });
+        }
+    }
+
+    #recordJobFailure({ id }: Job, fields: Readonly<Record<string, unknown>>): void {
+        this.#context.recordFact({ type: "jobFailed", job: id });
+        this.#context.recordDecision("failure", "job failed", { request: id, ...fields });
     }
 
     /** Ends members whose workers were removed before the members' ends were recorded. */
@@ -312,9 +313,7 @@
         const unit = this.#context.stateStore.findUnit(ref);
         if (unit?.isDone === true) {
             this.#context.runGuarded(job, () =>
-                this.#context.readySteps
-                    .handleUnitDone(ref)
-                    .forEach((key) => this.#context.adviceScheduler.removeCalls(key)),
+                this.#context.removeAdviceCalls(this.#context.readySteps.handleUnitDone(ref)),
             );
             return;
         }
@@ -341,9 +340,7 @@
         if (!hasFailed && !isCrashLoop(unit.crashes)) {
             return false;
         }
-        this.#context.recordFact({ type: "jobFailed", job: job.id });
-        this.#context.recordDecision("failure", "job failed", {
-            request: job.id,
+        this.#recordJobFailure(job, {
             unit: ref,
             cause: hasFailed ? "attempts" : "crashes",
             limit,
@@ -362,9 +359,7 @@
         this.#begunJobs.delete(job.id);
         this.#context.jobShares.removeJob(job.id);
         this.#context.openWork.removeJob(job.id);
-        this.#context.readySteps
-            .closeJob(job.id)
-            .forEach((key) => this.#context.adviceScheduler.removeCalls(key));
+        this.#context.removeAdviceCalls(this.#context.readySteps.closeJob(job.id));
         for (const [number, occurrence] of job.occurrences) {
             occurrence.steps.forEach((units, step) =>
                 units.forEach((unit, i) => {
--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -29,6 +29,7 @@
     Effect,
     DispatchOutput,
     RecordDecision,
+    StepKey,
 } from "./types.ts";
 import { WorkerRegistry, type WorkerState } from "./worker_registry.ts";
 import { createWorkLimits, type WorkLimits } from "./work_limits.ts";
@@ -148,9 +149,7 @@
         try {
             run();
         } catch (error) {
-            this.readySteps
-                .closeJob(job.id)
-                .forEach((key) => this.adviceScheduler.removeCalls(key));
+            this.removeAdviceCalls(this.readySteps.closeJob(job.id));
             this.isDirty = true;
             this.recordDecision("failure", "job set aside", {
                 request: job.id,
@@ -160,6 +159,15 @@
         }
     }
 
+    /**
+     * Removes the calls for advice about steps that were closed.
+     *
+     * @param keys The steps.
+     */
+    removeAdviceCalls(keys: readonly StepKey[]): void {
+        keys.forEach((key) => this.adviceScheduler.removeCalls(key));
+    }
+
     /**
      * Records that a worker gained capacity or became usable.
      *
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -248,7 +248,7 @@
         const job = this.#context.stateStore.jobs.get(submission.job);
         const share = job === undefined ? undefined : this.#context.jobShares.recordAccepted(job);
         if (job !== undefined) {
-            this.#attempts.openJob(job);
+            this.#attempts.openJob(job, size);
         }
         this.#context.recordDecision("decision", "job accepted", {
             request: submission.job,
