--- a/control/pending_answers_test.ts
+++ b/control/pending_answers_test.ts
@@ -112,8 +112,7 @@
         waitForLease: () => Promise.resolve(true),
         onStart: () => {},
         onLogLines: () => {},
-        waitForCommit: () =>
-            new Promise((resolve, reject) => pending.push({ resolve, reject: reject })),
+        waitForCommit: () => new Promise((resolve, reject) => pending.push({ resolve, reject })),
     });
     t.teardown(() => leadership.stop());
     return {
