One function spreads the retries of refused submissions

The refusals for too many waiting submissions and for open jobs that leave no room computed the same Retry-After from a hash of the request, each with two constants and a sum of its own.

--- a/admission/retry_spreader.ts
+++ b/admission/retry_spreader.ts
@@ -37,6 +37,21 @@
     readonly retryAfterMs: number;
 }
 
+/**
+ * Computes a `Retry-After` that depends on nothing but the caller's request, for refusals that say
+ * nothing about a queue.
+ *
+ * @param key Identifies the request; the same each time it is sent.
+ * @param spread The shortest result, in ms, and the number of seconds over which they are spread.
+ * @returns The `Retry-After` in whole seconds, as ms, if the shortest one is.
+ */
+export function computeSpreadRetryAfterMs(
+    key: string,
+    { minMs, seconds }: { readonly minMs: number; readonly seconds: number },
+): number {
+    return minMs + 1_000 * (computeHash(key) % seconds);
+}
+
 /** Spreads the retries of one queue's callers. */
 export class RetrySpreader {
     readonly #admitted = new WindowCounter();
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -17,7 +17,7 @@
 
 import { interval, type Subscription } from "rxjs";
 import type { Logger } from "winston";
-import type { AdmissionMode } from "../admission/mod.ts";
+import { computeSpreadRetryAfterMs, type AdmissionMode } from "../admission/mod.ts";
 import {
     checkConfiguration,
     findQueue,
@@ -47,7 +47,6 @@
     type JobId,
     type JobSpec,
 } from "../job/mod.ts";
-import { computeHash } from "../hashing/mod.ts";
 import { OUTCOME_UNKNOWN_CODE } from "../membership/mod.ts";
 import { MethodError } from "../rpc/mod.ts";
 import { isOwnJob, type AccessControl, type WorkspaceName } from "../workspace/mod.ts";
@@ -134,12 +133,8 @@
  * workers seldom join.
  */
 const INFEASIBLE_RETRY_AFTER_MS = 60_000;
-/**
- * The shortest `retryAfterMs` for a submission that found too many waiting, in ms, and the number of
- * seconds over which the callers are spread.
- */
-const UNHANDLED_RETRY_AFTER_MS = 1_000;
-const UNHANDLED_RETRY_SECONDS = 2;
+/** The `retryAfterMs` for submissions that found too many waiting. */
+const UNHANDLED_RETRY_SPREAD = { minMs: 1_000, seconds: 2 };
 /** The `retryAfterMs` for a call that an earlier release forwarded without its key, in ms. */
 const KEY_MISSING_RETRY_MS = 1_000;
 
@@ -285,12 +280,10 @@
     #refuseUnhandled(key: string): CallerAnswer {
         this.#options.metrics?.unhandledSubmissions.inc();
         this.#unhandledLog.add();
-        const spreadSeconds = computeHash(key) % UNHANDLED_RETRY_SECONDS;
-        const retryAfterMs = UNHANDLED_RETRY_AFTER_MS + 1_000 * spreadSeconds;
         return {
             type: "refused",
             reason: "too many submissions wait for the leader",
-            retryAfterMs,
+            retryAfterMs: computeSpreadRetryAfterMs(key, UNHANDLED_RETRY_SPREAD),
         };
     }
 
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -14,10 +14,13 @@
  * @module
  */
 
-import type { AdmissionPrediction, AdmissionRefusal } from "../admission/mod.ts";
+import {
+    computeSpreadRetryAfterMs,
+    type AdmissionPrediction,
+    type AdmissionRefusal,
+} from "../admission/mod.ts";
 import type { Configuration, PoolName, QueueName } from "../configuration/mod.ts";
 import type { DurationModel } from "../estimation/mod.ts";
-import { computeHash } from "../hashing/mod.ts";
 import type { Incarnation, Job, JobId, JobSpec, WorkerId, WorkerRecord } from "../job/mod.ts";
 import type { WorkspaceName, WorkspaceUsage } from "../workspace/mod.ts";
 import { checkFeasible, checkWithinQuota } from "./admission.ts";
@@ -92,12 +95,8 @@
 const RESTART_POLL_INTERVAL_MS = 200;
 /** A worker that runs nothing and has been silent for this long is removed, in ms. */
 const IDLE_WORKER_RETENTION_MS = 120_000;
-/**
- * The shortest `retryAfterMs` for a job for which the open jobs leave no room, in ms, and the number
- * of seconds over which the callers are spread.
- */
-const FULL_RETRY_AFTER_MS = 5_000;
-const FULL_RETRY_SECONDS = 10;
+/** The `retryAfterMs` for jobs for which the open jobs leave no room. */
+const FULL_RETRY_SPREAD = { minMs: 5_000, seconds: 10 };
 
 /** Makes the scheduling decisions of one leader. */
 export class Dispatcher {
@@ -236,7 +235,7 @@
         const fullness = this.#context.openWork.checkCapacityFor(size);
         if (fullness !== undefined) {
             this.#recordFailedCheck(submission, fullness, "openWork");
-            const retryAfterMs = computeFullRetryAfterMs(submission.job);
+            const retryAfterMs = computeSpreadRetryAfterMs(submission.job, FULL_RETRY_SPREAD);
             return { type: "refused", cause: "openWork", problem: fullness, retryAfterMs };
         }
         const decision = this.#admission.checkJob(submission);
@@ -537,11 +536,6 @@
     }
 }
 
-/** Computes when a job is to be sent again; jobs that were refused together don't return together. */
-function computeFullRetryAfterMs(job: JobId): number {
-    return FULL_RETRY_AFTER_MS + 1_000 * (computeHash(job) % FULL_RETRY_SECONDS);
-}
-
 /** Rounds a prediction for the log; empty if there is none. */
 function formatPrediction(prediction: Partial<AdmissionPrediction>): Partial<AdmissionPrediction> {
     const { predictedMs, objectiveMs } = prediction;
