A call to a worker that can't be sent is an answer, not a rejection

Cause: PlatformClient.call promises never to reject, but http.request throws at once for such a port, and the leader starts orders and polls without a handler for a rejection. The stack tells: RangeError ERR_SOCKET_BAD_PORT in PlatformClient.call. The worker is on record, so each next leader does the same.

The leader's calls are guarded a second time: a call that throws or rejects counts as unanswered and is logged.

--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -63,6 +63,7 @@
     WorkerCalls,
 } from "./calls.ts";
 import { EffectQueue } from "./effect_queue.ts";
+import { GuardedWorkerCalls } from "./guarded_calls.ts";
 import { ProposalSequence } from "./proposal_sequence.ts";
 import { SubmissionQueue } from "./submission_queue.ts";
 import type { StateReader } from "./state_reader.ts";
@@ -158,6 +159,7 @@
 export class Leadership {
     readonly #options: LeadershipOptions;
     readonly #dispatcher: Dispatcher;
+    readonly #workerCalls: WorkerCalls;
     readonly #workerPoller: WorkerPoller;
     readonly #decisionLog: DecisionLog;
     readonly #effectQueue = new EffectQueue({
@@ -197,9 +199,10 @@
             admission: options.admission,
             recordDecision: (kind, event, fields) => this.#recordDecision(kind, event, fields),
         });
+        this.#workerCalls = new GuardedWorkerCalls(options.workerCalls, { log: options.log });
         this.#workerPoller = new WorkerPoller({
             dispatcher: this.#dispatcher,
-            workerCalls: options.workerCalls,
+            workerCalls: this.#workerCalls,
             flush: () => this.#flush(),
             waitForLease: options.waitForLease,
         });
@@ -671,7 +674,7 @@
         const order = this.#dispatcher.prepareStart(member);
         if (order !== undefined) {
             const answer = await this.#sendOrder(member.startSends - 1, (timeoutMs) =>
-                this.#options.workerCalls.start(order, timeoutMs),
+                this.#workerCalls.start(order, timeoutMs),
             );
             this.#dispatcher.handleStartAnswer(member, answer);
         }
@@ -682,7 +685,7 @@
         const order = this.#dispatcher.prepareStop(member);
         if (order !== undefined) {
             const answer = await this.#sendOrder(0, (timeoutMs) =>
-                this.#options.workerCalls.stop(order, timeoutMs),
+                this.#workerCalls.stop(order, timeoutMs),
             );
             this.#dispatcher.handleStopAnswer(member, answer);
         }
@@ -693,7 +696,7 @@
         const order = this.#dispatcher.preparePace(member);
         if (order !== undefined) {
             const answer = await this.#sendOrder(0, (timeoutMs) =>
-                this.#options.workerCalls.pace(order, timeoutMs),
+                this.#workerCalls.pace(order, timeoutMs),
             );
             this.#dispatcher.handlePaceAnswer(member, answer);
         }
