No worker is on record that no call can be sent to

Data of earlier releases, and their instances beside this one: a leader refuses such a heartbeat also when an instance of an earlier release forwards it, and removes such workers when its term begins, by the fact workerGone, which earlier releases know. Replicas of both releases stay in the same state, and a leader of the earlier release that follows no longer finds the worker that would end it.

--- a/control/_fixtures.ts
+++ b/control/_fixtures.ts
@@ -184,7 +184,7 @@
         this.#sequence += 1;
         const daemon = [...this.daemons.values()][0];
         for (const [id, worker] of this.workers) {
-            const record = buildWorkerReport({ id, address: `worker:${id}` });
+            const record = buildWorkerReport({ id, address: `${id}:80` });
             // Without a leader the heartbeat fails; the next one tries again.
             await daemon
                 ?.handleHeartbeat({
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -48,7 +48,7 @@
     type JobSpec,
 } from "../job/mod.ts";
 import { OUTCOME_UNKNOWN_CODE } from "../membership/mod.ts";
-import { MethodError } from "../rpc/mod.ts";
+import { isAddress, MethodError } from "../rpc/mod.ts";
 import { isOwnJob, type AccessControl, type WorkspaceName } from "../workspace/mod.ts";
 import type { ControlMetrics } from "../telemetry/control_metrics.ts";
 import { DecisionLog } from "../telemetry/decision_log.ts";
@@ -147,6 +147,17 @@
     }
 }
 
+/** A heartbeat with an address that no call can be sent to. */
+export class InvalidAddressError extends MethodError {
+    /**
+     * @param address The address.
+     */
+    constructor(address: string) {
+        super(`invalid address ${address}`);
+        this.name = "InvalidAddressError";
+    }
+}
+
 /** A submission that failed although an earlier one for the same job may be accepted. */
 export class PendingJobError extends MethodError {
     constructor() {
@@ -210,6 +221,7 @@
 
     /** Starts scheduling. */
     start(): void {
+        this.#removeUncallableWorkers();
         this.#tickSubscription = interval(TICK_INTERVAL_MS).subscribe(() => {
             this.#dispatcher.tick(!this.#effectQueue.isFull());
             this.#flushInBackground();
@@ -218,6 +230,15 @@
         this.#flushInBackground();
     }
 
+    /** Removes workers that an earlier release recorded and that no call can be sent to. */
+    #removeUncallableWorkers(): void {
+        for (const { id, address } of this.#options.committedState.workers.values()) {
+            if (!isAddress(address)) {
+                this.#dispatcher.removeWorker(id, `invalid address ${address}`);
+            }
+        }
+    }
+
     #updateWorkspaceMetrics(): void {
         const now = performance.now();
         if (now - this.#workspaceMetricsAtMs >= WORKSPACE_METRICS_INTERVAL_MS) {
@@ -372,6 +393,8 @@
      *
      * @param call The heartbeat.
      * @returns Resolves after its changes are committed.
+     * @throws {InvalidAddressError} If no call can be sent to its address. Instances of earlier releases
+     * forward such heartbeats.
      * @throws {NotRecordedError} If the heartbeat was dropped and says more than the record, or is
      * that of an incarnation which the worker has not confirmed yet.
      * @throws {Error} If leadership ends before the change is committed.
@@ -379,6 +402,9 @@
     async handleHeartbeat(call: HeartbeatCall): Promise<void> {
         const { record } = call;
         const { committedState } = this.#options;
+        if (!isAddress(record.address)) {
+            throw new InvalidAddressError(record.address);
+        }
         this.#dispatcher.handleHeartbeat(call);
         // A drain must be committed before it is acknowledged, so that the next leader knows it.
         await this.#ensureCommitted(() => {
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -378,6 +378,16 @@
         return false;
     }
 
+    /**
+     * Removes a worker. Its tasks count as lost and are started again elsewhere.
+     *
+     * @param id The worker; ignored if it is unknown.
+     * @param reason Why it is removed.
+     */
+    removeWorker(id: WorkerId, reason: string): void {
+        this.#failures.removeWorker(id, reason);
+    }
+
     /**
      * Sets the front instances that can call the advice service.
      *
