A probe of an invalid address finds nothing reachable

Found by reading; not seen with processes. Failed before: "nothing is reachable at an invalid address" (RangeError).

--- a/rpc/address_test.ts
+++ b/rpc/address_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { isAddress } from "./address.ts";
+import { isReachable } from "./rpc_server.ts";
 
 test("an address has a host and a port from 1 to 65,535", (t) => {
     for (const text of ["10.0.0.1:80", "worker-1.example:65535", "a_b:1", "::1:7720"]) {
@@ -19,3 +20,9 @@
     t.false(isAddress("10.0.0.1"));
     t.false(isAddress(""));
 });
+
+// Guards against a front that ends when the leader names a peer with an invalid address.
+test("nothing is reachable at an invalid address", async (t) => {
+    t.false(await isReachable("127.0.0.1:80800", 100));
+    t.false(await isReachable("127.0.0.1", 100));
+});
--- a/rpc/rpc_server.ts
+++ b/rpc/rpc_server.ts
@@ -15,7 +15,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { connect, type AddressInfo } from "node:net";
 import { JSONRPCServer, createJSONRPCErrorResponse, type JSONRPCRequest } from "json-rpc-2.0";
-import { parseAddress } from "./address.ts";
+import { isAddress, parseAddress } from "./address.ts";
 import type { CallTracker } from "./call_tracker.ts";
 import { connectionTracker } from "./connection_tracker.ts";
 import { MethodError } from "./rpc_error.ts";
@@ -182,14 +182,17 @@
 }
 
 /**
- * Checks whether a server accepts a new TCP connection. A network partition makes the check fail;
- * a busy server does not.
+ * Checks whether a server accepts a new TCP connection. A network partition makes the check fail, as
+ * does an invalid address; a busy server does not.
  *
  * @param address `host:port`.
  * @param timeoutMs The longest time to wait, in ms.
  * @returns True when a connection was opened; it is closed again.
  */
 export function isReachable(address: string, timeoutMs: number): Promise<boolean> {
+    if (!isAddress(address)) {
+        return Promise.resolve(false);
+    }
     const [host, port] = parseAddress(address);
     return new Promise((resolve) => {
         const socket = connect({ host, port, timeout: timeoutMs });
