A gang preempts the tasks that hold the memory it lacks

A gang short of memory or GPUs found no tasks to stop, and its reserved workers stayed closed to less urgent work until those tasks ended by themselves. All resources count now, and a task that holds none of what is missing is not stopped.

Failed before: "a gang that is short of memory preempts the tasks that hold it" of dispatch/reservation_test (not complete after 5 s behind tasks of 60 s).

--- a/dispatch/_gang_reservations.ts
+++ b/dispatch/_gang_reservations.ts
@@ -19,7 +19,7 @@
 import type { StepCandidates } from "./_candidates.ts";
 import type { DispatchContext } from "./_context.ts";
 import type { MemberRun } from "./types.ts";
-import { selectReservedWorkers, selectVictims } from "./reservation.ts";
+import { isMissingAny, selectReservedWorkers, selectVictims } from "./reservation.ts";
 import type { ReadyStep } from "./ready_steps.ts";
 import { getFreeResources, NO_RESOURCES } from "./worker_registry.ts";
 
@@ -180,13 +180,18 @@
             if (worker === undefined || !admitted.has(id)) {
                 return undefined;
             }
-            const missingCpu = count * needs.cpu - getFreeResources(worker).cpu;
+            const free = getFreeResources(worker);
+            const missing = {
+                cpu: count * needs.cpu - free.cpu,
+                memoryMb: count * needs.memoryMb - free.memoryMb,
+                gpu: count * needs.gpu - free.gpu,
+            };
             const workerVictims = selectVictims(
                 worker.members.values(),
-                missingCpu,
+                missing,
                 this.#computePriority(entry),
             );
-            if (missingCpu > 0 && workerVictims.length === 0) {
+            if (isMissingAny(missing) && workerVictims.length === 0) {
                 return undefined;
             }
             victims.push(...workerVictims);
--- a/dispatch/reservation.ts
+++ b/dispatch/reservation.ts
@@ -57,36 +57,67 @@
  * largest first. Capacity of tasks that are already stopping is counted.
  *
  * @param members The tasks on the worker.
- * @param missingCpu The CPU to free, in millicores.
+ * @param missing The capacity to free; what is missing of a resource is above 0.
  * @param priority The gang's priority.
  * @returns The tasks to stop; empty if they would not free enough, or if enough is being freed
  * already.
  */
 export function selectVictims(
     members: Iterable<MemberRun>,
-    missingCpu: number,
+    missing: Resources,
     priority: number,
 ): MemberRun[] {
-    let remainingCpu = missingCpu;
+    let remaining = missing;
     const preemptible: MemberRun[] = [];
     for (const member of members) {
         if (member.priority <= priority) {
             continue;
         }
         if (member.state === "stopping") {
-            remainingCpu -= member.reserved.cpu;
+            remaining = computeDifference(remaining, member.reserved);
         } else if (member.state === "running" && member.isMovable) {
             preemptible.push(member);
         }
     }
-    preemptible.sort((a, b) => b.reserved.cpu - a.reserved.cpu);
+    preemptible.sort(
+        (a, b) => b.reserved.cpu - a.reserved.cpu || b.reserved.memoryMb - a.reserved.memoryMb,
+    );
     const victims: MemberRun[] = [];
     for (const member of preemptible) {
-        if (remainingCpu <= 0) {
+        if (!isMissingAny(remaining)) {
             break;
         }
-        victims.push(member);
-        remainingCpu -= member.reserved.cpu;
+        if (hasAnyOf(member, remaining)) {
+            victims.push(member);
+            remaining = computeDifference(remaining, member.reserved);
+        }
     }
-    return remainingCpu > 0 ? [] : victims;
+    return isMissingAny(remaining) ? [] : victims;
+}
+
+/**
+ * Returns whether any resource is missing.
+ *
+ * @param missing What is missing of each resource; 0 or less for nothing.
+ * @returns True if one is above 0.
+ */
+export function isMissingAny({ cpu, memoryMb, gpu }: Resources): boolean {
+    return cpu > 0 || memoryMb > 0 || gpu > 0;
+}
+
+/** Returns whether a task uses a resource that is missing. */
+function hasAnyOf({ reserved }: MemberRun, missing: Resources): boolean {
+    return (
+        (missing.cpu > 0 && reserved.cpu > 0) ||
+        (missing.memoryMb > 0 && reserved.memoryMb > 0) ||
+        (missing.gpu > 0 && reserved.gpu > 0)
+    );
+}
+
+function computeDifference(from: Resources, taken: Resources): Resources {
+    return {
+        cpu: from.cpu - taken.cpu,
+        memoryMb: from.memoryMb - taken.memoryMb,
+        gpu: from.gpu - taken.gpu,
+    };
 }
--- a/dispatch/reservation_test.ts
+++ b/dispatch/reservation_test.ts
@@ -94,3 +94,29 @@
     t.is(cluster.getJobState("00000000000000a1"), "complete");
     t.deepEqual(cluster.violations, []);
 });
+
+// Guards against a gang that waits for memory which preemptible tasks hold.
+test("a gang that is short of memory preempts the tasks that hold it", (t) => {
+    const cluster = new SimulatedCluster({
+        workers: 2,
+        computeTaskMs: (task) => (task.startsWith("00000000000000c") ? 60_000 : 500),
+        queues: [
+            buildQueue(),
+            buildQueue({ name: GANG_QUEUE, pathPrefix: "/g/", priority: 1 }),
+            buildQueue({ name: BATCH_QUEUE, pathPrefix: "/b/", priority: 2 }),
+        ],
+    });
+    const memory = { cpu: 100, memoryMb: 20_000, gpu: 0 };
+    cluster.submit(
+        "00000000000000c1",
+        buildSpec({ count: 2, needs: memory, estimateMs: 60_000, savesProgress: true }),
+        BATCH_QUEUE,
+    );
+    cluster.runFor(500);
+    const gang = "00000000000000a1";
+    const needs = { cpu: 1_000, memoryMb: 30_000, gpu: 0 };
+    cluster.submit(gang, buildSpec({ count: 2, isGang: true, needs }), GANG_QUEUE);
+    cluster.runFor(5_000);
+    t.is(cluster.getJobState(gang), "complete");
+    t.deepEqual(cluster.violations, []);
+});
