A gang reserves workers only for a start that can come, and not for long beside idle ones

Cause: selectReservedWorkers counted what all less urgent tasks use as if it could be freed, also tasks that never end, and nothing bounded how long a reservation holds.

- A reservation has an expected start, from the expected ends of the tasks that it waits for (their estimates and the queue's learned ratio; what has run past its estimate is expected to run as long again).
The workers that allow the earliest start are reserved; none if a task without an end stands in the way.
- A task that is expected to end before that start may use the reserved workers (EASY backfilling: Lifka 1995, Mu'alem and Feitelson 2001).
- Where estimates are wrong: a job of which nothing runs is kept from idle workers for at most 1.5 s while under half of the pool's CPU is in use, a lasting task whatever is in use.
Jobs that wait because an entitled gang holds the pool have the same bound.
- Limits per worker count in the selection.

--- a/dispatch/_forecast_input.ts
+++ b/dispatch/_forecast_input.ts
@@ -25,8 +25,8 @@
 import type { DispatchContext } from "./_context.ts";
 import { computeLatencyObjectiveMs, computeRankClass, rankStepByShare } from "./ranking.ts";
 import type { ReadyStep } from "./ready_steps.ts";
+import { computeRemainingMs } from "./_remaining_time.ts";
 import { rankWaitingStep } from "./_step_rank.ts";
-import type { MemberRun } from "./types.ts";
 import { getFreeResources } from "./worker_registry.ts";
 
 /** What the position of a submitted job in the order depends on. */
@@ -40,8 +40,6 @@
 
 /** Resolution of the expected ends, in ms; that of the forecast. */
 const RELEASE_STEP_MS = 100;
-/** Time that a task takes to end once it is being stopped, in ms. */
-const STOP_MS = 200;
 
 /**
  * Collects the input of a forecast.
@@ -166,20 +164,6 @@
     return count;
 }
 
-/**
- * Computes how long a task is expected to run. One that has run longer than estimated is expected to
- * exceed its estimate by as much again: a few tasks take several times as long as the others.
- */
-function computeRemainingMs(member: MemberRun, ratio: number, now: number): number {
-    if (member.state === "stopping") {
-        return STOP_MS;
-    }
-    if (member.isPerpetual) {
-        return Number.POSITIVE_INFINITY;
-    }
-    return Math.abs(member.estimateMs * ratio - (now - member.startedAtMs));
-}
-
 /** Adds up the CPU of running tasks by their expected end: the tasks alone are too many to list. */
 class Releases {
     readonly #cpuByEnd = new Map<number, number>();
--- a/dispatch/_gang_reservations.ts
+++ b/dispatch/_gang_reservations.ts
@@ -7,21 +7,31 @@
  * import { GangReservations } from "./_gang_reservations.ts";
  * const reservations = new GangReservations(context, attempts);
  * reservations.setReservingGangs(ranked);
- * reservations.isReserved(workerId, entry);
+ * reservations.isReserved(workerId, entry, now);
  * ```
  *
  * @module
  */
 
-import type { QueueConfig } from "../configuration/mod.ts";
-import type { Resources, WorkerId } from "../job/mod.ts";
+import type { PoolName, QueueConfig } from "../configuration/mod.ts";
+import type { Job, WorkerId } from "../job/mod.ts";
 import { computeReservedResources, type Attempts } from "./_attempts.ts";
 import type { StepCandidates } from "./_candidates.ts";
 import type { DispatchContext } from "./_context.ts";
 import type { MemberRun } from "./types.ts";
-import { isMissingAny, selectReservedWorkers, selectVictims } from "./reservation.ts";
+import { START_OVERHEAD_MS } from "./ranking.ts";
+import { computeRemainingMs, STOP_MS } from "./_remaining_time.ts";
+import {
+    isMissingAny,
+    NO_RESERVATION,
+    selectReservation,
+    selectVictims,
+    type CapacityRelease,
+    type Reservation,
+    type ReservationCandidate,
+} from "./reservation.ts";
 import type { ReadyStep } from "./ready_steps.ts";
-import { getFreeResources, NO_RESOURCES } from "./worker_registry.ts";
+import { getFreeResources, type WorkerState } from "./worker_registry.ts";
 
 /**
  * Maximum number of gangs with reservations at the same time. A mean gang reserves two to six of
@@ -34,6 +44,14 @@
  */
 const PREEMPTION_INTERVAL_MS = 1_500;
 
+/**
+ * Maximum time for which reservations keep a step from workers that would otherwise be idle, in ms.
+ * Reservations rest on estimates, which may be wrong.
+ */
+const MAX_HELD_MS = 1_500;
+/** Share of a pool's CPU in use below which held steps are let through. */
+const LOW_USE_SHARE = 0.5;
+
 /** A waiting step with its rank; the smallest rank goes first. */
 export interface RankedStep {
     readonly step: ReadyStep;
@@ -46,6 +64,8 @@
     readonly #context: DispatchContext;
     readonly #attempts: Attempts;
     #reservingGangs: readonly RankedStep[] = [];
+    /** Whether less than half of a pool's CPU is in use, in this round. */
+    readonly #isLowUseByPool = new Map<PoolName, boolean>();
 
     /**
      * @param context The shared state of the dispatcher.
@@ -62,6 +82,7 @@
      * @param ranked All waiting steps in order of rank.
      */
     setReservingGangs(ranked: readonly RankedStep[]): void {
+        this.#isLowUseByPool.clear();
         const gangs: RankedStep[] = [];
         for (const entry of ranked) {
             if (gangs.length === MAX_RESERVING_GANGS) {
@@ -76,22 +97,79 @@
 
     /**
      * Checks whether a worker is reserved for a gang with a lower rank than a step. Gangs of the
-     * most urgent queue don't block others, and steps of more urgent queues ignore reservations.
+     * most urgent queue don't block others, steps of more urgent queues ignore reservations, and so
+     * do tasks that are expected to end before the gang starts.
      *
      * @param id The worker.
      * @param entry The step.
+     * @param now The current monotonic time, in ms.
      * @returns True if the step must not use the worker.
      */
-    isReserved(id: WorkerId, entry: RankedStep): boolean {
+    isReserved(id: WorkerId, entry: RankedStep, now: number): boolean {
         return this.#reservingGangs.some(
             (gang) =>
                 gang.rank < entry.rank &&
                 gang.queue.priority > 0 &&
                 this.#computePriority(entry) >= this.#computePriority(gang) &&
-                gang.step.reservedWorkers.has(id),
+                gang.step.reservedWorkers.has(id) &&
+                !this.#isBackfill(entry, gang, now),
         );
     }
 
+    /** Returns whether a task of a step is expected to end before a gang starts. */
+    #isBackfill({ step }: RankedStep, gang: RankedStep, now: number): boolean {
+        const { estimateMs, isPerpetual } = step.spec;
+        if (isPerpetual || estimateMs <= 0) {
+            return false;
+        }
+        const taskMs = estimateMs * this.#context.getQueueRatio(step.queue).p80;
+        return now + START_OVERHEAD_MS + taskMs <= gang.step.reservedStartAtMs;
+    }
+
+    /**
+     * Records whether reservations keep a step from workers.
+     *
+     * @param step The step.
+     * @param isHeld Whether they do.
+     * @param now The current monotonic time, in ms.
+     */
+    recordHeld(step: ReadyStep, isHeld: boolean, now: number): void {
+        step.heldSinceMs = isHeld ? (step.heldSinceMs ?? now) : undefined;
+    }
+
+    /**
+     * Returns whether a step has been held for so long that it may ignore the reservations of gangs:
+     * a task that runs until it is stopped, or, while most of the pool is idle, a job of which
+     * nothing runs.
+     *
+     * @param entry The step.
+     * @param now The current monotonic time, in ms.
+     * @returns True if no worker is closed to it for a gang.
+     */
+    isExempt({ step, queue }: RankedStep, now: number): boolean {
+        if (step.heldSinceMs === undefined || now - step.heldSinceMs < MAX_HELD_MS) {
+            return false;
+        }
+        return step.spec.isPerpetual || (this.#isLowUse(queue.pool) && !hasRunningTasks(step.job));
+    }
+
+    #isLowUse(pool: PoolName): boolean {
+        const known = this.#isLowUseByPool.get(pool);
+        if (known !== undefined) {
+            return known;
+        }
+        let [capacityCpu, reservedCpu] = [0, 0];
+        for (const { record, reserved } of this.#context.registry.workers) {
+            if (record.pool === pool) {
+                capacityCpu += record.capacity.cpu;
+                reservedCpu += reserved.cpu;
+            }
+        }
+        const isLowUse = reservedCpu < LOW_USE_SHARE * capacityCpu;
+        this.#isLowUseByPool.set(pool, isLowUse);
+        return isLowUse;
+    }
+
     /**
      * Reserves workers for a gang that could not be placed, and preempts less urgent tasks on them.
      *
@@ -102,10 +180,12 @@
     updateReservation(entry: RankedStep, candidates: StepCandidates, now: number): void {
         const { step } = entry;
         const previous = step.reservedWorkers;
-        step.reservedWorkers =
+        const reservation =
             step.spec.isGang && step.waiting.size > 0
-                ? this.#selectReservedWorkers(entry, candidates)
-                : new Map();
+                ? this.#selectReservation(entry, candidates, now)
+                : NO_RESERVATION;
+        step.reservedWorkers = reservation.workers;
+        step.reservedStartAtMs = now + reservation.startsInMs;
         this.#releaseWorkers(previous, step.reservedWorkers);
         this.#recordChange(step, previous);
         const mayPreempt = now - step.preemptedAtMs >= PREEMPTION_INTERVAL_MS;
@@ -148,7 +228,8 @@
     releaseReservation(step: ReadyStep): void {
         if (step.reservedWorkers.size > 0) {
             const previous = step.reservedWorkers;
-            step.reservedWorkers = new Map();
+            step.reservedWorkers = NO_RESERVATION.workers;
+            step.reservedStartAtMs = Number.POSITIVE_INFINITY;
             this.#releaseWorkers(previous, step.reservedWorkers);
             this.#recordChange(step, previous);
         }
@@ -157,10 +238,12 @@
     /** Logs the begin and the end of a reservation, but not each change of its workers. */
     #recordChange(step: ReadyStep, previous: ReadyStep["reservedWorkers"]): void {
         if (previous.size > 0 !== step.reservedWorkers.size > 0) {
+            const startsInMs = step.reservedStartAtMs - this.#context.clock.getNow();
             this.#context.recordDecision("decision", "workers reserved", {
                 request: step.job.id,
                 step: step.key,
                 workers: step.reservedWorkers.size,
+                startsInMs: Number.isFinite(startsInMs) ? Math.round(startsInMs) : undefined,
             });
         }
     }
@@ -203,18 +286,24 @@
         return this.#context.jobShares.computePreemptionPriority(step.job.id, queue.priority);
     }
 
-    #selectReservedWorkers(entry: RankedStep, candidates: StepCandidates): Map<WorkerId, number> {
-        const { step } = entry;
+    #selectReservation(entry: RankedStep, candidates: StepCandidates, now: number): Reservation {
+        const { spec } = entry.step;
         const priority = this.#computePriority(entry);
-        const reservationCandidates = [...candidates.admitted, ...candidates.expired].map(
-            ({ id }) => ({
-                id,
-                capacityAfterPreemption: this.#computeCapacityAfterPreemption(id, priority),
-            }),
-        );
-        return selectReservedWorkers(reservationCandidates, {
-            needs: computeReservedResources(step.spec),
-            count: step.spec.count,
+        const reservationCandidates: ReservationCandidate[] = [];
+        for (const { id, tasksOfStep } of [...candidates.admitted, ...candidates.expired]) {
+            const worker = this.#context.registry.findWorker(id);
+            if (worker !== undefined) {
+                reservationCandidates.push({
+                    id,
+                    freeCapacity: getFreeResources(worker),
+                    releases: this.#listReleases(worker, priority, now),
+                    maxTasks: spec.maxPerWorker > 0 ? spec.maxPerWorker - tasksOfStep : spec.count,
+                });
+            }
+        }
+        return selectReservation(reservationCandidates, {
+            needs: computeReservedResources(spec),
+            count: spec.count,
         });
     }
 
@@ -231,20 +320,25 @@
         }
     }
 
-    /** Computes a worker's free capacity after all less urgent tasks are preempted. */
-    #computeCapacityAfterPreemption(id: WorkerId, priority: number): Resources {
-        const worker = this.#context.registry.findWorker(id);
-        if (worker === undefined) {
-            return NO_RESOURCES;
-        }
-        const capacity = { ...getFreeResources(worker) };
+    /** Lists what the tasks that are less urgent than a gang free once they end or are preempted. */
+    #listReleases(worker: WorkerState, priority: number, now: number): CapacityRelease[] {
+        const releases: CapacityRelease[] = [];
         for (const member of worker.members.values()) {
             if (member.priority > priority) {
-                capacity.cpu += member.reserved.cpu;
-                capacity.memoryMb += member.reserved.memoryMb;
-                capacity.gpu += member.reserved.gpu;
+                const { queue } = this.#context.stateStore.jobs.get(member.unit.job) ?? {};
+                const ratio = queue === undefined ? 1 : this.#context.getQueueRatio(queue).total;
+                const remainingMs = computeRemainingMs(member, ratio, now);
+                const inMs = member.isMovable ? Math.min(STOP_MS, remainingMs) : remainingMs;
+                releases.push({ inMs, resources: member.reserved });
             }
         }
-        return capacity;
+        return releases;
     }
 }
+
+/** Returns whether any task of a job runs or is being started. */
+function hasRunningTasks(job: Job): boolean {
+    return [...job.occurrences.values()].some(({ steps }) =>
+        steps.some((units) => units.some(({ members }) => members.size > 0)),
+    );
+}
--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -74,6 +74,12 @@
 /** The workers that a step is matched with: none, those whose capacity changed, or all. */
 type MatchScope = "none" | "changed" | "all";
 
+/** The workers that a step may be placed on. */
+interface HeldStepCandidates extends StepCandidates {
+    /** Whether other workers are reserved for gangs. */
+    readonly isHeld: boolean;
+}
+
 /** Places the waiting steps of one leader. */
 export class StepPlacer {
     readonly #context: DispatchContext;
@@ -114,7 +120,9 @@
                 break;
             }
             const { job, spec } = entry.step;
-            if (heldPools.has(entry.queue.pool) && isBehindEntitled(entry.rank)) {
+            const isHeld = heldPools.has(entry.queue.pool) && isBehindEntitled(entry.rank);
+            if (isHeld && !this.#gangReservations.isExempt(entry, now)) {
+                this.#gangReservations.recordHeld(entry.step, true, now);
                 continue;
             }
             if (!quotaRound.hasTurn(job.workspace, computeUnitDemand(spec))) {
@@ -189,7 +197,8 @@
      * worker at each task end would saturate the leader, so steps are matched with workers that
      * gained capacity.
      */
-    #selectMatchScope({ step, queue }: RankedStep, gangPosition: number, now: number): MatchScope {
+    #selectMatchScope(entry: RankedStep, gangPosition: number, now: number): MatchScope {
+        const { step, queue } = entry;
         if (now < step.pausedUntilMs) {
             return "none";
         }
@@ -200,6 +209,12 @@
             return "all";
         }
         const sinceFullMatchMs = now - step.matchedAllAtMs;
+        if (
+            sinceFullMatchMs >= GANG_MATCH_INTERVAL_MS &&
+            this.#gangReservations.isExempt(entry, now)
+        ) {
+            return "all";
+        }
         if (
             step.hasCrashes &&
             sinceFullMatchMs >= GANG_MATCH_INTERVAL_MS &&
@@ -234,6 +249,9 @@
         const candidates = this.#listCandidates(entry, workers, now);
         const requiredSpeed = this.#computeRequiredSpeed(entry);
         const hasPlaced = this.#placeUnits(step, candidates, requiredSpeed, now);
+        if (hasPlaced || candidates.isHeld || scope === "all") {
+            this.#gangReservations.recordHeld(step, candidates.isHeld && !hasPlaced, now);
+        }
         if (scope === "all") {
             this.#gangReservations.updateReservation(entry, candidates, now);
         }
@@ -388,11 +406,23 @@
         entry: RankedStep,
         workers: Iterable<WorkerState>,
         now: number,
-    ): StepCandidates {
+    ): HeldStepCandidates {
         const { step, queue } = entry;
-        const isUnavailable = (id: WorkerId): boolean =>
-            this.#isolation.isBlocked(id, step) || this.#gangReservations.isReserved(id, entry);
-        return listCandidates(this.#context, { step, queue, workers, isUnavailable, now });
+        const isExempt = this.#gangReservations.isExempt(entry, now);
+        let isHeld = false;
+        const isUnavailable = (id: WorkerId): boolean => {
+            const isReserved = this.#gangReservations.isReserved(id, entry, now);
+            isHeld ||= isReserved;
+            return this.#isolation.isBlocked(id, step) || (isReserved && !isExempt);
+        };
+        const candidates = listCandidates(this.#context, {
+            step,
+            queue,
+            workers,
+            isUnavailable,
+            now,
+        });
+        return { ...candidates, isHeld };
     }
 
     #startAttempt(step: ReadyStep, unitNumber: number, workers: readonly WorkerId[]): void {
--- a/dispatch/ready_steps.ts
+++ b/dispatch/ready_steps.ts
@@ -74,6 +74,13 @@
      * for other steps.
      */
     reservedWorkers: ReadonlyMap<WorkerId, number>;
+    /** When the gang is expected to start on its reserved workers, in ms. */
+    reservedStartAtMs: number;
+    /**
+     * Since when reservations for other steps have kept the step from workers, in ms; `undefined` if
+     * they don't.
+     */
+    heldSinceMs: number | undefined;
     /** When the step last preempted other tasks, in ms. */
     preemptedAtMs: number;
     /** Workers on which one of its units failed; retries prefer other workers. */
@@ -357,6 +364,8 @@
             matchedVersion: undefined,
             matchedAllAtMs: Number.NEGATIVE_INFINITY,
             reservedWorkers: new Map(),
+            reservedStartAtMs: Number.POSITIVE_INFINITY,
+            heldSinceMs: undefined,
             preemptedAtMs: Number.NEGATIVE_INFINITY,
             failedWorkers: new Set(),
             lastFailureAtMs: Number.NEGATIVE_INFINITY,
--- a/dispatch/reservation.ts
+++ b/dispatch/reservation.ts
@@ -4,8 +4,8 @@
  *
  * @example
  * ```ts
- * import { selectReservedWorkers } from "./reservation.ts";
- * const reserved = selectReservedWorkers(candidates, { needs, count: 6 });
+ * import { selectReservation } from "./reservation.ts";
+ * const { workers } = selectReservation(candidates, { needs, count: 6 });
  * ```
  *
  * @module
@@ -15,41 +15,112 @@
 import { countFittingTasks } from "./placement.ts";
 import type { MemberRun } from "./types.ts";
 
+/** Capacity that a task is expected to free. */
+export interface CapacityRelease {
+    /** The time until then, in ms; infinite for a task that does not end by itself. */
+    readonly inMs: number;
+    readonly resources: Resources;
+}
+
 /** A worker that may be reserved for a gang. */
 export interface ReservationCandidate {
     readonly id: WorkerId;
-    /** Free capacity plus the capacity in use by less urgent tasks. */
-    readonly capacityAfterPreemption: Resources;
+    readonly freeCapacity: Resources;
+    /** What less urgent tasks are expected to free. */
+    readonly releases: readonly CapacityRelease[];
+    /** Maximum number of the gang's tasks on the worker. */
+    readonly maxTasks: number;
+}
+
+/** The workers that are reserved for a gang. */
+export interface Reservation {
+    /** The number of tasks by worker; empty if the gang has no reservation. */
+    readonly workers: ReadonlyMap<WorkerId, number>;
+    /** The time until all of them are expected to have capacity, in ms. */
+    readonly startsInMs: number;
+}
+
+/** The reservation of a gang that can't start on the candidates. */
+export const NO_RESERVATION: Reservation = {
+    workers: new Map(),
+    startsInMs: Number.POSITIVE_INFINITY,
+};
+
+/** The number of tasks that a worker has capacity for from some time on. */
+interface TaskSlots {
+    readonly id: WorkerId;
+    readonly inMs: number;
+    readonly count: number;
 }
 
 /**
- * Selects the fewest workers that can run a gang after preemption, largest capacity first.
+ * Selects the workers on which a gang can start first, and of these the fewest.
  *
  * @param candidates The workers that the gang may run on.
  * @param gang The needs of each task and the number of tasks.
- * @returns The number of tasks by worker; empty if the gang does not fit.
+ * @returns The reservation; without workers if the tasks that have to end first never do.
  */
-export function selectReservedWorkers(
+export function selectReservation(
     candidates: readonly ReservationCandidate[],
     gang: { readonly needs: Resources; readonly count: number },
-): Map<WorkerId, number> {
-    const reserved = new Map<WorkerId, number>();
-    const ranked = candidates
-        .map((candidate) => ({
-            id: candidate.id,
-            count: countFittingTasks(candidate.capacityAfterPreemption, gang.needs),
-        }))
-        .sort((a, b) => b.count - a.count);
+): Reservation {
+    const slots = candidates.flatMap((candidate) => listTaskSlots(candidate, gang.needs));
+    const startsInMs = computeStartMs(slots, gang.count);
+    if (startsInMs === undefined) {
+        return NO_RESERVATION;
+    }
+    const counts = new Map<WorkerId, number>();
+    slots
+        .filter(({ inMs }) => inMs <= startsInMs)
+        .forEach(({ id, count }) => counts.set(id, Math.max(count, counts.get(id) ?? 0)));
+    const workers = new Map<WorkerId, number>();
     let remainingTasks = gang.count;
-    for (const { id, count } of ranked) {
-        if (remainingTasks <= 0 || count === 0) {
+    for (const [id, count] of [...counts].sort(([, a], [, b]) => b - a)) {
+        if (remainingTasks <= 0) {
             break;
         }
         const taken = Math.min(count, remainingTasks);
-        reserved.set(id, taken);
+        workers.set(id, taken);
         remainingTasks -= taken;
     }
-    return remainingTasks > 0 ? new Map() : reserved;
+    return { workers, startsInMs };
+}
+
+/** Lists each time at which a worker has capacity for more tasks than before. */
+function listTaskSlots(candidate: ReservationCandidate, needs: Resources): TaskSlots[] {
+    const capacity = { ...candidate.freeCapacity };
+    const slots: TaskSlots[] = [];
+    let previousCount = 0;
+    const addSlots = (inMs: number): void => {
+        const count = Math.min(candidate.maxTasks, countFittingTasks(capacity, needs));
+        if (count > previousCount) {
+            slots.push({ id: candidate.id, inMs, count });
+            previousCount = count;
+        }
+    };
+    addSlots(0);
+    const releases = candidate.releases.filter(({ inMs }) => Number.isFinite(inMs));
+    for (const { inMs, resources } of releases.sort((a, b) => a.inMs - b.inMs)) {
+        capacity.cpu += resources.cpu;
+        capacity.memoryMb += resources.memoryMb;
+        capacity.gpu += resources.gpu;
+        addSlots(inMs);
+    }
+    return slots;
+}
+
+/** Computes when there is capacity for a number of tasks; `undefined` if there never is. */
+function computeStartMs(slots: readonly TaskSlots[], taskCount: number): number | undefined {
+    const countByWorker = new Map<WorkerId, number>();
+    let total = 0;
+    for (const { id, inMs, count } of [...slots].sort((a, b) => a.inMs - b.inMs)) {
+        total += count - (countByWorker.get(id) ?? 0);
+        countByWorker.set(id, count);
+        if (total >= taskCount) {
+            return inMs;
+        }
+    }
+    return undefined;
 }
 
 /**
--- a/dispatch/reservation_test.ts
+++ b/dispatch/reservation_test.ts
@@ -2,24 +2,54 @@
 import type { QueueName } from "../configuration/mod.ts";
 import type { WorkerId } from "../job/mod.ts";
 import { buildQueue, buildSpec, SimulatedCluster } from "./_fixtures.ts";
-import { selectReservedWorkers } from "./reservation.ts";
+import { selectReservation, type CapacityRelease } from "./reservation.ts";
 
 const GANG_QUEUE = "composites" as QueueName;
 const BATCH_QUEUE = "batches" as QueueName;
 
-function buildCandidate(id: string, cpu: number) {
-    return { id: id as WorkerId, capacityAfterPreemption: { cpu, memoryMb: 32_000, gpu: 0 } };
+const NEEDS = { cpu: 4_000, memoryMb: 1_000, gpu: 0 };
+
+function buildCandidate(id: string, cpu: number, releases: readonly CapacityRelease[] = []) {
+    const freeCapacity = { cpu, memoryMb: 32_000, gpu: 0 };
+    return { id: id as WorkerId, freeCapacity, releases, maxTasks: 100 };
+}
+
+function buildRelease(inMs: number, cpu: number): CapacityRelease {
+    return { inMs, resources: { cpu, memoryMb: 0, gpu: 0 } };
 }
 
 test("reserves the fewest workers, and none for a gang that does not fit", (t) => {
     const candidates = [buildCandidate("a", 4_000), buildCandidate("b", 16_000)];
-    const needs = { cpu: 4_000, memoryMb: 1_000, gpu: 0 };
-    t.deepEqual(
-        [...selectReservedWorkers(candidates, { needs, count: 4 })],
-        [["b" as WorkerId, 4]],
-    );
-    t.is(selectReservedWorkers(candidates, { needs, count: 5 }).size, 2);
-    t.is(selectReservedWorkers(candidates, { needs, count: 6 }).size, 0);
+    const select = (count: number) =>
+        selectReservation(candidates, { needs: NEEDS, count }).workers;
+    t.deepEqual([...select(4)], [["b" as WorkerId, 4]]);
+    t.is(select(5).size, 2);
+    t.is(select(6).size, 0);
+});
+
+test("reserves the workers on which a gang can start first", (t) => {
+    const candidates = [
+        buildCandidate("a", 0, [buildRelease(9_000, 16_000)]),
+        buildCandidate("b", 4_000, [buildRelease(2_000, 8_000), buildRelease(1_000, 4_000)]),
+        buildCandidate("c", 0, [buildRelease(3_000, 4_000)]),
+    ];
+    const select = (count: number) => selectReservation(candidates, { needs: NEEDS, count });
+    t.is(select(1).startsInMs, 0);
+    t.is(select(2).startsInMs, 1_000);
+    t.deepEqual([...select(4).workers], [["b" as WorkerId, 4]]);
+    t.is(select(4).startsInMs, 2_000);
+    t.is(select(5).startsInMs, 3_000);
+    t.is(select(6).startsInMs, 9_000);
+});
+
+// Guards against workers that are reserved without an end.
+test("reserves none for a gang that has to wait for a task without an end", (t) => {
+    const candidates = [
+        buildCandidate("a", 8_000, [buildRelease(Number.POSITIVE_INFINITY, 8_000)]),
+        { ...buildCandidate("b", 16_000), maxTasks: 1 },
+    ];
+    t.is(selectReservation(candidates, { needs: NEEDS, count: 4 }).workers.size, 0);
+    t.is(selectReservation(candidates, { needs: NEEDS, count: 3 }).workers.size, 2);
 });
 
 test("a wide gang starts within seconds on a cluster full of small tasks", (t) => {
