A poll that waits is not added again

The readings suspected workers that have answered nothing yet; a trace says otherwise. Each new worker at an address has all others at that address polled, which makes 79,800 polls of 400 heartbeats; they are sent at 640 a second. The first poll of a sound executor, which renews its lease, waited behind 79,781 others until its lease had lapsed, 6 s later, and its finished tasks started again elsewhere. Now each worker has at most one poll of each kind in the queue; a poll is prepared when its turn comes, so a second one says no more.

Failed before: "a poll waits once, however often it is added".

--- a/control/effect_queue.ts
+++ b/control/effect_queue.ts
@@ -57,6 +57,8 @@
     readonly #urgent: Effect[] = [];
     readonly #normal: Effect[] = [];
     readonly #polls: Effect[] = [];
+    /** The keys of the effects in {@link EffectQueue.#polls}. */
+    readonly #pollKeys = new Set<string>();
     #nextPollBurstAtMs = Number.NEGATIVE_INFINITY;
     #isTurnScheduled = false;
     #wasFull = false;
@@ -88,14 +90,22 @@
 
     /**
      * Adds effects whose facts are committed. Redundant ones are skipped so that they don't delay
-     * polls.
+     * polls: also a poll while the same one waits, since it is prepared when its turn comes.
      *
      * @param effects The effects.
      */
     add(effects: readonly Effect[]): void {
-        effects
-            .filter((effect) => this.#options.isRedundant?.(effect) !== true)
-            .forEach((effect) => this.#selectQueue(effect).push(effect));
+        for (const effect of effects) {
+            const pollKey = createPollKey(effect);
+            const isWaiting = pollKey !== undefined && this.#pollKeys.has(pollKey);
+            if (isWaiting || this.#options.isRedundant?.(effect) === true) {
+                continue;
+            }
+            if (pollKey !== undefined) {
+                this.#pollKeys.add(pollKey);
+            }
+            this.#selectQueue(effect).push(effect);
+        }
         this.#scheduleTurn();
     }
 
@@ -163,6 +173,7 @@
             if (queue === undefined || effect === undefined || this.#isStopped) {
                 break;
             }
+            this.#pollKeys.delete(createPollKey(effect) ?? "");
             this.#options.run(effect);
             count += 1;
             while (isSameAttempt(effect, queue[0])) {
@@ -174,6 +185,13 @@
     }
 }
 
+/** Creates the key of a poll; `undefined` for other effects. */
+function createPollKey(effect: Effect): string | undefined {
+    return effect.type === "watch" || effect.type === "look"
+        ? `${effect.type} ${effect.worker}`
+        : undefined;
+}
+
 function isSameAttempt(effect: Effect, next: Effect | undefined): boolean {
     return (
         effect.type === "start" &&
--- a/control/effect_queue_test.ts
+++ b/control/effect_queue_test.ts
@@ -107,6 +107,24 @@
     t.true(ran.includes(poll));
 });
 
+// Guards against polls that repeat others that wait, behind which leases lapse unrenewed.
+test("a poll waits once, however often it is added", (t) => {
+    const { queue, ran, runTurn, clock } = buildQueue();
+    for (let i = 0; i < 400; i++) {
+        queue.add(buildEffects(i, buildPoll));
+    }
+    const watch: Effect = { type: "watch", worker: "w7" as WorkerId };
+    queue.add([watch]);
+    while (!ran.includes(watch)) {
+        runTurn();
+    }
+    t.true(clock.now < 1_000);
+    t.is(ran.length, 400);
+    queue.add([buildPoll(7)]);
+    runTurn();
+    t.is(ran.length, 401);
+});
+
 test("a full queue reports once that it has drained", (t) => {
     const { queue, runTurn, countDrained } = buildQueue();
     queue.add(buildEffects(20, () => buildStart(1)));
