Gangs wait for tasks that end soon instead of preempting them; backfilling keeps a margin

Cause: the earliest start was computed as if each task with checkpoints could be freed at once, so that gangs reserved workers whose tasks they then preempted, instead of ones that were about to come free.

A task that may be preempted now counts with its expected end, 3 s away at most; nothing is preempted for a gang that is expected to start within 1 s anyway; and a task goes ahead of a gang only if twice its expected time is left, as estimates are off by half and more.

--- a/dispatch/_gang_reservations.ts
+++ b/dispatch/_gang_reservations.ts
@@ -20,7 +20,7 @@
 import type { DispatchContext } from "./_context.ts";
 import type { MemberRun } from "./types.ts";
 import { START_OVERHEAD_MS } from "./ranking.ts";
-import { computeRemainingMs, STOP_MS } from "./_remaining_time.ts";
+import { computeRemainingMs } from "./_remaining_time.ts";
 import {
     isMissingAny,
     NO_RESERVATION,
@@ -52,6 +52,17 @@
 /** Share of a pool's CPU in use below which held steps are let through. */
 const LOW_USE_SHARE = 0.5;
 
+/**
+ * Time after which a task that may be preempted counts as ended at the latest, in ms. Gangs wait for
+ * ends that come sooner rather than discard work.
+ */
+const MAX_PREEMPTIBLE_REMAINING_MS = 3_000;
+/** Expected wait from which preemption starts a gang sooner, in ms; a stop takes up to 0.9 s. */
+const MIN_PREEMPTION_GAIN_MS = 1_000;
+
+/** Factor on the expected duration of a task that may run before a gang starts. */
+const BACKFILL_SAFETY_FACTOR = 2;
+
 /** A waiting step with its rank; the smallest rank goes first. */
 export interface RankedStep {
     readonly step: ReadyStep;
@@ -122,7 +133,8 @@
         if (isPerpetual || estimateMs <= 0) {
             return false;
         }
-        const taskMs = estimateMs * this.#context.getQueueRatio(step.queue).p80;
+        const taskMs =
+            BACKFILL_SAFETY_FACTOR * estimateMs * this.#context.getQueueRatio(step.queue).p80;
         return now + START_OVERHEAD_MS + taskMs <= gang.step.reservedStartAtMs;
     }
 
@@ -188,7 +200,9 @@
         step.reservedStartAtMs = now + reservation.startsInMs;
         this.#releaseWorkers(previous, step.reservedWorkers);
         this.#recordChange(step, previous);
-        const mayPreempt = now - step.preemptedAtMs >= PREEMPTION_INTERVAL_MS;
+        const mayPreempt =
+            now - step.preemptedAtMs >= PREEMPTION_INTERVAL_MS &&
+            reservation.startsInMs > MIN_PREEMPTION_GAIN_MS;
         if (step.reservedWorkers.size === 0 || !mayPreempt || !this.#hasPreemptionTurn(entry)) {
             return;
         }
@@ -328,7 +342,9 @@
                 const { queue } = this.#context.stateStore.jobs.get(member.unit.job) ?? {};
                 const ratio = queue === undefined ? 1 : this.#context.getQueueRatio(queue).total;
                 const remainingMs = computeRemainingMs(member, ratio, now);
-                const inMs = member.isMovable ? Math.min(STOP_MS, remainingMs) : remainingMs;
+                const inMs = member.isMovable
+                    ? Math.min(MAX_PREEMPTIBLE_REMAINING_MS, remainingMs)
+                    : remainingMs;
                 releases.push({ inMs, resources: member.reserved });
             }
         }
--- a/dispatch/_remaining_time.ts
+++ b/dispatch/_remaining_time.ts
@@ -13,7 +13,7 @@
 import type { MemberRun } from "./types.ts";
 
 /** Time that a task takes to end once it is being stopped, in ms. */
-export const STOP_MS = 200;
+const STOP_MS = 200;
 
 /**
  * Computes how long a task is expected to run. One that has run longer than estimated is expected to
--- a/dispatch/reservation_test.ts
+++ b/dispatch/reservation_test.ts
@@ -150,3 +150,38 @@
     t.is(cluster.getJobState(gang), "complete");
     t.deepEqual(cluster.violations, []);
 });
+
+// Guards against preemption that discards work and starts a gang no sooner.
+test("a gang waits for tasks that are about to end instead of preempting them", (t) => {
+    const preempted: unknown[] = [];
+    const cluster = new SimulatedCluster({
+        workers: 2,
+        taskMs: 1_200,
+        queues: [
+            buildQueue(),
+            buildQueue({ name: GANG_QUEUE, pathPrefix: "/g/", priority: 1 }),
+            buildQueue({ name: BATCH_QUEUE, pathPrefix: "/b/", priority: 2 }),
+        ],
+        dispatcherOptions: {
+            recordDecision: (_kind, event, fields) => {
+                if (event === "task preempted") {
+                    preempted.push(fields);
+                }
+            },
+        },
+    });
+    const batch = buildSpec({
+        count: 8,
+        needs: { ...NEEDS, memoryMb: 500 },
+        estimateMs: 1_200,
+        savesProgress: true,
+    });
+    cluster.submit("00000000000000b1", batch, BATCH_QUEUE);
+    cluster.runFor(600);
+    const gang = "00000000000000a1";
+    const needs = { cpu: 16_000, memoryMb: 500, gpu: 0 };
+    cluster.submit(gang, buildSpec({ count: 2, isGang: true, needs }), GANG_QUEUE);
+    cluster.runFor(3_500);
+    t.deepEqual(preempted, []);
+    t.is(cluster.getJobState(gang), "complete");
+});
