--- a/dispatch/_gang_reservations.ts
+++ b/dispatch/_gang_reservations.ts
@@ -60,9 +60,6 @@
 /** Expected wait from which preemption starts a gang sooner, in ms; a stop takes up to 0.9 s. */
 const MIN_PREEMPTION_GAIN_MS = 1_000;
 
-/** Factor on the expected duration of a task that may run before a gang starts. */
-const BACKFILL_SAFETY_FACTOR = 2;
-
 /** A waiting step with its rank; the smallest rank goes first. */
 export interface RankedStep {
     readonly step: ReadyStep;
@@ -133,8 +130,7 @@
         if (isPerpetual || estimateMs <= 0) {
             return false;
         }
-        const taskMs =
-            BACKFILL_SAFETY_FACTOR * estimateMs * this.#context.getQueueRatio(step.queue).p80;
+        const taskMs = estimateMs * this.#context.getQueueRatio(step.queue).p80;
         return now + START_OVERHEAD_MS + taskMs <= gang.step.reservedStartAtMs;
     }
 
