Steps that ignore reservations are matched four times a second, gangs as before

With every held step of an idle pool was matched with all workers 20 times a second once it was let through, also each gang of a backlog, which costs a busy leader most when it is behind. Gangs keep the intervals that they had; other steps are matched again after 250 ms.

--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -62,6 +62,11 @@
  * capacity within a second.
  */
 const MAX_FREQUENT_GANGS = 8;
+/**
+ * Time between two matches, with all workers, of a step that ignores reservations, in ms. The workers
+ * that it may use now have not changed.
+ */
+const EXEMPT_MATCH_INTERVAL_MS = 250;
 /** Time between two matches of the gangs behind them, in ms; limits the cost of a backlog. */
 const BACKLOG_GANG_MATCH_INTERVAL_MS = 250;
 
@@ -209,12 +214,6 @@
             return "all";
         }
         const sinceFullMatchMs = now - step.matchedAllAtMs;
-        if (
-            sinceFullMatchMs >= GANG_MATCH_INTERVAL_MS &&
-            this.#gangReservations.isExempt(entry, now)
-        ) {
-            return "all";
-        }
         if (
             step.hasCrashes &&
             sinceFullMatchMs >= GANG_MATCH_INTERVAL_MS &&
@@ -229,7 +228,11 @@
                     : BACKLOG_GANG_MATCH_INTERVAL_MS;
             return sinceFullMatchMs >= intervalMs ? "all" : "none";
         }
-        if (sinceFullMatchMs >= FULL_MATCH_INTERVAL_MS) {
+        if (
+            sinceFullMatchMs >= FULL_MATCH_INTERVAL_MS ||
+            (sinceFullMatchMs >= EXEMPT_MATCH_INTERVAL_MS &&
+                this.#gangReservations.isExempt(entry, now))
+        ) {
             return "all";
         }
         return step.matchedVersion === this.#context.registry.capacityVersion ? "none" : "changed";
