--- a/dispatch/_placer.ts
+++ b/dispatch/_placer.ts
@@ -62,13 +62,13 @@
  * capacity within a second.
  */
 const MAX_FREQUENT_GANGS = 8;
+/** Time between two matches of the gangs behind them, in ms; limits the cost of a backlog. */
+const BACKLOG_GANG_MATCH_INTERVAL_MS = 250;
 /**
- * Time between two matches, with all workers, of a step that ignores reservations, in ms. The workers
- * that it may use now have not changed.
+ * Time between two matches with all workers of a step that has become exempt from reservations, in
+ * ms. The workers that it may use since then have not gained capacity.
  */
 const EXEMPT_MATCH_INTERVAL_MS = 250;
-/** Time between two matches of the gangs behind them, in ms; limits the cost of a backlog. */
-const BACKLOG_GANG_MATCH_INTERVAL_MS = 250;
 
 /**
  * Tasks that one run starts at most, beside the rest of the last gang. The others follow in the next
@@ -79,7 +79,7 @@
 /** The workers that a step is matched with: none, those whose capacity changed, or all. */
 type MatchScope = "none" | "changed" | "all";
 
-/** The workers that a step may be placed on. */
+/** The workers that a step may be placed on, beside those reserved for gangs. */
 interface HeldStepCandidates extends StepCandidates {
     /** Whether other workers are reserved for gangs. */
     readonly isHeld: boolean;
