Preemption uses hasResourcesFor; the tests of reservations share their queues

isMissingAny said again what hasResourcesFor says of no free resources, and four tests wrote out the same three queues. Behaviour and assertions stay.

--- a/dispatch/_gang_reservations.ts
+++ b/dispatch/_gang_reservations.ts
@@ -22,7 +22,6 @@
 import { START_OVERHEAD_MS } from "./ranking.ts";
 import { computeRemainingMs } from "./_remaining_time.ts";
 import {
-    isMissingAny,
     NO_RESERVATION,
     selectReservation,
     selectVictims,
@@ -31,7 +30,12 @@
     type ReservationCandidate,
 } from "./reservation.ts";
 import type { ReadyStep } from "./ready_steps.ts";
-import { getFreeResources, type WorkerState } from "./worker_registry.ts";
+import {
+    getFreeResources,
+    hasResourcesFor,
+    NO_RESOURCES,
+    type WorkerState,
+} from "./worker_registry.ts";
 
 /**
  * Maximum number of gangs with reservations at the same time. A mean gang reserves two to six of
@@ -284,7 +288,7 @@
                 missing,
                 this.#computePriority(entry),
             );
-            if (isMissingAny(missing) && workerVictims.length === 0) {
+            if (!hasResourcesFor(NO_RESOURCES, missing) && workerVictims.length === 0) {
                 return undefined;
             }
             victims.push(...workerVictims);
--- a/dispatch/reservation.ts
+++ b/dispatch/reservation.ts
@@ -14,6 +14,7 @@
 import type { Resources, WorkerId } from "../job/mod.ts";
 import { countFittingTasks } from "./placement.ts";
 import type { MemberRun } from "./types.ts";
+import { hasResourcesFor, NO_RESOURCES } from "./worker_registry.ts";
 
 /** Capacity that a task is expected to free. */
 export interface CapacityRelease {
@@ -155,7 +156,7 @@
     );
     const victims: MemberRun[] = [];
     for (const member of preemptible) {
-        if (!isMissingAny(remaining)) {
+        if (hasResourcesFor(NO_RESOURCES, remaining)) {
             break;
         }
         if (hasAnyOf(member, remaining)) {
@@ -163,17 +164,7 @@
             remaining = computeDifference(remaining, member.reserved);
         }
     }
-    return isMissingAny(remaining) ? [] : victims;
-}
-
-/**
- * Returns whether any resource is missing.
- *
- * @param missing What is missing of each resource; 0 or less for nothing.
- * @returns True if one is above 0.
- */
-export function isMissingAny({ cpu, memoryMb, gpu }: Resources): boolean {
-    return cpu > 0 || memoryMb > 0 || gpu > 0;
+    return hasResourcesFor(NO_RESOURCES, remaining) ? victims : [];
 }
 
 /** Returns whether a task uses a resource that is missing. */
--- a/dispatch/reservation_test.ts
+++ b/dispatch/reservation_test.ts
@@ -9,6 +9,15 @@
 
 const NEEDS = { cpu: 4_000, memoryMb: 1_000, gpu: 0 };
 
+/** Builds an urgent queue, one of gangs, and a less urgent one. */
+function buildQueues() {
+    return [
+        buildQueue(),
+        buildQueue({ name: GANG_QUEUE, pathPrefix: "/g/", priority: 1 }),
+        buildQueue({ name: BATCH_QUEUE, pathPrefix: "/b/", priority: 2 }),
+    ];
+}
+
 function buildCandidate(id: string, cpu: number, releases: readonly CapacityRelease[] = []) {
     const freeCapacity = { cpu, memoryMb: 32_000, gpu: 0 };
     return { id: id as WorkerId, freeCapacity, releases, maxTasks: 100 };
@@ -57,11 +66,7 @@
     const cluster = new SimulatedCluster({
         workers: 4,
         taskMs: 2_000,
-        queues: [
-            buildQueue(),
-            buildQueue({ name: GANG_QUEUE, pathPrefix: "/g/", priority: 1 }),
-            buildQueue({ name: BATCH_QUEUE, pathPrefix: "/b/", priority: 2 }),
-        ],
+        queues: buildQueues(),
     });
     const small = { cpu: 1_000, memoryMb: 500, gpu: 0 };
     let count = 0;
@@ -97,11 +102,7 @@
     const cluster = new SimulatedCluster({
         workers: 2,
         computeTaskMs: (task) => (task.startsWith("00000000000000b") ? 10_000 : 3_000),
-        queues: [
-            buildQueue(),
-            buildQueue({ name: GANG_QUEUE, pathPrefix: "/g/", priority: 1 }),
-            buildQueue({ name: BATCH_QUEUE, pathPrefix: "/b/", priority: 2 }),
-        ],
+        queues: buildQueues(),
     });
     const needs = { cpu: 8_000, memoryMb: 500, gpu: 0 };
     cluster.submit("00000000000000b1", buildSpec({ count: 2, needs }), BATCH_QUEUE);
@@ -130,11 +131,7 @@
     const cluster = new SimulatedCluster({
         workers: 2,
         computeTaskMs: (task) => (task.startsWith("00000000000000c") ? 60_000 : 500),
-        queues: [
-            buildQueue(),
-            buildQueue({ name: GANG_QUEUE, pathPrefix: "/g/", priority: 1 }),
-            buildQueue({ name: BATCH_QUEUE, pathPrefix: "/b/", priority: 2 }),
-        ],
+        queues: buildQueues(),
     });
     const memory = { cpu: 100, memoryMb: 20_000, gpu: 0 };
     cluster.submit(
@@ -157,11 +154,7 @@
     const cluster = new SimulatedCluster({
         workers: 2,
         taskMs: 1_200,
-        queues: [
-            buildQueue(),
-            buildQueue({ name: GANG_QUEUE, pathPrefix: "/g/", priority: 1 }),
-            buildQueue({ name: BATCH_QUEUE, pathPrefix: "/b/", priority: 2 }),
-        ],
+        queues: buildQueues(),
         dispatcherOptions: {
             recordDecision: (_kind, event, fields) => {
                 if (event === "task preempted") {
