The test of timeouts compares them with a plain timer instead of with the clock

The bound measured the machine's delay, not the timeout's.

A timeout of a duration now must have fired by the turn of the event loop in which a plain timer of the same duration expires that was started after it, and not before its duration is over.

--- a/rpc/timeout_test.ts
+++ b/rpc/timeout_test.ts
@@ -37,16 +37,16 @@
     t.is(outcome, "answered");
 });
 
+// Guards against timeouts that fire late or although cancelled. Timers of one duration expire in
+// their order, so a plain timer that is started last bounds the delay on a busy machine, too.
 test("a timeout fires in time, and a cancelled timeout does not fire", async (t) => {
     const fired: string[] = [];
     const startedAtMs = performance.now();
+    startTimeout(TIMEOUT_MS / 2, () => fired.push("cancelled"))();
+    startTimeout(TIMEOUT_MS, () => fired.push("silent"));
     await new Promise<void>((resolve) => {
-        startTimeout(TIMEOUT_MS / 2, () => fired.push("cancelled"))();
-        startTimeout(TIMEOUT_MS, () => {
-            fired.push("silent");
-            resolve();
-        });
+        setTimeout(() => setImmediate(resolve), TIMEOUT_MS);
     });
     t.deepEqual(fired, ["silent"]);
-    t.true(performance.now() - startedAtMs < 5 * TIMEOUT_MS);
+    t.true(performance.now() - startedAtMs > TIMEOUT_MS - 1);
 });
