The expected end of a running task is looked up in one place

Forecasts and reservations each looked up the job of a task and its queue's ratio before they called the same function, whose name evacuation.ts has for another estimate. It looks them up itself now, and is called computeExpectedRemainingMs. No change of behaviour: type check, lint, 21 tests of both callers.

--- a/dispatch/_forecast_input.ts
+++ b/dispatch/_forecast_input.ts
@@ -25,7 +25,7 @@
 import type { DispatchContext } from "./_context.ts";
 import { computeLatencyObjectiveMs, computeRankClass, rankStepByShare } from "./ranking.ts";
 import type { ReadyStep } from "./ready_steps.ts";
-import { computeRemainingMs } from "./_remaining_time.ts";
+import { computeExpectedRemainingMs } from "./_remaining_time.ts";
 import { rankWaitingStep } from "./_step_rank.ts";
 import { getFreeResources } from "./worker_registry.ts";
 
@@ -63,9 +63,8 @@
         capacityCpu += worker.record.capacity.cpu;
         freeCpu += Math.max(0, getFreeResources(worker).cpu);
         for (const member of worker.members.values()) {
-            const job = context.stateStore.jobs.get(member.unit.job);
-            const ratio = job === undefined ? 1 : context.getQueueRatio(job.queue).total;
-            releases.add(computeRemainingMs(member, ratio, now), member.reserved.cpu);
+            const remainingMs = computeExpectedRemainingMs(context, member, now);
+            releases.add(remainingMs, member.reserved.cpu);
         }
     }
     if (capacityCpu <= 0) {
--- a/dispatch/_gang_reservations.ts
+++ b/dispatch/_gang_reservations.ts
@@ -20,7 +20,7 @@
 import type { DispatchContext } from "./_context.ts";
 import type { MemberRun } from "./types.ts";
 import { START_OVERHEAD_MS } from "./ranking.ts";
-import { computeRemainingMs } from "./_remaining_time.ts";
+import { computeExpectedRemainingMs } from "./_remaining_time.ts";
 import {
     NO_RESERVATION,
     selectReservation,
@@ -339,9 +339,7 @@
         const releases: CapacityRelease[] = [];
         for (const member of worker.members.values()) {
             if (member.priority > priority) {
-                const { queue } = this.#context.stateStore.jobs.get(member.unit.job) ?? {};
-                const ratio = queue === undefined ? 1 : this.#context.getQueueRatio(queue).total;
-                const remainingMs = computeRemainingMs(member, ratio, now);
+                const remainingMs = computeExpectedRemainingMs(this.#context, member, now);
                 const inMs = member.isMovable
                     ? Math.min(MAX_PREEMPTIBLE_REMAINING_MS, remainingMs)
                     : remainingMs;
--- a/dispatch/_remaining_time.ts
+++ b/dispatch/_remaining_time.ts
@@ -3,13 +3,14 @@
  *
  * @example
  * ```ts
- * import { computeRemainingMs } from "./_remaining_time.ts";
- * const remainingMs = computeRemainingMs(member, ratio, now);
+ * import { computeExpectedRemainingMs } from "./_remaining_time.ts";
+ * const remainingMs = computeExpectedRemainingMs(context, member, now);
  * ```
  *
  * @module
  */
 
+import type { DispatchContext } from "./_context.ts";
 import type { MemberRun } from "./types.ts";
 
 /** Time that a task takes to end once it is being stopped, in ms. */
@@ -19,14 +20,14 @@
  * Computes how long a task is expected to run. One that has run longer than estimated is expected to
  * exceed its estimate by as much again: a few tasks take several times as long as the others.
  *
+ * @param context The shared state of the dispatcher.
  * @param member The task.
- * @param ratio Actual over estimated durations of its queue.
  * @param now The current monotonic time, in ms.
  * @returns The time, in ms; infinite for a task that runs until it is stopped.
  */
-export function computeRemainingMs(
-    member: Pick<MemberRun, "state" | "isPerpetual" | "estimateMs" | "startedAtMs">,
-    ratio: number,
+export function computeExpectedRemainingMs(
+    context: DispatchContext,
+    member: MemberRun,
     now: number,
 ): number {
     if (member.state === "stopping") {
@@ -35,5 +36,7 @@
     if (member.isPerpetual) {
         return Number.POSITIVE_INFINITY;
     }
+    const job = context.stateStore.jobs.get(member.unit.job);
+    const ratio = job === undefined ? 1 : context.getQueueRatio(job.queue).total;
     return Math.abs(member.estimateMs * ratio - (now - member.startedAtMs));
 }
