Resources are subtracted and multiplied in one place

reservation.ts and the list of tasks to preempt had copies of what getFreeResources and computeUnitDemand compute. computeDifference and computeTotalNeeds stand beside getFreeResources now, and all four call them.

--- a/dispatch/_gang_reservations.ts
+++ b/dispatch/_gang_reservations.ts
@@ -31,6 +31,8 @@
 } from "./reservation.ts";
 import type { ReadyStep } from "./ready_steps.ts";
 import {
+    computeDifference,
+    computeTotalNeeds,
     getFreeResources,
     hasResourcesFor,
     NO_RESOURCES,
@@ -277,12 +279,10 @@
             if (worker === undefined || !admitted.has(id)) {
                 return undefined;
             }
-            const free = getFreeResources(worker);
-            const missing = {
-                cpu: count * needs.cpu - free.cpu,
-                memoryMb: count * needs.memoryMb - free.memoryMb,
-                gpu: count * needs.gpu - free.gpu,
-            };
+            const missing = computeDifference(
+                computeTotalNeeds(needs, count),
+                getFreeResources(worker),
+            );
             const workerVictims = selectVictims(
                 worker.members.values(),
                 missing,
--- a/dispatch/admission.ts
+++ b/dispatch/admission.ts
@@ -13,6 +13,7 @@
 
 import type { QuotaLedger, WorkspaceName } from "../workspace/mod.ts";
 import type { JobSpec, Resources, StepSpec, WorkerRecord } from "../job/mod.ts";
+import { computeTotalNeeds } from "./worker_registry.ts";
 
 /**
  * Checks whether the workers of a pool, idle and at full capacity, could run a job.
@@ -61,9 +62,7 @@
  * @returns The resources of the whole gang, or of one task.
  */
 export function computeUnitDemand(step: Pick<StepSpec, "needs" | "count" | "isGang">): Resources {
-    const { cpu, memoryMb, gpu } = step.needs;
-    const tasks = step.isGang ? step.count : 1;
-    return { cpu: tasks * cpu, memoryMb: tasks * memoryMb, gpu: tasks * gpu };
+    return computeTotalNeeds(step.needs, step.isGang ? step.count : 1);
 }
 
 /** Looks at no more workers than it takes: a job may have many steps. */
--- a/dispatch/reservation.ts
+++ b/dispatch/reservation.ts
@@ -14,7 +14,7 @@
 import type { Resources, WorkerId } from "../job/mod.ts";
 import { countFittingTasks } from "./placement.ts";
 import type { MemberRun } from "./types.ts";
-import { hasResourcesFor, NO_RESOURCES } from "./worker_registry.ts";
+import { computeDifference, hasResourcesFor, NO_RESOURCES } from "./worker_registry.ts";
 
 /** Capacity that a task is expected to free. */
 export interface CapacityRelease {
@@ -175,11 +175,3 @@
         (missing.gpu > 0 && reserved.gpu > 0)
     );
 }
-
-function computeDifference(from: Resources, taken: Resources): Resources {
-    return {
-        cpu: from.cpu - taken.cpu,
-        memoryMb: from.memoryMb - taken.memoryMb,
-        gpu: from.gpu - taken.gpu,
-    };
-}
--- a/dispatch/worker_registry.ts
+++ b/dispatch/worker_registry.ts
@@ -568,14 +568,35 @@
  * @returns Its capacity minus what its members reserve.
  */
 export function getFreeResources(worker: WorkerState): Resources {
-    const { capacity } = worker.record;
+    return computeDifference(worker.record.capacity, worker.reserved);
+}
+
+/**
+ * Computes what is left of resources.
+ *
+ * @param from The resources.
+ * @param taken What is taken from them.
+ * @returns The difference, below 0 where more is taken.
+ */
+export function computeDifference(from: Resources, taken: Resources): Resources {
     return {
-        cpu: capacity.cpu - worker.reserved.cpu,
-        memoryMb: capacity.memoryMb - worker.reserved.memoryMb,
-        gpu: capacity.gpu - worker.reserved.gpu,
+        cpu: from.cpu - taken.cpu,
+        memoryMb: from.memoryMb - taken.memoryMb,
+        gpu: from.gpu - taken.gpu,
     };
 }
 
+/**
+ * Computes what several tasks need together.
+ *
+ * @param needs The needs of each task.
+ * @param count The number of tasks.
+ * @returns The needs of all of them.
+ */
+export function computeTotalNeeds(needs: Resources, count: number): Resources {
+    return { cpu: count * needs.cpu, memoryMb: count * needs.memoryMb, gpu: count * needs.gpu };
+}
+
 /**
  * Returns whether a request fits into the free resources.
  *
