--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -173,6 +173,7 @@
             startResolvedAtMs: undefined,
             startedAtMs: now,
             acceptedAtMs: undefined,
+            isListed: false,
             observedRunMs: 0,
             isolationMs: computeIsolationMs(this.#context.stateStore.findUnit(unit)?.crashes ?? []),
             progressPercent: 0,
@@ -419,6 +420,7 @@
         }
         member.startResolvedAtMs = undefined;
         member.acceptedAtMs = undefined;
+        member.isListed = false;
         if (member.state === "running") {
             member.state = "ordered";
         }
--- a/dispatch/_worker_failures.ts
+++ b/dispatch/_worker_failures.ts
@@ -80,8 +80,8 @@
             incarnation,
             before: worker.record.incarnation,
             members: worker.members.size,
-            silentMs: Math.round(clock.getNow() - worker.lastContactAtMs),
             draining: worker.record.isDraining,
+            ...describeTimes(worker, clock.getNow()),
         });
         const listed = new Set(
             [...answer.running, ...answer.ended].map(({ task, attempt }) => `${task}#${attempt}`),
@@ -139,7 +139,9 @@
         this.#context.recordDecision("failure", "lease over", {
             worker: id,
             members: members.length,
-            silentMs: Math.round(this.#context.clock.getNow() - worker.lastContactAtMs),
+            unlisted: members.filter(({ isListed }) => !isListed).length,
+            incarnation: worker.record.incarnation,
+            ...describeTimes(worker, this.#context.clock.getNow()),
         });
         this.#context.recordFact({
             type: "workerLapsed",
@@ -183,3 +185,13 @@
         this.#context.registry.removeWorker(id);
     }
 }
+
+/** Describes how long ago a worker was heard of and got a lease; a missing time is left out. */
+function describeTimes(
+    { lastContactAtMs, leaseSentAtMs }: WorkerState,
+    now: number,
+): { readonly silentMs?: number | undefined; readonly leaseSentMs?: number | undefined } {
+    const computeAge = (atMs: number): number | undefined =>
+        Number.isFinite(atMs) ? Math.round(now - atMs) : undefined;
+    return { silentMs: computeAge(lastContactAtMs), leaseSentMs: computeAge(leaseSentAtMs) };
+}
--- a/dispatch/_worker_poller.ts
+++ b/dispatch/_worker_poller.ts
@@ -325,6 +325,7 @@
             member.state = "running";
         }
         member.incarnation = worker.record.incarnation;
+        member.isListed = true;
         member.load = report.load;
         member.observedRunMs = now - member.startedAtMs;
         this.#recordProgress(worker, member, report.percent, now);
--- a/dispatch/types.ts
+++ b/dispatch/types.ts
@@ -81,6 +81,8 @@
      * of the start is not known exactly.
      */
     acceptedAtMs: number | undefined;
+    /** Whether the worker's known incarnation has listed the run. */
+    isListed: boolean;
     /** How long the member had run when its worker last listed it, in ms; 0 before that. */
     observedRunMs: number;
     /**
--- a/dispatch/worker_registry.ts
+++ b/dispatch/worker_registry.ts
@@ -60,6 +60,8 @@
     fence: number;
     /** Latest lease end sent to the worker, in ms of the worker's clock. */
     leaseEndWorkerMs: number;
+    /** When this leader last sent a lease, in ms. */
+    leaseSentAtMs: number;
     /** When all leases granted by earlier leaders have expired, in ms of the leader's clock. */
     inheritedLeaseEndsAtMs: number;
     readonly reserved: { cpu: number; memoryMb: number; gpu: number };
@@ -224,6 +226,7 @@
             speed: new WorkerSpeed(),
             fence: this.#nextFence,
             leaseEndWorkerMs: Number.NEGATIVE_INFINITY,
+            leaseSentAtMs: Number.NEGATIVE_INFINITY,
             inheritedLeaseEndsAtMs: now,
             reserved: { cpu: 0, memoryMb: 0, gpu: 0 },
             members: new Map(),
@@ -404,6 +407,7 @@
         }
         const leaseEndMs = Math.floor(workerClockMs + this.#options.leaseMs);
         worker.leaseEndWorkerMs = Math.max(worker.leaseEndWorkerMs, leaseEndMs);
+        worker.leaseSentAtMs = now;
         return leaseEndMs;
     }
 
