--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -144,6 +144,7 @@
     });
     readonly #addresses = new Map<WorkerId, string>();
     readonly #workersWithoutHeartbeats = new Set<WorkerId>();
+    readonly #isolatedWorkers = new Set<WorkerId>();
     #hasLeader = true;
     #incarnationCount = 0;
     #configurationVersion = 1;
@@ -395,6 +396,15 @@
         this.#workersWithoutHeartbeats.add(id);
     }
 
+    /** Sets whether a worker is isolated: its heartbeats, calls to it and its answers are lost. */
+    setIsolated(id: WorkerId, isIsolated: boolean): void {
+        if (isIsolated) {
+            this.#isolatedWorkers.add(id);
+        } else {
+            this.#isolatedWorkers.delete(id);
+        }
+    }
+
     /** Advances virtual time. */
     runFor(ms: number): void {
         this.#time.runFor(ms, () => {
@@ -524,6 +534,7 @@
             if (
                 heartbeat === undefined ||
                 !this.#hasLeader ||
+                this.#isolatedWorkers.has(id) ||
                 this.#workersWithoutHeartbeats.has(id)
             ) {
                 continue;
@@ -718,29 +729,30 @@
             reply(NETWORK_DELAY_MS, { type: "undelivered", cause: "refused" } as A);
             return;
         }
-        if (fault.type === "lost" || worker === undefined) {
-            reply(timeoutMs, noAnswer);
-            return;
-        }
         if (fault.type === "late") {
             reply(timeoutMs, noAnswer);
             this.#scheduleEvent(fault.afterMs, () => {
-                const receiver = worker.isKilled ? this.workers.get(id) : worker;
+                const receiver = worker?.isKilled === false ? worker : this.workers.get(id);
                 if (receiver !== undefined) {
                     execute(receiver);
                 }
             });
             return;
         }
+        if (fault.type === "lost" || worker === undefined || this.#isolatedWorkers.has(id)) {
+            reply(timeoutMs, noAnswer);
+            return;
+        }
         const requestDelayMs = this.#computeNetworkDelayMs();
         this.#scheduleEvent(requestDelayMs, () => {
-            if (worker.isKilled) {
-                reply(timeoutMs, noAnswer);
+            if (worker.isKilled || this.#isolatedWorkers.has(id)) {
+                reply(Math.max(0, timeoutMs - requestDelayMs), noAnswer);
                 return;
             }
             const answer = execute(worker);
             const answerDelayMs = this.#computeNetworkDelayMs();
-            if (requestDelayMs + answerDelayMs <= timeoutMs) {
+            const isAnswered = requestDelayMs + answerDelayMs <= timeoutMs;
+            if (isAnswered && !this.#isolatedWorkers.has(id)) {
                 reply(answerDelayMs, answer);
             } else {
                 reply(Math.max(0, timeoutMs - requestDelayMs), noAnswer);
