A new leader outwaits the longest lease that a worker may hold

Callers saw two runs of a task at once: the earlier leader's on a worker that had restarted under its id and was cut off, and the new leader's elsewhere.

Cause: the new leader took the leases of earlier leaders to end leaseMs after its own start. A call that carries a lease end on the clock of the previous incarnation reaches the restarted worker before the leader has noticed the restart (the poll that asks who is there does so each time). On the new clock it lies far ahead, and the worker shortens it to the longest lease, 10 s. The same call may be executed some seconds late.

Now such a lease counts until maxCallDelayMs and the longest lease after the call was sent, on the slowest clock: for a new leader after its start, for a noticed restart after the last lease that was sent. Workers that are silent when the leader changes keep their tasks up to 4.5 s longer.

--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -61,6 +61,8 @@
     // A dead worker's tasks wait this long unless something new answers at its address.
     leaseMs: 8_500,
     maxLeaseMs: 10_000,
+    // Longer than any call to a worker waits for its answer.
+    maxCallDelayMs: 3_000,
     // Twice the time for which a job's state must stay readable.
     retentionMs: 240_000,
     // Bounds how long a lost poll goes unnoticed.
@@ -111,6 +113,7 @@
             firstFence: options.firstFence,
             leaseMs: this.limits.leaseMs,
             maxLeaseMs: this.limits.maxLeaseMs,
+            maxCallDelayMs: this.limits.maxCallDelayMs,
             maxReportAgeMs: this.limits.maxReportAgeMs,
             quotaLedger: this.quotaLedger,
         });
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -51,7 +51,6 @@
     StartOrder,
     StopOrder,
 } from "./types.ts";
-import { SLOWEST_CLOCK_FACTOR } from "./worker_clock.ts";
 import { NO_RESOURCES, type WorkerState } from "./worker_registry.ts";
 import { checkJobSize, computeJobSize } from "./work_limits.ts";
 
@@ -427,8 +426,7 @@
         const now = this.#context.clock.getNow();
         for (const record of this.#context.stateStore.workers.values()) {
             const worker = this.#context.registry.ensureWorker(record, now);
-            worker.inheritedLeaseEndsAtMs =
-                now + this.#context.limits.leaseMs * SLOWEST_CLOCK_FACTOR;
+            worker.inheritedLeaseEndsAtMs = this.#context.registry.computeLatestLeaseEnd(now);
             worker.isSuspect = true;
             const clockMs = this.#context.stateStore.lastReportClocksMs.get(record.id);
             worker.lastReport = { arrivedAtMs: Number.NEGATIVE_INFINITY, clockMs };
--- a/dispatch/matching_test.ts
+++ b/dispatch/matching_test.ts
@@ -37,6 +37,7 @@
         firstFence: 1,
         leaseMs: 1_000,
         maxLeaseMs: 1_000,
+        maxCallDelayMs: 1_000,
         maxReportAgeMs: 3_500,
         quotaLedger: new QuotaLedger(() => undefined),
     });
--- a/dispatch/types.ts
+++ b/dispatch/types.ts
@@ -295,6 +295,11 @@
     readonly leaseMs: number;
     /** The longest lease that a worker accepts, in ms. */
     readonly maxLeaseMs: number;
+    /**
+     * How long after a call was sent or given up it may still be executed, in ms. The worker may have
+     * restarted by then, and the next incarnation executes it as well.
+     */
+    readonly maxCallDelayMs: number;
     /** How long ended jobs are retained, in ms. */
     readonly retentionMs: number;
     /** How long a worker may delay its answer to a poll until a task ends, in ms. */
--- a/dispatch/worker_registry.ts
+++ b/dispatch/worker_registry.ts
@@ -62,7 +62,10 @@
     leaseEndWorkerMs: number;
     /** When this leader last sent a lease, in ms. */
     leaseSentAtMs: number;
-    /** When all leases granted by earlier leaders have expired, in ms of the leader's clock. */
+    /**
+     * When all leases that earlier leaders granted, or that were meant for earlier incarnations, have
+     * expired, in ms of the leader's clock.
+     */
     inheritedLeaseEndsAtMs: number;
     readonly reserved: { cpu: number; memoryMb: number; gpu: number };
     readonly members: Map<TaskName, MemberRun>;
@@ -128,6 +131,8 @@
     readonly leaseMs: number;
     /** The longest lease that a worker accepts, in ms. */
     readonly maxLeaseMs: number;
+    /** How long after a call was sent or given up it may still be executed, in ms. */
+    readonly maxCallDelayMs: number;
     /** A worker whose newest heartbeat is older gets no new work, in ms. */
     readonly maxReportAgeMs: number;
     /** Counts what the workspaces' tasks reserve; follows the members of the workers. */
@@ -205,8 +210,10 @@
      */
     resetWorker(previous: WorkerState, record: WorkerRecord, now: number): WorkerState {
         const state = this.#createState(record, now);
-        // An order with a lease in the previous clock may have reached the new incarnation.
-        state.inheritedLeaseEndsAtMs = now + this.#options.maxLeaseMs * SLOWEST_CLOCK_FACTOR;
+        state.inheritedLeaseEndsAtMs = Math.max(
+            previous.inheritedLeaseEndsAtMs,
+            this.computeLatestLeaseEnd(previous.leaseSentAtMs),
+        );
         state.isSuspect = true;
         state.isReportMissing = true;
         state.pendingHeartbeat = previous.pendingHeartbeat;
@@ -411,6 +418,18 @@
         return leaseEndMs;
     }
 
+    /**
+     * Computes when a lease ends at the latest, whichever incarnation of its worker executes the call
+     * that grants it: on the clock of another one, the lease may last as long as the worker allows.
+     *
+     * @param sentAtMs When the call was sent, in ms.
+     * @returns The end, in ms of the leader's clock.
+     */
+    computeLatestLeaseEnd(sentAtMs: number): number {
+        const { maxCallDelayMs, maxLeaseMs } = this.#options;
+        return sentAtMs + maxCallDelayMs + maxLeaseMs * SLOWEST_CLOCK_FACTOR;
+    }
+
     /**
      * Returns whether every lease of a worker has expired, assuming the slowest allowed clock.
      *
