A run that no list has shown outlasts the known incarnation's leases

Callers saw two runs of a task at once under one leader: a start had reached the next incarnation of a worker that was then cut off, directly or seconds late, and ran on there after the task had been started elsewhere.

Cause: the end of a worker's leases was computed on the clock of the incarnation that the leader knew. In another one a lease lasts as long as the worker allows, from the arrival of the call.

Now each run is judged by itself. One that the known incarnation has listed, with no start order that may still be executed, ends with that incarnation's leases, as before. Any other counts until the longest lease after the last call that carried one. Polls carry no lease while unanswered calls or a heartbeat suggest a restart.

--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -76,6 +76,7 @@
                             const member = this.createMember(job, ref, index, worker, undefined);
                             member.state = job.endedAt === undefined ? "ordered" : "stopping";
                             member.startSends = MAX_START_SENDS;
+                            member.lateStartUntilMs = now + this.#context.limits.maxCallDelayMs;
                             member.isAdopted = true;
                             member.startedAtMs = now;
                             this.addMember(member);
@@ -174,6 +175,8 @@
             startedAtMs: now,
             acceptedAtMs: undefined,
             isListed: false,
+            pendingStarts: 0,
+            lateStartUntilMs: Number.NEGATIVE_INFINITY,
             observedRunMs: 0,
             isolationMs: computeIsolationMs(this.#context.stateStore.findUnit(unit)?.crashes ?? []),
             progressPercent: 0,
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -84,6 +84,7 @@
         }
         member.state = "ordered";
         member.startSends += 1;
+        member.pendingStarts += 1;
         member.fence = worker.fence;
         member.incarnation = worker.record.incarnation;
         const unit = this.#context.stateStore.findUnit(member.unit);
@@ -112,6 +113,7 @@
             return;
         }
         const now = this.#context.clock.getNow();
+        member.pendingStarts -= 1;
         switch (answer.type) {
             case "accepted":
                 this.#context.registry.recordAnswer(worker, now);
@@ -293,7 +295,9 @@
             tries: member.startSends,
             cause,
         });
-        this.#context.registry.recordUnansweredCall(worker, this.#context.clock.getNow());
+        const now = this.#context.clock.getNow();
+        member.lateStartUntilMs = now + this.#context.limits.maxCallDelayMs;
+        this.#context.registry.recordUnansweredCall(worker, now);
         if (member.startSends < MAX_START_SENDS && member.state === "ordered") {
             // Starts are idempotent: resending over another connection distinguishes a lost answer
             // from a lost worker.
--- a/dispatch/_worker_poller.ts
+++ b/dispatch/_worker_poller.ts
@@ -94,8 +94,9 @@
             fence: worker.fence,
             cursor: selectCursor(worker),
             // An unanswered poll may still have been executed. Renewing the lease with each retry
-            // would keep the tasks of an unreachable worker from ever expiring.
-            untilMs: worker.isSuspect
+            // would keep the tasks of an unreachable worker from ever expiring, and in another
+            // incarnation a lease lasts as long as the worker allows.
+            untilMs: isRestartPossible(worker)
                 ? undefined
                 : this.#context.registry.grantLease(worker, this.#context.clock.getNow()),
             // A suspect worker is polled without waiting, so that a lost poll is retried soon after
@@ -121,6 +122,9 @@
         if (worker === undefined) {
             return;
         }
+        if (order.untilMs !== undefined) {
+            this.#context.registry.recordLeaseSent(worker, sentAtMs);
+        }
         this.#removePending(worker, order);
         if (answer.type === "gone") {
             this.#failures.handleReplacement(worker);
@@ -401,3 +405,8 @@
     const mayHaveRestarted = worker.mayHaveRestarted || hasPending;
     return hasUnacknowledged && !mayHaveRestarted ? worker.committedCursor : 0;
 }
+
+/** Returns whether unanswered calls or a heartbeat suggest that a worker has restarted. */
+function isRestartPossible(worker: WorkerState): boolean {
+    return worker.isSuspect || worker.mayHaveRestarted || worker.pendingHeartbeat !== undefined;
+}
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -441,9 +441,15 @@
     }
 
     #tickWorker(worker: WorkerState, now: number): void {
-        const sent = [...worker.members.values()].filter((member) => member.state !== "planned");
-        if (sent.length > 0 && this.#context.registry.hasLeaseExpired(worker, now)) {
-            this.#failures.expireLease(worker, sent);
+        if (this.#context.registry.hasLeaseExpired(worker, now)) {
+            const expired = [...worker.members.values()].filter(
+                (member) =>
+                    member.state !== "planned" &&
+                    this.#context.registry.hasRunExpired(worker, member, now),
+            );
+            if (expired.length > 0) {
+                this.#failures.expireLease(worker, expired);
+            }
         }
         for (const member of worker.members.values()) {
             if (member.state === "stopping" && now - member.stopSentAtMs > STOP_RETRY_MS) {
--- a/dispatch/types.ts
+++ b/dispatch/types.ts
@@ -83,6 +83,10 @@
     acceptedAtMs: number | undefined;
     /** Whether the worker's known incarnation has listed the run. */
     isListed: boolean;
+    /** Number of start orders that were sent and neither answered nor given up yet. */
+    pendingStarts: number;
+    /** Until when a start order that got no answer may still be executed, in ms. */
+    lateStartUntilMs: number;
     /** How long the member had run when its worker last listed it, in ms; 0 before that. */
     observedRunMs: number;
     /**
--- a/dispatch/worker_registry.ts
+++ b/dispatch/worker_registry.ts
@@ -414,10 +414,20 @@
         }
         const leaseEndMs = Math.floor(workerClockMs + this.#options.leaseMs);
         worker.leaseEndWorkerMs = Math.max(worker.leaseEndWorkerMs, leaseEndMs);
-        worker.leaseSentAtMs = now;
+        this.recordLeaseSent(worker, now);
         return leaseEndMs;
     }
 
+    /**
+     * Records when an order with a lease was sent.
+     *
+     * @param worker The worker.
+     * @param sentAtMs When it was sent, in ms.
+     */
+    recordLeaseSent(worker: WorkerState, sentAtMs: number): void {
+        worker.leaseSentAtMs = Math.max(worker.leaseSentAtMs, sentAtMs);
+    }
+
     /**
      * Computes when a lease ends at the latest, whichever incarnation of its worker executes the call
      * that grants it: on the clock of another one, the lease may last as long as the worker allows.
@@ -431,11 +441,12 @@
     }
 
     /**
-     * Returns whether every lease of a worker has expired, assuming the slowest allowed clock.
+     * Returns whether every lease of a worker's known incarnation has expired, assuming the slowest
+     * allowed clock.
      *
      * @param worker The worker.
      * @param now The current monotonic time, in ms.
-     * @returns True if no task can still run there under a lease.
+     * @returns True if no task can still run in that incarnation under a lease.
      */
     hasLeaseExpired(worker: WorkerState, now: number): boolean {
         if (now < worker.inheritedLeaseEndsAtMs) {
@@ -450,6 +461,26 @@
         );
     }
 
+    /**
+     * Returns whether a member's run has ended for certain on a worker that does not answer. A run
+     * that the known incarnation has listed ends with that incarnation's leases. Any other may be in
+     * progress in an incarnation that has not answered yet, under a lease from a call's arrival there.
+     *
+     * @param worker The worker.
+     * @param member The member.
+     * @param now The current monotonic time, in ms.
+     * @returns True if the member's task can be started elsewhere.
+     */
+    hasRunExpired(worker: WorkerState, member: MemberRun, now: number): boolean {
+        if (!this.hasLeaseExpired(worker, now)) {
+            return false;
+        }
+        return (
+            (member.isListed && !isStartPending(member, now)) ||
+            now >= this.computeLatestLeaseEnd(worker.leaseSentAtMs)
+        );
+    }
+
     /**
      * Records that a worker answered. Its clock is taken from heartbeats and polls only, since
      * answers to orders do not tell which incarnation sent them.
@@ -569,6 +600,17 @@
     }
 }
 
+/**
+ * Returns whether a start order of a member may still be executed.
+ *
+ * @param member The member.
+ * @param now The current monotonic time, in ms.
+ * @returns True while an order awaits its answer, and for some time after one got none.
+ */
+export function isStartPending(member: MemberRun, now: number): boolean {
+    return member.pendingStarts > 0 || now < member.lateStartUntilMs;
+}
+
 /**
  * Computes the age of a worker's newest heartbeat. Prefers the worker's clock to the arrival time,
  * since the heartbeat may have been delayed or received by an earlier leader.
