A start without an answer holds its task until it can no longer be executed

Callers saw two runs of a task at once, under one leader: its start had got no answer from a worker that restarted, the new incarnation listed no run, and the task was started elsewhere. The worker restarted once more, was cut off, and executed the first start.

Cause: a raised fencing token withdraws a late start only from an incarnation that has seen it. The next one begins with none, and lists of the one before say nothing about it.

Now an attempt with such a start ends only after maxCallDelayMs, whatever the lists say; the other members of a gang are stopped at once. A start is not sent again to another incarnation than the first one: that run could end while the first order is still to be executed.

--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -429,6 +429,20 @@
         }
     }
 
+    /**
+     * Stops the other members of a gang one of whose members is missing, so that they do not wait
+     * for it.
+     *
+     * @param member The missing member, which has not ended yet.
+     */
+    stopGangOf(member: MemberRun): void {
+        this.#membersByUnit.get(createUnitKey(member.unit))?.forEach((other) => {
+            if (other !== member) {
+                this.stopMember(other);
+            }
+        });
+    }
+
     /**
      * Ends members that were lost with their worker.
      *
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -63,6 +63,11 @@
             this.#ensureFenced(worker, member);
             return undefined;
         }
+        if (member.startSends > 0 && member.incarnation !== worker.record.incarnation) {
+            // The earlier order may still be executed by an incarnation after the known one.
+            this.#ensureFenced(worker, member);
+            return undefined;
+        }
         const isOverLimit = this.#context.quotaLedger.isOverLimit(member.workspace, member.demand);
         if (isOverLimit && member.startSends > 0) {
             // The limit was lowered; an earlier send may have been executed.
--- a/dispatch/_worker_poller.ts
+++ b/dispatch/_worker_poller.ts
@@ -26,7 +26,7 @@
     RunningReport,
     StateAnswer,
 } from "./types.ts";
-import type { WorkerState } from "./worker_registry.ts";
+import { isStartPending, type WorkerState } from "./worker_registry.ts";
 
 /** Maximum number of ends in one answer; an answer with this many may be incomplete. */
 const MAX_ENDS_LISTED = 500;
@@ -386,7 +386,13 @@
             const isFenced = member.fence < order.fence && member.startResolvedAtMs === undefined;
             const isResolved =
                 member.startResolvedAtMs !== undefined && member.startResolvedAtMs < sentAtMs;
-            if (isFenced || isResolved) {
+            if (!isFenced && !isResolved) {
+                continue;
+            }
+            if (isStartPending(member, this.#context.clock.getNow())) {
+                // An incarnation after this one has not seen the fencing token and would execute it.
+                this.#attempts.stopGangOf(member);
+            } else {
                 this.#endMissing(worker, order, member);
             }
         }
