Ends are not acknowledged while a start awaits its answer

Callers saw a task run again after it had ended as done and that end had been acknowledged.

Cause: polls do not name the incarnation whose ends they acknowledge. A worker restarted, and a poll sent before any call had been left unanswered reached the next incarnation late. Meanwhile that one had executed a late start and ended its task; the poll discarded the end unread, and the task, in neither list, was started again.

Now a poll acknowledges nothing while a start awaits its answer, as it already did while another poll was pending or after a call was left unanswered. The next poll makes up for it.

--- a/dispatch/_worker_poller.ts
+++ b/dispatch/_worker_poller.ts
@@ -401,15 +401,18 @@
 
 /**
  * Selects the ends that a poll acknowledges. Polls do not name the incarnation that they are meant
- * for, and another one would discard ends that nobody has read. A poll without an answer may be the
- * first sign of it.
+ * for, and another one would discard ends that nobody has read. A call without an answer may be the
+ * first sign of it, and a start without one may be what that incarnation runs.
  */
 function selectCursor(worker: WorkerState): number {
-    const hasUnacknowledged = worker.committedCursor > worker.acknowledgedCursor;
+    if (worker.committedCursor <= worker.acknowledgedCursor) {
+        return 0;
+    }
     const { waiting, immediate } = worker.pendingPolls;
-    const hasPending = waiting !== undefined || immediate !== undefined;
-    const mayHaveRestarted = worker.mayHaveRestarted || hasPending;
-    return hasUnacknowledged && !mayHaveRestarted ? worker.committedCursor : 0;
+    const hasPendingPoll = waiting !== undefined || immediate !== undefined;
+    const hasPendingStart = [...worker.members.values()].some((member) => member.pendingStarts > 0);
+    const mayHaveRestarted = worker.mayHaveRestarted || hasPendingPoll || hasPendingStart;
+    return mayHaveRestarted ? 0 : worker.committedCursor;
 }
 
 /** Returns whether unanswered calls or a heartbeat suggest that a worker has restarted. */
--- a/dispatch/restarted_worker_lease_test.ts
+++ b/dispatch/restarted_worker_lease_test.ts
@@ -12,11 +12,13 @@
 const LOAD_MS = 1_500;
 /** How long jobs are submitted while the worker is isolated, in ms. */
 const LOAD_IN_ISOLATION_MS = 2_000;
-/** Outlasts every lease and every delay of a start. */
+/** Outlasts every lease and every delay of a call. */
 const ISOLATION_MS = 16_000;
-const LATE_START_SHARE = 0.5;
-const MIN_START_DELAY_MS = 300;
-const MAX_START_DELAY_MS = 2_300;
+const LATE_CALL_SHARE = 0.5;
+const MIN_CALL_DELAY_MS = 300;
+const MAX_CALL_DELAY_MS = 2_300;
+
+type CallKind = "start" | "stop" | "look";
 
 /** What happens to the restarting worker, and to the leader, in one round of a run. */
 interface Scenario {
@@ -26,8 +28,10 @@
     readonly isolatedAfterMs: number;
     /** Time from the isolation until the leader is replaced, in ms; not replaced by default. */
     readonly leaderReplacedAfterMs?: number;
-    /** Whether some of the starts sent to the worker while it is down or isolated are executed late. */
-    readonly hasLateStarts?: boolean;
+    /** Kinds of calls of which some, sent while the worker is down or isolated, are executed late. */
+    readonly lateCalls?: readonly CallKind[];
+    /** Duration of the tasks submitted while the worker is down, in ms; long by default. */
+    readonly taskMs?: number;
 }
 
 /** A cluster with a load of short and long tasks, and with a worker that does not answer at times. */
@@ -35,11 +39,11 @@
     readonly cluster: SimulatedCluster;
     /** Submits jobs for a time, in ms; their tasks are short by default. */
     readonly runLoad: (durationMs: number, taskMs?: number) => void;
-    /** Sets whether starts on the worker may be executed late. */
+    /** Sets whether calls to the worker may be executed late. */
     readonly setDark: (isDark: boolean) => void;
 }
 
-function buildSetup(seed: number, hasLateStarts: boolean): Setup {
+function buildSetup(seed: number, lateCalls: readonly CallKind[]): Setup {
     const random = createRandom(seed);
     const taskDurationsMs = new Map<string, number>();
     let jobCount = 0;
@@ -51,12 +55,12 @@
         isIdKept: true,
         computeTaskMs: (task) => taskDurationsMs.get(task.slice(0, 16)) ?? SHORT_TASK_MS,
         getFault: (kind, worker): OrderFault => {
-            const isExposed = hasLateStarts && isDark && kind === "start" && worker === W1;
-            if (!isExposed || random() >= LATE_START_SHARE) {
+            const isExposed = isDark && worker === W1 && lateCalls.includes(kind);
+            if (!isExposed || random() >= LATE_CALL_SHARE) {
                 return { type: "none" };
             }
-            const rangeMs = MAX_START_DELAY_MS - MIN_START_DELAY_MS;
-            return { type: "late", afterMs: MIN_START_DELAY_MS + random() * rangeMs };
+            const rangeMs = MAX_CALL_DELAY_MS - MIN_CALL_DELAY_MS;
+            return { type: "late", afterMs: MIN_CALL_DELAY_MS + random() * rangeMs };
         },
     });
     const runLoad = (durationMs: number, taskMs = SHORT_TASK_MS): void => {
@@ -75,10 +79,10 @@
     return { cluster, runLoad, setDark };
 }
 
-function crashWorkerBriefly({ cluster, runLoad, setDark }: Setup): void {
+function crashWorkerBriefly({ cluster, runLoad, setDark }: Setup, taskMs: number): void {
     setDark(true);
     cluster.crashWorker(W1);
-    runLoad(RESTART_DELAY_MS, LONG_TASK_MS);
+    runLoad(RESTART_DELAY_MS, taskMs);
     setDark(false);
 }
 
@@ -97,15 +101,16 @@
 
 /** Runs a scenario and returns the violations of invariants. */
 function runScenario(scenario: Scenario, seed: number): readonly string[] {
-    const setup = buildSetup(seed, scenario.hasLateStarts ?? false);
+    const { lateCalls = [], taskMs = LONG_TASK_MS } = scenario;
+    const setup = buildSetup(seed, lateCalls);
     const { cluster, runLoad } = setup;
     cluster.runFor(3_000);
     for (let round = 0; round < ROUNDS; round++) {
         runLoad(LOAD_MS);
-        crashWorkerBriefly(setup);
+        crashWorkerBriefly(setup, taskMs);
         if (scenario.secondRestartAfterMs !== undefined) {
             runLoad(scenario.secondRestartAfterMs);
-            crashWorkerBriefly(setup);
+            crashWorkerBriefly(setup, taskMs);
         }
         runLoad(scenario.isolatedAfterMs, LONG_TASK_MS);
         runIsolation(setup, scenario.leaderReplacedAfterMs);
@@ -115,17 +120,22 @@
     return cluster.violations;
 }
 
-/** Runs each scenario with the seeds from 1 on; lists tasks that ran on two workers at once. */
-function findConcurrentRuns(scenarios: readonly Scenario[], seeds: number): string[] {
+/** Runs each scenario with the seeds from 1 on; lists the violations that contain a text. */
+function findViolations(scenarios: readonly Scenario[], seeds: number, text: string): string[] {
     return scenarios.flatMap((scenario) =>
         Array.from({ length: seeds }, (_unused, i) => i + 1).flatMap((seed) =>
             runScenario(scenario, seed)
-                .filter((violation) => violation.includes("runs on both"))
+                .filter((violation) => violation.includes(text))
                 .map((violation) => `${JSON.stringify(scenario)}, seed ${seed}: ${violation}`),
         ),
     );
 }
 
+/** Lists tasks that ran on two workers at once. */
+function findConcurrentRuns(scenarios: readonly Scenario[], seeds: number): string[] {
+    return findViolations(scenarios, seeds, "runs on both");
+}
+
 // Guards against a new leader that gives up a worker while leases of earlier leaders may be valid.
 test("a task on a restarted worker is not started elsewhere too early by a new leader", (t) => {
     const scenarios = [300, 800].map((leaderReplacedAfterMs) => ({
@@ -137,7 +147,10 @@
 
 // Guards against a run in an incarnation that the leader has not noticed and whose lease it ignores.
 test("a late start that reaches the next incarnation is its task's only run", (t) => {
-    const scenarios = [0, 30].map((isolatedAfterMs) => ({ isolatedAfterMs, hasLateStarts: true }));
+    const scenarios = [0, 30].map((isolatedAfterMs) => ({
+        isolatedAfterMs,
+        lateCalls: ["start" as const],
+    }));
     t.deepEqual(findConcurrentRuns(scenarios, 8), []);
 });
 
@@ -146,7 +159,17 @@
     const scenarios = [100, 600].map((secondRestartAfterMs) => ({
         secondRestartAfterMs,
         isolatedAfterMs: 0,
-        hasLateStarts: true,
+        lateCalls: ["start" as const],
     }));
     t.deepEqual(findConcurrentRuns(scenarios, 8), []);
 });
+
+// Guards against a late poll whose cursor, meant for one incarnation, discards ends of the next.
+test("an end is not acknowledged unread by a late poll for the previous incarnation", (t) => {
+    const scenario: Scenario = {
+        isolatedAfterMs: 0,
+        lateCalls: ["start", "look"],
+        taskMs: SHORT_TASK_MS,
+    };
+    t.deepEqual(findViolations([scenario], 20, "started again"), []);
+});
--- a/dispatch/worker_restart_test.ts
+++ b/dispatch/worker_restart_test.ts
@@ -322,8 +322,8 @@
 });
 
 /** Builds a cluster whose worker `w1` has listed an end that is committed but not acknowledged. */
-function buildClusterWithEnd(): SimulatedCluster {
-    const cluster = buildRestartingCluster({ workers: 1 });
+function buildClusterWithEnd(options: Partial<SimulatedClusterOptions> = {}): SimulatedCluster {
+    const cluster = buildRestartingCluster({ workers: 1, ...options });
     cluster.runFor(3_000);
     const { incarnation } = getHeartbeat(cluster).record;
     sendPoll(cluster, 0, 1);
@@ -397,3 +397,22 @@
     }
     t.is(cluster.dispatcher.preparePoll(W1, true)?.cursor, 1);
 });
+
+// Guards against acknowledging ends of an incarnation that executes a start meant for the one before.
+test("ends are not acknowledged while a start awaits its answer", (t) => {
+    let hasAnswers = false;
+    const cluster = buildClusterWithEnd({
+        getFault: (kind): OrderFault =>
+            kind === "start" && !hasAnswers ? { type: "lost" } : { type: "none" },
+    });
+    const [id = ""] = buildJobIds(1);
+    cluster.submit(id, buildSpec({}));
+    cluster.runFor(100);
+    cluster.dispatcher.confirmEnds(W1, getHeartbeat(cluster).record.incarnation, 2);
+    t.is(sendPoll(cluster, 0, 2), 0);
+    hasAnswers = true;
+    cluster.runFor(1_000);
+    t.is(cluster.runs.length, 1);
+    cluster.dispatcher.confirmEnds(W1, getHeartbeat(cluster).record.incarnation, 3);
+    t.is(sendPoll(cluster, 0, 3), 3);
+});
