--- a/workspace/share_meter.ts
+++ b/workspace/share_meter.ts
@@ -24,8 +24,8 @@
     readonly getWeight: (workspace: WorkspaceName) => number | undefined;
 }
 
-/** Time at the weight's rate that fills an empty bucket, in ms. */
-const CAPACITY_MS = 1_000;
+/** Time at the weight's rate that fills an empty bucket, in s. */
+const CAPACITY_S = 1;
 /**
  * Minimum capacity of a bucket, in jobs. Callers come at random, so that a workspace which uses three
  * quarters of its weight on average finds a bucket of 2 empty for a fifth of its jobs, and they
@@ -214,7 +214,7 @@
 }
 
 function computeCapacity(weight: number): number {
-    return weight === 0 ? 0 : Math.max(MIN_CAPACITY, (weight * CAPACITY_MS) / 1_000);
+    return weight === 0 ? 0 : Math.max(MIN_CAPACITY, weight * CAPACITY_S);
 }
 
 function hasToken({ tokens, weight }: Bucket): boolean {
--- a/workspace/share_meter_test.ts
+++ b/workspace/share_meter_test.ts
@@ -129,6 +129,13 @@
     fc.double({ min: 0.01, max: 200, noNaN: true, noDefaultInfinity: true }),
 );
 
+// Guards against a capacity that rounding raises above the weight.
+test("a new bucket holds no more than the weight's capacity", (t) => {
+    const weight = 73.272_877_971_012_65;
+    const meter = new ShareMeter({ getWeight: () => weight });
+    t.is(meter.getTokens(ACME, NOW_MS), weight);
+});
+
 test("tokens are never negative nor above the capacity, whatever the clock and the weights do", (t) => {
     const steps = fc.record({
         afterMs: fc.integer({ min: -20_000, max: 20_000 }),
