Large submissions that come at once no longer end a front

Cause: all of them were decoded at the same time; one takes 2.1 MB decoded, and as much again encoded for the leader. Change: BodyReader hands at most 0.3% of the process's memory (1 MB of 350) of small and of large bodies each to their handlers at the same time. Others wait, the smallest first; large ones don't hold up small ones, and one larger than the bound is handled alone.

--- a/http/body_reader.ts
+++ b/http/body_reader.ts
@@ -13,11 +13,18 @@
 
 import type { IncomingMessage } from "node:http";
 import { BodyBuffer } from "./_body_buffer.ts";
+import { TurnQueue } from "./_turn_queue.ts";
 
 /** Options of {@link BodyReader}. */
 export interface BodyReaderOptions {
-    /** Maximum memory of all bodies that arrive, in bytes (default 32 MiB). */
+    /** Maximum memory of all bodies that arrive or wait, in bytes (default 32 MiB). */
     readonly maxBufferedBytes?: number;
+    /**
+     * Maximum size of the bodies that are handled at the same time, in bytes (default 1 MiB); for
+     * small and for large ones each. A larger one is handled alone. A decoded body takes many times
+     * its size.
+     */
+    readonly maxHandledBytes?: number;
 }
 
 /** Thrown when a request body exceeds the size limit. */
@@ -50,10 +57,15 @@
 }
 
 const DEFAULT_MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
+const DEFAULT_MAX_HANDLED_BYTES = 1024 * 1024;
+/** Largest of the small bodies, which large ones don't hold up, in bytes. */
+const SMALL_BODY_BYTES = 16 * 1024;
 
-/** Reads bodies, and hands them to their handlers. */
+/** Reads bodies, and hands them to their handlers as memory permits. */
 export class BodyReader {
     readonly #maxBufferedBytes: number;
+    readonly #smallBodies: TurnQueue;
+    readonly #largeBodies: TurnQueue;
     /** Bodies that still arrive, the oldest first. */
     readonly #unfinished = new Set<UnfinishedBody>();
     #bufferedBytes = 0;
@@ -63,20 +75,24 @@
      */
     constructor(options: BodyReaderOptions = {}) {
         this.#maxBufferedBytes = options.maxBufferedBytes ?? DEFAULT_MAX_BUFFERED_BYTES;
+        const maxHandledBytes = options.maxHandledBytes ?? DEFAULT_MAX_HANDLED_BYTES;
+        this.#smallBodies = new TurnQueue(maxHandledBytes);
+        this.#largeBodies = new TurnQueue(maxHandledBytes);
     }
 
-    /** Memory of the bodies that arrive, in bytes. */
+    /** Memory of the bodies that arrive or wait, in bytes. */
     get bufferedBytes(): number {
         return this.#bufferedBytes;
     }
 
     /**
-     * Reads a request's body as UTF-8 text and handles it. Without memory for another, the body that
-     * has been arriving for longest is refused.
+     * Reads a request's body as UTF-8 text and handles it. Of the bodies that wait, the smallest is
+     * handled first. Without memory for another, the body that has been arriving for longest is
+     * refused.
      *
      * @param request The request.
      * @param maxBytes Maximum size of the body, in bytes.
-     * @param handle Handles the text.
+     * @param handle Handles the text; the body counts as handled until its promise is settled.
      * @returns The handler's result.
      * @throws {BodyTooLargeError} If the body is larger; the rest of it is discarded as it arrives.
      * @throws {BodyRefusedError} If there is no memory for it; it has not been handled.
@@ -88,11 +104,18 @@
         handle: (text: string) => Result | Promise<Result>,
     ): Promise<Result> {
         const buffer = await this.#receive(request, maxBytes);
-        this.#bufferedBytes -= buffer.capacity;
-        if (request.socket.destroyed) {
-            throw new BodyAbortedError();
+        const sizeBytes = buffer.capacity;
+        const turns = sizeBytes <= SMALL_BODY_BYTES ? this.#smallBodies : this.#largeBodies;
+        await turns.waitForTurn(sizeBytes);
+        try {
+            this.#bufferedBytes -= sizeBytes;
+            if (request.socket.destroyed) {
+                throw new BodyAbortedError();
+            }
+            return await handle(buffer.takeText());
+        } finally {
+            turns.release(sizeBytes);
         }
-        return handle(buffer.takeText());
     }
 
     /** Returns the whole body, whose memory stays reserved. */
--- a/http/body_reader_test.ts
+++ b/http/body_reader_test.ts
@@ -38,6 +38,22 @@
     return buildHead(`Content-Length: ${Buffer.byteLength(body)}`) + body;
 }
 
+/** A handler whose calls last until they are released. */
+class HeldHandler {
+    readonly started: string[] = [];
+    readonly #releases: (() => void)[] = [];
+
+    readonly handle = async (text: string): Promise<string> => {
+        this.started.push(text);
+        await new Promise<void>((resolve) => this.#releases.push(resolve));
+        return text;
+    };
+
+    releaseAll(): void {
+        this.#releases.splice(0).forEach((release) => release());
+    }
+}
+
 for (const [name, chunkSize] of [
     ["tiny", 1],
     ["odd", 777],
@@ -110,3 +126,52 @@
     await waitUntil(() => reader.bufferedBytes === 0);
     t.pass();
 });
+
+test("bodies beyond the bound wait, the smallest goes first, and small ones aren't held up", async (t) => {
+    // Guards against any number of bodies that are decoded at the same time.
+    const handler = new HeldHandler();
+    const { port, reader } = await startService(t, { maxHandledBytes: 45_000 }, handler.handle);
+    const send = async (sizeBytes: number): Promise<void> => {
+        const client = await RawClient.open(t, port);
+        client.send(buildRequest("x".repeat(sizeBytes)));
+    };
+    await send(40_000);
+    await waitUntil(() => handler.started.length === 1);
+    await send(30_000);
+    await waitUntil(() => reader.bufferedBytes >= 30_000);
+    await send(20_000);
+    await waitUntil(() => reader.bufferedBytes >= 50_000);
+    await send(100);
+    await waitUntil(() => handler.started.length === 2);
+    const listStarted = (): number[] => handler.started.map(({ length }) => length);
+    t.deepEqual(listStarted(), [40_000, 100]);
+    handler.releaseAll();
+    await waitUntil(() => handler.started.length === 3);
+    t.deepEqual(listStarted(), [40_000, 100, 20_000]);
+    handler.releaseAll();
+    await waitUntil(() => handler.started.length === 4);
+    handler.releaseAll();
+});
+
+test("a body larger than what is handled at the same time is handled alone", async (t) => {
+    const { port } = await startService(t, { maxHandledBytes: 1_000 });
+    const client = await RawClient.open(t, port);
+    client.send(buildRequest("x".repeat(MAX_BODY_BYTES)));
+    await waitUntil(() => client.listStatuses()[0] === 200);
+    t.pass();
+});
+
+test("a body whose connection breaks while it waits is not handled", async (t) => {
+    const handler = new HeldHandler();
+    const { port, reader } = await startService(t, { maxHandledBytes: 1_000 }, handler.handle);
+    const [first, second] = [await RawClient.open(t, port), await RawClient.open(t, port)];
+    first.send(buildRequest("a".repeat(20_000)));
+    await waitUntil(() => handler.started.length === 1);
+    second.send(buildRequest("b".repeat(20_000)));
+    await waitUntil(() => reader.bufferedBytes >= 20_000);
+    second.socket.destroy();
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    handler.releaseAll();
+    await waitUntil(() => reader.bufferedBytes === 0);
+    t.is(handler.started.length, 1);
+});
--- a/http/limits.ts
+++ b/http/limits.ts
@@ -18,8 +18,14 @@
     readonly memoryBytes: number;
 }
 
-/** Part of the memory that bodies may fill while they arrive. */
+/** Part of the memory that bodies may fill while they arrive or wait. */
 const BUFFERED_BODIES_SHARE = 0.1;
+/**
+ * Part of the memory that the bodies being handled may have filled, small and large ones each. Jobs
+ * of many small steps take over thirty times as much once they are decoded and encoded for the leader.
+ */
+const HANDLED_BODIES_SHARE = 0.003;
+
 /**
  * Computes how much memory bodies may take.
  *
@@ -29,5 +35,6 @@
 export function computeBodyLimits({ memoryBytes }: MachineLimits): Required<BodyReaderOptions> {
     return {
         maxBufferedBytes: Math.floor(memoryBytes * BUFFERED_BODIES_SHARE),
+        maxHandledBytes: Math.floor(memoryBytes * HANDLED_BODIES_SHARE),
     };
 }
