--- a/http/mod.ts
+++ b/http/mod.ts
@@ -11,4 +11,5 @@
  */
 
 export * from "./body_reader.ts";
+export * from "./bounded_server.ts";
 export * from "./limits.ts";
