A crowd of connections no longer uses up a server's descriptors

What callers saw: 1,500 idle connections, some with unfinished requests, left a front with 1,000 descriptors none; it would close nothing. Cause: nothing bounded connections, or the time a request may take to arrive. For a connection too many, the one is closed that has waited longest for a whole request, or for its answer to be read; one whose request is being served is never closed. Limits of time: 30 s for a header, 60 s for a request (408), 60 s without traffic.

--- a/http/body_reader.ts
+++ b/http/body_reader.ts
@@ -124,7 +124,11 @@
         return new Promise((resolve, reject) => {
             const finish = (): void => {
                 this.#unfinished.delete(body);
-                request.off("data", receive).off("end", end).off("error", fail).off("close", abort);
+                request
+                    .off("data", receive)
+                    .off("end", end)
+                    .off("error", abort)
+                    .off("close", abort);
             };
             const fail = (error: Error): void => {
                 finish();
@@ -151,7 +155,7 @@
             };
             const body: UnfinishedBody = { buffer, reject: fail };
             this.#unfinished.add(body);
-            request.on("data", receive).on("end", end).on("error", fail).on("close", abort);
+            request.on("data", receive).on("end", end).on("error", abort).on("close", abort);
         });
     }
 
--- a/http/body_reader_test.ts
+++ b/http/body_reader_test.ts
@@ -118,13 +118,22 @@
 });
 
 test("the memory of a body whose connection breaks is free again", async (t) => {
-    const { port, reader } = await startService(t, {});
+    const reader = new BodyReader();
+    const errors: string[] = [];
+    const server = createServer((req) => {
+        reader
+            .handleBody(req, MAX_BODY_BYTES, () => {})
+            .catch((error: Error) => {
+                errors.push(error.name);
+            });
+    });
+    const port = await startServer(t, server);
     const client = await RawClient.open(t, port);
     client.send(buildHead("Content-Length: 50001") + "x".repeat(50_000));
     await waitUntil(() => reader.bufferedBytes >= 50_000);
     client.socket.destroy();
-    await waitUntil(() => reader.bufferedBytes === 0);
-    t.pass();
+    await waitUntil(() => reader.bufferedBytes === 0 && errors.length > 0);
+    t.deepEqual(errors, ["BodyAbortedError"]);
 });
 
 test("bodies beyond the bound wait, the smallest goes first, and small ones aren't held up", async (t) => {
--- a/http/bounded_server.ts
+++ b/http/bounded_server.ts
@@ -1,5 +1,6 @@
 /**
- * An HTTP server that bounds the requests its clients may send ahead.
+ * An HTTP server that bounds its connections, the time a request takes to arrive, and the requests
+ * that its clients may send ahead.
  *
  * @example
  * ```ts
@@ -27,6 +28,17 @@
      * answered (default 2,048). A connection that exceeds it is closed.
      */
     readonly maxPipelinedRequests?: number;
+    /**
+     * Maximum number of connections (default 2,900). For another one, that one is closed which has
+     * waited longest for a whole request, or for its answer to be read.
+     */
+    readonly maxConnections?: number | undefined;
+    /** Time from a request's first byte to its last, in ms (default 60,000); then 408. */
+    readonly requestTimeoutMs?: number;
+    /** Time in which the header of a connection's next request must arrive, in ms (default 30,000). */
+    readonly headersTimeoutMs?: number;
+    /** Time without traffic after which a connection is closed unless it is served, in ms (default 60,000). */
+    readonly stallTimeoutMs?: number;
 }
 
 /** Handles a request and writes the response. */
@@ -34,6 +46,12 @@
 
 const DEFAULT_MAX_OPEN_REQUESTS = 16;
 const DEFAULT_MAX_PIPELINED_REQUESTS = 2_048;
+const DEFAULT_MAX_CONNECTIONS = 2_900;
+const DEFAULT_REQUEST_TIMEOUT_MS = 60_000;
+const DEFAULT_HEADERS_TIMEOUT_MS = 30_000;
+const DEFAULT_STALL_TIMEOUT_MS = 60_000;
+/** Largest interval at which the time of requests is checked, in ms. */
+const MAX_CHECK_INTERVAL_MS = 5_000;
 /**
  * Number of requests that are begun in one turn of the event loop. What a closed connection has begun
  * is freed only after its turn.
@@ -44,7 +62,7 @@
 class Connection {
     readonly socket: Socket;
     readonly parsing: PacedParsing;
-    openRequests = 0;
+    readonly openResponses = new Set<ServerResponse>();
 
     constructor(socket: Socket, isSaturated: (connection: Connection) => boolean) {
         this.socket = socket;
@@ -53,7 +71,12 @@
 
     /** Number of requests that were sent before the previous one was answered. */
     get pipelinedRequests(): number {
-        return Math.max(0, this.openRequests - 1);
+        return Math.max(0, this.openResponses.size - 1);
+    }
+
+    /** Whether a whole request has arrived and isn't answered yet. */
+    get isServed(): boolean {
+        return [...this.openResponses].some((res) => res.req.complete && !res.writableEnded);
     }
 }
 
@@ -61,29 +84,42 @@
 class ConnectionTable {
     readonly #maxOpenRequests: number;
     readonly #maxPipelinedRequests: number;
+    readonly #maxConnections: number;
+    /** The one that has been without an open request for longest comes first. */
     readonly #connections = new Map<Socket, Connection>();
     #pipelinedRequests = 0;
     #requestsInTurn = 0;
 
     constructor(options: BoundedServerOptions) {
+        this.#maxConnections = options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
         this.#maxOpenRequests = options.maxOpenRequests ?? DEFAULT_MAX_OPEN_REQUESTS;
         this.#maxPipelinedRequests = options.maxPipelinedRequests ?? DEFAULT_MAX_PIPELINED_REQUESTS;
     }
 
     add(socket: Socket): void {
+        if (this.#connections.size >= this.#maxConnections && !this.#dropOldest()) {
+            socket.destroy();
+            return;
+        }
         const connection = new Connection(
             socket,
-            ({ openRequests }) =>
-                openRequests >= this.#maxOpenRequests ||
+            ({ openResponses }) =>
+                openResponses.size >= this.#maxOpenRequests ||
                 this.#requestsInTurn >= MAX_REQUESTS_PER_TURN,
         );
         this.#connections.set(socket, connection);
         socket.once("close", () => {
-            this.#pipelinedRequests -= connection.pipelinedRequests;
-            this.#connections.delete(socket);
+            this.#remove(connection);
         });
     }
 
+    /** Closes a connection without traffic unless a request of it is being served. */
+    handleStall(socket: Socket): void {
+        if (this.#connections.get(socket)?.isServed !== true) {
+            socket.destroy();
+        }
+    }
+
     /** Returns false if the request must not be handled because its connection is closed. */
     accept(request: IncomingMessage, response: ServerResponse): boolean {
         const connection = this.#connections.get(request.socket);
@@ -91,7 +127,9 @@
             return false;
         }
         this.#countInTurn();
-        this.#updateOpenRequests(connection, 1);
+        this.#pipelinedRequests -= connection.pipelinedRequests;
+        connection.openResponses.add(response);
+        this.#pipelinedRequests += connection.pipelinedRequests;
         if (
             connection.pipelinedRequests > 0 &&
             this.#pipelinedRequests > this.#maxPipelinedRequests
@@ -99,12 +137,7 @@
             request.socket.destroy();
             return false;
         }
-        response.once("close", () => {
-            if (this.#connections.has(connection.socket)) {
-                this.#updateOpenRequests(connection, -1);
-                connection.parsing.wake();
-            }
-        });
+        response.once("close", () => this.#handleSent(connection, response));
         return true;
     }
 
@@ -121,10 +154,36 @@
         this.#requestsInTurn += 1;
     }
 
-    #updateOpenRequests(connection: Connection, difference: number): void {
-        const before = connection.pipelinedRequests;
-        connection.openRequests += difference;
-        this.#pipelinedRequests += connection.pipelinedRequests - before;
+    #handleSent(connection: Connection, response: ServerResponse): void {
+        if (!this.#connections.has(connection.socket)) {
+            return;
+        }
+        this.#pipelinedRequests -= connection.pipelinedRequests;
+        connection.openResponses.delete(response);
+        this.#pipelinedRequests += connection.pipelinedRequests;
+        if (connection.openResponses.size === 0) {
+            this.#connections.delete(connection.socket);
+            this.#connections.set(connection.socket, connection);
+        }
+        connection.parsing.wake();
+    }
+
+    #remove(connection: Connection): void {
+        if (this.#connections.delete(connection.socket)) {
+            this.#pipelinedRequests -= connection.pipelinedRequests;
+        }
+    }
+
+    /** Closes the oldest connection that isn't served; returns false if there is none. */
+    #dropOldest(): boolean {
+        for (const connection of this.#connections.values()) {
+            if (!connection.isServed) {
+                this.#remove(connection);
+                connection.socket.destroy();
+                return true;
+            }
+        }
+        return false;
     }
 }
 
@@ -153,7 +212,20 @@
     };
     // Node.js answers requests without a host, or with an expectation that it doesn't know, before
     // its listener sees them; they would not be counted.
-    const server = createServer({ requireHostHeader: false }, handleAccepted);
+    const requestTimeout = options.requestTimeoutMs ?? DEFAULT_REQUEST_TIMEOUT_MS;
+    const headersTimeout = options.headersTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS;
+    const server = createServer(
+        {
+            requireHostHeader: false,
+            requestTimeout,
+            headersTimeout: Math.min(headersTimeout, requestTimeout),
+            connectionsCheckingInterval: Math.min(MAX_CHECK_INTERVAL_MS, headersTimeout / 2),
+        },
+        handleAccepted,
+    );
+    server.setTimeout(options.stallTimeoutMs ?? DEFAULT_STALL_TIMEOUT_MS, (socket: Socket) =>
+        connections.handleStall(socket),
+    );
     server.on("checkExpectation", (request: IncomingMessage, response: ServerResponse) => {
         if (connections.accept(request, response)) {
             response.writeHead(417).end();
--- a/http/bounded_server_test.ts
+++ b/http/bounded_server_test.ts
@@ -41,7 +41,9 @@
 async function startEcho(t: ExecutionContext, options: BoundedServerOptions = {}): Promise<number> {
     const reader = new BodyReader();
     const server = createBoundedServer(options, (req: IncomingMessage, res) => {
-        void reader.handleBody(req, 300_000, (text) => res.end(`${req.url}${text}`));
+        reader
+            .handleBody(req, 300_000, (text) => res.end(`${req.url}${text}`))
+            .catch(() => res.destroy());
     });
     return startServer(t, server);
 }
@@ -189,3 +191,105 @@
     await waitUntil(() => client.received.includes("/0ab"));
     t.pass();
 });
+
+test("one connection too many closes the one that was idle for longest", async (t) => {
+    const port = await startEcho(t, { maxConnections: 3 });
+    const clients: RawClient[] = [];
+    for (let i = 0; i < 3; i++) {
+        clients.push(await RawClient.open(t, port));
+        clients[i]?.send(buildRequests(1));
+        await waitUntil(() => clients[i]?.listStatuses().length === 1);
+    }
+    clients[0]?.send(buildRequests(1));
+    await waitUntil(() => clients[0]?.listStatuses().length === 2);
+    const last = await RawClient.open(t, port);
+    last.send(buildRequests(1));
+    await waitUntil(() => last.listStatuses().length === 1);
+    await waitUntil(() => clients.some(({ isClosed }) => isClosed));
+    t.deepEqual(
+        clients.map(({ isClosed }) => isClosed),
+        [false, true, false],
+    );
+});
+
+test("a connection whose whole request was read is never closed for another", async (t) => {
+    // Guards against accepted requests that lose their answers to a crowd.
+    const held = new HeldServer({ maxConnections: 2 });
+    const port = await startServer(t, held.server);
+    const served = await RawClient.open(t, port);
+    served.send(buildRequests(1));
+    await waitUntil(() => held.paths.length === 1);
+    const unfinished = await RawClient.open(t, port);
+    unfinished.send("POST /u HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx");
+    await waitUntil(() => held.paths.length === 2);
+    const second = await RawClient.open(t, port);
+    second.send(buildRequests(1));
+    await waitUntil(() => held.paths.length === 3);
+    t.true(unfinished.isClosed);
+    const refused = await RawClient.open(t, port);
+    await waitUntil(() => refused.isClosed);
+    held.answerAll();
+    await waitUntil(() => served.listStatuses().length + second.listStatuses().length === 2);
+    t.deepEqual([served.isClosed, second.isClosed], [false, false]);
+});
+
+test("a front's share of connections may stay idle and all are served again", async (t) => {
+    // Guards against ordinary keep-alive connections that are closed below the bound.
+    const port = await startEcho(t, { maxConnections: 800 });
+    const clients: RawClient[] = [];
+    for (let i = 0; i < 800; i++) {
+        clients.push(await RawClient.open(t, port));
+    }
+    for (let round = 1; round <= 2; round++) {
+        clients.forEach((client) => client.send(buildRequests(1)));
+        await waitUntil(() => clients.every((client) => client.listStatuses().length === round));
+    }
+    t.false(clients.some(({ isClosed }) => isClosed));
+});
+
+test("without traffic, a connection is closed unless its request is being served", async (t) => {
+    const held = new HeldServer({ stallTimeoutMs: 200 });
+    const port = await startServer(t, held.server);
+    const served = await RawClient.open(t, port);
+    served.send(buildRequests(1));
+    await waitUntil(() => held.paths.length === 1);
+    const unfinished = await RawClient.open(t, port);
+    unfinished.send("POST /u HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx");
+    const idle = await RawClient.open(t, port);
+    await waitUntil(() => unfinished.isClosed && idle.isClosed);
+    t.false(served.isClosed);
+    held.answerAll();
+    await waitUntil(() => served.listStatuses()[0] === 200);
+});
+
+for (const [name, text] of [
+    ["header", "GET /0 HTTP/1.1\r\nHost: a\r\nX: "],
+    ["body", "POST /0 HTTP/1.1\r\nHost: a\r\nContent-Length: 9999\r\n\r\n"],
+] as const) {
+    test(`a ${name} that arrives byte by byte for too long is answered with 408`, async (t) => {
+        // Guards against traffic that keeps an unfinished request alive.
+        const port = await startEcho(t, { headersTimeoutMs: 300, requestTimeoutMs: 400 });
+        const client = await RawClient.open(t, port);
+        client.send(text);
+        const timer = setInterval(() => client.send("x"), 20);
+        t.teardown(() => clearInterval(timer));
+        await waitUntil(() => client.isClosed);
+        t.deepEqual(client.listStatuses(), [408]);
+    });
+}
+
+test("a slow client within the time limits is served", async (t) => {
+    const port = await startEcho(t, { headersTimeoutMs: 10_000, requestTimeoutMs: 20_000 });
+    const client = await RawClient.open(t, port);
+    for (const part of [
+        "POST /0 HTTP/1.1\r\nHost: a\r\n",
+        "Content-Length: 4\r\n\r\n",
+        "ab",
+        "cd",
+    ]) {
+        client.send(part);
+        await new Promise((resolve) => setTimeout(resolve, 500));
+    }
+    await waitUntil(() => client.received.includes("/0abcd"));
+    t.pass();
+});
--- a/http/limits.ts
+++ b/http/limits.ts
@@ -4,7 +4,7 @@
  * @example
  * ```ts
  * import { computeBodyLimits } from "./limits.ts";
- * const reader = new BodyReader(computeBodyLimits({ memoryBytes: 350 * 1024 * 1024 }));
+ * const reader = new BodyReader(computeBodyLimits({ memoryBytes: 350 * 1024 * 1024, maxDescriptors: 4_100 }));
  * ```
  *
  * @module
@@ -16,8 +16,13 @@
 export interface MachineLimits {
     /** Memory, in bytes. */
     readonly memoryBytes: number;
+    /** Number of file descriptors, those for files included. */
+    readonly maxDescriptors: number;
 }
 
+/** Who connects to a server. */
+export type ServerClients = "callers" | "workers";
+
 /** Part of the memory that bodies may fill while they arrive or wait. */
 const BUFFERED_BODIES_SHARE = 0.1;
 /**
@@ -26,6 +31,29 @@
  */
 const HANDLED_BODIES_SHARE = 0.003;
 
+/** Number of descriptors that are kept for files. */
+const FILE_DESCRIPTORS = 200;
+/**
+ * Part of the other descriptors that a server's connections may use. A process that serves workers
+ * also opens connections to each of them.
+ */
+const CONNECTION_SHARES: Readonly<Record<ServerClients, number>> = { callers: 0.75, workers: 0.5 };
+
+/**
+ * Computes how many connections a server may have.
+ *
+ * @param machine The machine's limits.
+ * @param clients Who connects to it.
+ * @returns The number of connections, at least 1.
+ */
+export function computeMaxConnections(
+    { maxDescriptors }: MachineLimits,
+    clients: ServerClients,
+): number {
+    const available = maxDescriptors - FILE_DESCRIPTORS;
+    return Math.max(1, Math.floor(available * CONNECTION_SHARES[clients]));
+}
+
 /**
  * Computes how much memory bodies may take.
  *
