RPC servers bound the memory of HTTP bodies, and their connections

Two of the largest (64 MiB each) may arrive at the same time; the oldest beyond is refused with 503, and none waits for its turn, as calls may wait for each other. A server has at most 900 connections; others are closed at once. Multiplexed connections are as before.

--- a/rpc/rpc_server.ts
+++ b/rpc/rpc_server.ts
@@ -15,6 +15,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { connect, type AddressInfo } from "node:net";
 import { JSONRPCServer, createJSONRPCErrorResponse, type JSONRPCRequest } from "json-rpc-2.0";
+import { BodyReader, BodyRefusedError, BodyTooLargeError } from "../http/mod.ts";
 import { isAddress, parseAddress } from "./address.ts";
 import type { CallTracker } from "./call_tracker.ts";
 import { connectionTracker } from "./connection_tracker.ts";
@@ -42,6 +43,8 @@
     readonly routes?: Readonly<Record<string, RouteHandler>>;
     /** The largest accepted request body, in bytes (default 64 MiB: a snapshot is one message). */
     readonly maxBodyBytes?: number;
+    /** Maximum number of connections (default 900); others are closed at once. */
+    readonly maxConnections?: number;
     /** Tracks the calls that are being handled. */
     readonly tracker?: CallTracker;
 }
@@ -51,6 +54,9 @@
 /** How long a closing server waits for clients to close multiplexed connections, in ms. */
 const CLIENT_CLOSE_TIMEOUT_MS = 200;
 const DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024;
+const DEFAULT_MAX_CONNECTIONS = 900;
+/** Number of the largest bodies for which there is memory while they arrive. */
+const MAX_BODIES_AT_ONCE = 2;
 
 /** A running JSON-RPC server. */
 export interface RpcServer {
@@ -90,6 +96,11 @@
         }
     });
     const maxBodyBytes = options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+    // Calls may wait for others, so that none waits for its turn.
+    const bodyReader = new BodyReader({
+        maxBufferedBytes: MAX_BODIES_AT_ONCE * maxBodyBytes,
+        maxHandledBytes: Infinity,
+    });
     let inFlight = 0;
     let received = 0;
     let sent = 0;
@@ -107,27 +118,23 @@
             res.writeHead(404).end();
             return;
         }
-        const chunks: Buffer[] = [];
-        let bodyBytes = 0;
-        req.on("data", (chunk: Buffer) => {
-            bodyBytes += chunk.length;
-            if (bodyBytes <= maxBodyBytes) {
-                chunks.push(chunk);
+        const answer = async (text: string): Promise<void> => {
+            received += Buffer.byteLength(text);
+            const body = await handleBody(rpc, text);
+            sent += Buffer.byteLength(body);
+            if (res.destroyed) {
+                connectionTracker.recordUnsent();
             }
-        });
-        req.on("end", () => {
-            received += bodyBytes;
-            if (bodyBytes > maxBodyBytes) {
+            res.writeHead(200, { "content-type": "application/json" }).end(body);
+        };
+        bodyReader.handleBody(req, maxBodyBytes, answer).catch((error: Error) => {
+            if (error instanceof BodyTooLargeError) {
                 res.writeHead(413).end();
-                return;
+            } else if (error instanceof BodyRefusedError) {
+                res.writeHead(503, { connection: "close" }).end();
+            } else {
+                res.destroy();
             }
-            void handleBody(rpc, Buffer.concat(chunks).toString("utf8")).then((body) => {
-                sent += Buffer.byteLength(body);
-                if (res.destroyed) {
-                    connectionTracker.recordUnsent();
-                }
-                res.writeHead(200, { "content-type": "application/json" }).end(body);
-            });
         });
     });
     const upgradedServer = new UpgradedServer({
@@ -135,6 +142,7 @@
         maxMessageLength: maxBodyBytes,
     });
     upgradedServer.listenOn(server);
+    server.maxConnections = options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
     server.on("connection", () => connectionTracker.recordAccepted());
     server.keepAliveTimeout = 5_000;
     await new Promise<void>((resolve) =>
