Answers that nobody reads no longer fill a process's memory

What callers saw: 500 connections with 20 reads each of a configuration of 3,000 routes, answers unread, ended a control instance by its heap. Cause: each answer was encoded anew and kept until its client reads it; nothing bounded them over all connections. Change: a tenth of the process's memory may hold answers that wait to be sent; beyond it, the connection is closed whose answers have waited longest.

--- a/http/bounded_server.ts
+++ b/http/bounded_server.ts
@@ -1,6 +1,6 @@
 /**
- * An HTTP server that bounds its connections, the time a request takes to arrive, and the requests
- * that its clients may send ahead.
+ * An HTTP server that bounds its connections, the time a request takes to arrive, the requests that
+ * its clients may send ahead, and the answers that wait to be sent.
  *
  * @example
  * ```ts
@@ -12,7 +12,7 @@
  * @module
  */
 
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer, ServerResponse, type IncomingMessage, type Server } from "node:http";
 import type { Socket } from "node:net";
 import { PacedParsing } from "./_paced_parsing.ts";
 
@@ -33,6 +33,11 @@
      * waited longest for a whole request, or for its answer to be read.
      */
     readonly maxConnections?: number | undefined;
+    /**
+     * Maximum size of the answers that wait to be sent, over all connections, in bytes (default
+     * 32 MiB). Beyond it, the connection is closed whose answers have waited longest.
+     */
+    readonly maxUnsentBytes?: number | undefined;
     /** Time from a request's first byte to its last, in ms (default 60,000); then 408. */
     readonly requestTimeoutMs?: number;
     /** Time in which the header of a connection's next request must arrive, in ms (default 30,000). */
@@ -47,6 +52,7 @@
 const DEFAULT_MAX_OPEN_REQUESTS = 16;
 const DEFAULT_MAX_PIPELINED_REQUESTS = 2_048;
 const DEFAULT_MAX_CONNECTIONS = 2_900;
+const DEFAULT_MAX_UNSENT_BYTES = 32 * 1024 * 1024;
 const DEFAULT_REQUEST_TIMEOUT_MS = 60_000;
 const DEFAULT_HEADERS_TIMEOUT_MS = 30_000;
 const DEFAULT_STALL_TIMEOUT_MS = 60_000;
@@ -58,11 +64,27 @@
  */
 const MAX_REQUESTS_PER_TURN = 512;
 
+/** A response that tells how much of it waits to be sent when it ends. */
+class TrackedResponse<
+    Request extends IncomingMessage = IncomingMessage,
+> extends ServerResponse<Request> {
+    unsentBytes = 0;
+    handleEnd: () => void = () => {};
+
+    override end(chunk?: unknown, encoding?: unknown, callback?: unknown): this {
+        super.end(chunk, encoding as BufferEncoding, callback as () => void);
+        this.unsentBytes = this.writableLength;
+        this.handleEnd();
+        return this;
+    }
+}
+
 /** One connection and its requests whose answers aren't sent yet. */
 class Connection {
     readonly socket: Socket;
     readonly parsing: PacedParsing;
-    readonly openResponses = new Set<ServerResponse>();
+    readonly openResponses = new Set<TrackedResponse>();
+    unsentBytes = 0;
 
     constructor(socket: Socket, isSaturated: (connection: Connection) => boolean) {
         this.socket = socket;
@@ -87,11 +109,16 @@
     readonly #maxConnections: number;
     /** The one that has been without an open request for longest comes first. */
     readonly #connections = new Map<Socket, Connection>();
+    readonly #maxUnsentBytes: number;
+    /** Connections with answers that wait to be sent; the one that waits longest comes first. */
+    readonly #unsent = new Set<Connection>();
+    #unsentBytes = 0;
     #pipelinedRequests = 0;
     #requestsInTurn = 0;
 
     constructor(options: BoundedServerOptions) {
         this.#maxConnections = options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
+        this.#maxUnsentBytes = options.maxUnsentBytes ?? DEFAULT_MAX_UNSENT_BYTES;
         this.#maxOpenRequests = options.maxOpenRequests ?? DEFAULT_MAX_OPEN_REQUESTS;
         this.#maxPipelinedRequests = options.maxPipelinedRequests ?? DEFAULT_MAX_PIPELINED_REQUESTS;
     }
@@ -121,7 +148,7 @@
     }
 
     /** Returns false if the request must not be handled because its connection is closed. */
-    accept(request: IncomingMessage, response: ServerResponse): boolean {
+    accept(request: IncomingMessage, response: TrackedResponse): boolean {
         const connection = this.#connections.get(request.socket);
         if (connection === undefined || request.socket.destroyed) {
             return false;
@@ -137,6 +164,7 @@
             request.socket.destroy();
             return false;
         }
+        response.handleEnd = () => this.#handleEnd(connection, response);
         response.once("close", () => this.#handleSent(connection, response));
         return true;
     }
@@ -154,13 +182,34 @@
         this.#requestsInTurn += 1;
     }
 
-    #handleSent(connection: Connection, response: ServerResponse): void {
+    #handleEnd(connection: Connection, { unsentBytes }: TrackedResponse): void {
+        if (unsentBytes === 0 || !this.#connections.has(connection.socket)) {
+            return;
+        }
+        connection.unsentBytes += unsentBytes;
+        this.#unsentBytes += unsentBytes;
+        this.#unsent.add(connection);
+        for (const oldest of this.#unsent) {
+            if (this.#unsentBytes <= this.#maxUnsentBytes) {
+                return;
+            }
+            this.#remove(oldest);
+            oldest.socket.destroy();
+        }
+    }
+
+    #handleSent(connection: Connection, response: TrackedResponse): void {
         if (!this.#connections.has(connection.socket)) {
             return;
         }
         this.#pipelinedRequests -= connection.pipelinedRequests;
         connection.openResponses.delete(response);
         this.#pipelinedRequests += connection.pipelinedRequests;
+        connection.unsentBytes -= response.unsentBytes;
+        this.#unsentBytes -= response.unsentBytes;
+        if (connection.unsentBytes === 0) {
+            this.#unsent.delete(connection);
+        }
         if (connection.openResponses.size === 0) {
             this.#connections.delete(connection.socket);
             this.#connections.set(connection.socket, connection);
@@ -171,6 +220,8 @@
     #remove(connection: Connection): void {
         if (this.#connections.delete(connection.socket)) {
             this.#pipelinedRequests -= connection.pipelinedRequests;
+            this.#unsentBytes -= connection.unsentBytes;
+            this.#unsent.delete(connection);
         }
     }
 
@@ -200,7 +251,7 @@
     handle: RequestListener,
 ): Server {
     const connections = new ConnectionTable(options);
-    const handleAccepted: RequestListener = (request, response) => {
+    const handleAccepted = (request: IncomingMessage, response: TrackedResponse): void => {
         if (!connections.accept(request, response)) {
             return;
         }
@@ -216,6 +267,7 @@
     const headersTimeout = options.headersTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS;
     const server = createServer(
         {
+            ServerResponse: TrackedResponse,
             requireHostHeader: false,
             requestTimeout,
             headersTimeout: Math.min(headersTimeout, requestTimeout),
@@ -226,7 +278,7 @@
     server.setTimeout(options.stallTimeoutMs ?? DEFAULT_STALL_TIMEOUT_MS, (socket: Socket) =>
         connections.handleStall(socket),
     );
-    server.on("checkExpectation", (request: IncomingMessage, response: ServerResponse) => {
+    server.on("checkExpectation", (request: IncomingMessage, response: TrackedResponse) => {
         if (connections.accept(request, response)) {
             response.writeHead(417).end();
         }
--- a/http/bounded_server_test.ts
+++ b/http/bounded_server_test.ts
@@ -293,3 +293,28 @@
     await waitUntil(() => client.received.includes("/0abcd"));
     t.pass();
 });
+
+test("beyond the bound on unsent answers, the reader that has waited longest is closed", async (t) => {
+    // Guards against large answers that pile up for clients that don't read them.
+    const size = 20_000_000;
+    const server = createBoundedServer({ maxUnsentBytes: 2.5 * size }, (_req, res) => {
+        res.end("x".repeat(size));
+    });
+    const port = await startServer(t, server);
+    const readers: RawClient[] = [];
+    for (let i = 0; i < 3; i++) {
+        const reader = await RawClient.open(t, port);
+        readers.push(reader);
+        reader.send(buildRequests(1));
+        await waitUntil(() => reader.received.length > 0);
+        reader.socket.pause();
+    }
+    readers.forEach(({ socket }) => socket.resume());
+    await waitUntil(() =>
+        readers.every(({ isClosed, received }) => isClosed || received.length > size),
+    );
+    t.deepEqual(
+        readers.map(({ received }) => received.length > size),
+        [false, true, true],
+    );
+});
--- a/http/limits.ts
+++ b/http/limits.ts
@@ -11,6 +11,7 @@
  */
 
 import type { BodyReaderOptions } from "./body_reader.ts";
+import type { BoundedServerOptions } from "./bounded_server.ts";
 
 /** What a machine gives to a process. */
 export interface MachineLimits {
@@ -39,19 +40,25 @@
  */
 const CONNECTION_SHARES: Readonly<Record<ServerClients, number>> = { callers: 0.75, workers: 0.5 };
 
+/** Part of the memory that answers which wait to be sent may fill. */
+const UNSENT_ANSWERS_SHARE = 0.1;
+
 /**
- * Computes how many connections a server may have.
+ * Computes the limits of a server.
  *
  * @param machine The machine's limits.
  * @param clients Who connects to it.
- * @returns The number of connections, at least 1.
+ * @returns The limits; at least one connection.
  */
-export function computeMaxConnections(
-    { maxDescriptors }: MachineLimits,
+export function computeServerLimits(
+    { memoryBytes, maxDescriptors }: MachineLimits,
     clients: ServerClients,
-): number {
+): Pick<Required<BoundedServerOptions>, "maxConnections" | "maxUnsentBytes"> {
     const available = maxDescriptors - FILE_DESCRIPTORS;
-    return Math.max(1, Math.floor(available * CONNECTION_SHARES[clients]));
+    return {
+        maxConnections: Math.max(1, Math.floor(available * CONNECTION_SHARES[clients])),
+        maxUnsentBytes: Math.floor(memoryBytes * UNSENT_ANSWERS_SHARE),
+    };
 }
 
 /**
