A run begun by a late start outlasts the task's listed run

Two runs at once: the first start order of a task got no answer, the second one ran and was listed. The worker restarted and was cut off before the leader noticed, and the first order was executed there. A listed run with no start in flight ended with the known incarnation's leases; whether a start can still begin says nothing about a run that one has begun.

--- a/dispatch/worker_registry.ts
+++ b/dispatch/worker_registry.ts
@@ -464,7 +464,8 @@
     /**
      * Returns whether a member's run has ended for certain on a worker that does not answer. A run
      * that the known incarnation has listed ends with that incarnation's leases. Any other may be in
-     * progress in an incarnation that has not answered yet, under a lease from a call's arrival there.
+     * progress in an incarnation that has not answered yet, under a lease from a call's arrival there,
+     * and so may a second run of a member that got several start orders.
      *
      * @param worker The worker.
      * @param member The member.
@@ -475,10 +476,11 @@
         if (!this.hasLeaseExpired(worker, now)) {
             return false;
         }
-        return (
-            (member.isListed && !isStartPending(member, now)) ||
-            now >= this.computeLatestLeaseEnd(worker.leaseSentAtMs)
-        );
+        const hasOnlyKnownRuns =
+            member.isListed || now >= this.computeLatestLeaseEnd(worker.leaseSentAtMs);
+        const lateRunEndsAtMs =
+            member.lateStartUntilMs + this.#options.maxLeaseMs * SLOWEST_CLOCK_FACTOR;
+        return hasOnlyKnownRuns && member.pendingStarts === 0 && now >= lateRunEndsAtMs;
     }
 
     /**
