Delays of calls count from when they were given up, lists from when they were asked for

And a list was compared with the end of a start's delay by the time of its arrival, although it shows the worker as it was when asked: an answer 0.4 s in flight, during which the worker restarted, ended the attempt too early. Both now use the earlier sure moment.

--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -61,7 +61,7 @@
     // A dead worker's tasks wait this long unless something new answers at its address.
     leaseMs: 8_500,
     maxLeaseMs: 10_000,
-    // Longer than any call to a worker waits for its answer.
+    // A call that is given up is reset; this bounds what the network and the worker still hold of it.
     maxCallDelayMs: 3_000,
     // Twice the time for which a job's state must stay readable.
     retentionMs: 240_000,
--- a/dispatch/_worker_poller.ts
+++ b/dispatch/_worker_poller.ts
@@ -123,7 +123,9 @@
             return;
         }
         if (order.untilMs !== undefined) {
-            this.#context.registry.recordLeaseSent(worker, sentAtMs);
+            const isAnswered = answer.type !== "unanswered";
+            const atMs = isAnswered ? sentAtMs : this.#context.clock.getNow();
+            this.#context.registry.recordLeaseSent(worker, atMs);
         }
         this.#removePending(worker, order);
         if (answer.type === "gone") {
@@ -389,7 +391,7 @@
             if (!isFenced && !isResolved) {
                 continue;
             }
-            if (isStartPending(member, this.#context.clock.getNow())) {
+            if (isStartPending(member, sentAtMs)) {
                 // An incarnation after this one has not seen the fencing token and would execute it.
                 this.#attempts.stopGangOf(member);
             } else {
--- a/dispatch/types.ts
+++ b/dispatch/types.ts
@@ -83,7 +83,7 @@
     acceptedAtMs: number | undefined;
     /** Whether the worker's known incarnation has listed the run. */
     isListed: boolean;
-    /** Number of start orders that were sent and neither answered nor given up yet. */
+    /** Number of start orders that were prepared and neither answered nor given up yet. */
     pendingStarts: number;
     /** Until when a start order that got no answer may still be executed, in ms. */
     lateStartUntilMs: number;
@@ -300,7 +300,7 @@
     /** The longest lease that a worker accepts, in ms. */
     readonly maxLeaseMs: number;
     /**
-     * How long after a call was sent or given up it may still be executed, in ms. The worker may have
+     * How long after a call was given up it may still be executed, in ms. The worker may have
      * restarted by then, and the next incarnation executes it as well.
      */
     readonly maxCallDelayMs: number;
--- a/dispatch/worker_registry.ts
+++ b/dispatch/worker_registry.ts
@@ -5,8 +5,9 @@
  * @example
  * ```ts
  * import { WorkerRegistry } from "./worker_registry.ts";
- * const leases = { leaseMs: 6_000, maxLeaseMs: 10_000, maxReportAgeMs: 3_500 };
- * const registry = new WorkerRegistry({ firstFence: 7_000_000, ...leases, quotaLedger });
+ * const leases = { leaseMs: 6_000, maxLeaseMs: 10_000, maxCallDelayMs: 3_000 };
+ * const options = { firstFence: 7_000_000, ...leases, maxReportAgeMs: 3_500, quotaLedger };
+ * const registry = new WorkerRegistry(options);
  * const worker = registry.ensureWorker(record, now);
  * ```
  *
@@ -60,7 +61,7 @@
     fence: number;
     /** Latest lease end sent to the worker, in ms of the worker's clock. */
     leaseEndWorkerMs: number;
-    /** When this leader last sent a lease, in ms. */
+    /** When this leader last sent a lease, or gave up a call that carried one, in ms. */
     leaseSentAtMs: number;
     /**
      * When all leases that earlier leaders granted, or that were meant for earlier incarnations, have
@@ -131,7 +132,7 @@
     readonly leaseMs: number;
     /** The longest lease that a worker accepts, in ms. */
     readonly maxLeaseMs: number;
-    /** How long after a call was sent or given up it may still be executed, in ms. */
+    /** How long after a call was given up it may still be executed, in ms. */
     readonly maxCallDelayMs: number;
     /** A worker whose newest heartbeat is older gets no new work, in ms. */
     readonly maxReportAgeMs: number;
@@ -158,7 +159,7 @@
     capacityVersion = 0;
 
     /**
-     * @param options First fencing token, lease duration and maximum report age.
+     * @param options First fencing token, durations of leases and delays of calls.
      */
     constructor(options: WorkerRegistryOptions) {
         this.#options = options;
@@ -419,25 +420,25 @@
     }
 
     /**
-     * Records when an order with a lease was sent.
+     * Records that an order with a lease was sent, or was given up.
      *
      * @param worker The worker.
-     * @param sentAtMs When it was sent, in ms.
+     * @param atMs When that was, in ms.
      */
-    recordLeaseSent(worker: WorkerState, sentAtMs: number): void {
-        worker.leaseSentAtMs = Math.max(worker.leaseSentAtMs, sentAtMs);
+    recordLeaseSent(worker: WorkerState, atMs: number): void {
+        worker.leaseSentAtMs = Math.max(worker.leaseSentAtMs, atMs);
     }
 
     /**
      * Computes when a lease ends at the latest, whichever incarnation of its worker executes the call
      * that grants it: on the clock of another one, the lease may last as long as the worker allows.
      *
-     * @param sentAtMs When the call was sent, in ms.
+     * @param givenUpAtMs When the call was given up, or sent if it was answered, in ms.
      * @returns The end, in ms of the leader's clock.
      */
-    computeLatestLeaseEnd(sentAtMs: number): number {
+    computeLatestLeaseEnd(givenUpAtMs: number): number {
         const { maxCallDelayMs, maxLeaseMs } = this.#options;
-        return sentAtMs + maxCallDelayMs + maxLeaseMs * SLOWEST_CLOCK_FACTOR;
+        return givenUpAtMs + maxCallDelayMs + maxLeaseMs * SLOWEST_CLOCK_FACTOR;
     }
 
     /**
