--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -455,6 +455,10 @@
             if (member.state === "stopping" && now - member.stopSentAtMs > STOP_RETRY_MS) {
                 this.#attempts.enqueueStop(member);
             }
+            if (member.lateStartUntilMs > this.#tickedAtMs && member.lateStartUntilMs <= now) {
+                // The lists of this poll tell whether the member's run exists.
+                this.#context.emit({ type: "look", worker: worker.record.id });
+            }
         }
         if (hasOverdueTask(worker, now) || isRestartPollDue(worker, now)) {
             worker.extraPollAtMs = now;
--- a/dispatch/late_start_test.ts
+++ b/dispatch/late_start_test.ts
@@ -37,6 +37,7 @@
     const [run] = cluster.runs;
     t.is(run?.attempt, 2);
     t.true((run?.startedAtMs ?? 0) > LAST_GIVEN_UP_MS + MAX_CALL_DELAY_MS);
+    t.true((run?.startedAtMs ?? 0) < LAST_GIVEN_UP_MS + MAX_CALL_DELAY_MS + 500);
     t.is(cluster.getJobState(JOB), "complete");
 });
 
