--- a/dispatch/late_start_test.ts
+++ b/dispatch/late_start_test.ts
@@ -127,3 +127,9 @@
     );
     t.deepEqual(violations, []);
 });
+
+// Guards against acknowledging the end of one start while another can still be executed.
+test("a late start does not repeat a task whose other start has ended as done", (t) => {
+    const lateStart = { number: 1, afterMs: 2_300 };
+    t.deepEqual(runLateStart({ taskMs: 300, lateStart, crashedAfterMs: 1_200 }), []);
+});
