--- a/dispatch/_fixtures.ts
+++ b/dispatch/_fixtures.ts
@@ -396,7 +396,10 @@
         this.#workersWithoutHeartbeats.add(id);
     }
 
-    /** Sets whether a worker is isolated: its heartbeats, calls to it and its answers are lost. */
+    /**
+     * Sets whether a worker is isolated: its heartbeats, calls to it and its answers are lost, except
+     * calls that a fault makes late.
+     */
     setIsolated(id: WorkerId, isIsolated: boolean): void {
         if (isIsolated) {
             this.#isolatedWorkers.add(id);
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -303,7 +303,7 @@
         const now = this.#context.clock.getNow();
         member.lateStartUntilMs = now + this.#context.limits.maxCallDelayMs;
         this.#context.registry.recordUnansweredCall(worker, now);
-        this.#context.registry.recordLeaseSent(worker, now);
+        this.#context.registry.recordLeaseGivenUp(worker, member.incarnation, now);
         if (member.startSends < MAX_START_SENDS && member.state === "ordered") {
             // Starts are idempotent: resending over another connection distinguishes a lost answer
             // from a lost worker.
--- a/dispatch/_worker_poller.ts
+++ b/dispatch/_worker_poller.ts
@@ -123,9 +123,7 @@
             return;
         }
         if (order.untilMs !== undefined) {
-            const isAnswered = answer.type !== "unanswered";
-            const atMs = isAnswered ? sentAtMs : this.#context.clock.getNow();
-            this.#context.registry.recordLeaseSent(worker, atMs);
+            this.#recordLease(worker, order, sentAtMs, answer);
         }
         this.#removePending(worker, order);
         if (answer.type === "gone") {
@@ -161,6 +159,20 @@
         }
     }
 
+    #recordLease(
+        worker: WorkerState,
+        { incarnation }: PollOrder,
+        sentAtMs: number,
+        answer: PollAnswer,
+    ): void {
+        const { registry, clock } = this.#context;
+        if (answer.type === "unanswered") {
+            registry.recordLeaseGivenUp(worker, incarnation, clock.getNow());
+        } else {
+            registry.recordLeaseSent(worker, sentAtMs);
+        }
+    }
+
     #removePending({ pendingPolls }: WorkerState, order: PollOrder): void {
         if (pendingPolls.waiting === order) {
             pendingPolls.waiting = undefined;
@@ -413,8 +425,8 @@
     const { waiting, immediate } = worker.pendingPolls;
     const hasPendingPoll = waiting !== undefined || immediate !== undefined;
     const hasPendingStart = [...worker.members.values()].some((member) => member.pendingStarts > 0);
-    const mayHaveRestarted = worker.mayHaveRestarted || hasPendingPoll || hasPendingStart;
-    return mayHaveRestarted ? 0 : worker.committedCursor;
+    const mayReachNextIncarnation = worker.mayHaveRestarted || hasPendingPoll || hasPendingStart;
+    return mayReachNextIncarnation ? 0 : worker.committedCursor;
 }
 
 /** Returns whether unanswered calls or a heartbeat suggest that a worker has restarted. */
--- a/dispatch/worker_registry.ts
+++ b/dispatch/worker_registry.ts
@@ -15,7 +15,7 @@
  */
 
 import type { QuotaLedger } from "../workspace/mod.ts";
-import type { Resources, TaskName, WorkerId, WorkerRecord } from "../job/mod.ts";
+import type { Incarnation, Resources, TaskName, WorkerId, WorkerRecord } from "../job/mod.ts";
 import type { Heartbeat, MemberRun, PollOrder } from "./types.ts";
 import { SLOWEST_CLOCK_FACTOR, WorkerClock } from "./worker_clock.ts";
 import { WorkerSpeed } from "./worker_speed.ts";
@@ -420,13 +420,35 @@
     }
 
     /**
-     * Records that an order with a lease was sent, or was given up.
+     * Records that an order with a lease was sent.
      *
      * @param worker The worker.
-     * @param atMs When that was, in ms.
+     * @param sentAtMs When it was sent, in ms.
      */
-    recordLeaseSent(worker: WorkerState, atMs: number): void {
-        worker.leaseSentAtMs = Math.max(worker.leaseSentAtMs, atMs);
+    recordLeaseSent(worker: WorkerState, sentAtMs: number): void {
+        worker.leaseSentAtMs = Math.max(worker.leaseSentAtMs, sentAtMs);
+    }
+
+    /**
+     * Records that an order with a lease was given up. If the worker is known to have restarted
+     * meanwhile, the order may still extend the leases of the new incarnation.
+     *
+     * @param worker The worker.
+     * @param incarnation The incarnation that the order was meant for.
+     * @param now The current monotonic time, in ms.
+     */
+    recordLeaseGivenUp(
+        worker: WorkerState,
+        incarnation: Incarnation | undefined,
+        now: number,
+    ): void {
+        this.recordLeaseSent(worker, now);
+        if (incarnation !== worker.record.incarnation) {
+            worker.inheritedLeaseEndsAtMs = Math.max(
+                worker.inheritedLeaseEndsAtMs,
+                this.computeLatestLeaseEnd(now),
+            );
+        }
     }
 
     /**
