A worker that may have restarted is polled without waiting

Its polls carry no lease, and a long one would put off the answer that permits leases again by up to 1.5 s.

--- a/dispatch/_worker_poller.ts
+++ b/dispatch/_worker_poller.ts
@@ -99,10 +99,10 @@
             untilMs: isRestartPossible(worker)
                 ? undefined
                 : this.#context.registry.grantLease(worker, this.#context.clock.getNow()),
-            // A suspect worker is polled without waiting, so that a lost poll is retried soon after
-            // the connection recovers.
+            // Such a worker is polled without waiting, so that a lost poll is retried soon after the
+            // connection recovers, and an answer permits leases again.
             waitMs:
-                mayWait && worker.members.size > 0 && !worker.isSuspect
+                mayWait && worker.members.size > 0 && !isRestartPossible(worker)
                     ? this.#context.limits.pollWaitMs
                     : 0,
         };
