One extra poll a worker resolves its unanswered starts, none if it has listed them

Each member asked for a poll of its own when its start could no longer be executed, listed or not; a new leader, whose adopted members all share that moment, would have asked for thousands in one tick. It is now a condition of the extra poll beside overdue tasks and restarts. A run that was listed and then vanishes waits for the next ordinary poll.

listExpiredMembers checks a worker's leases once instead of once a member; what it returns is the same.

--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -441,26 +441,20 @@
     }
 
     #tickWorker(worker: WorkerState, now: number): void {
-        if (this.#context.registry.hasLeaseExpired(worker, now)) {
-            const expired = [...worker.members.values()].filter(
-                (member) =>
-                    member.state !== "planned" &&
-                    this.#context.registry.hasRunExpired(worker, member, now),
-            );
-            if (expired.length > 0) {
-                this.#failures.expireLease(worker, expired);
-            }
+        const expired = this.#context.registry.listExpiredMembers(worker, now);
+        if (expired.length > 0) {
+            this.#failures.expireLease(worker, expired);
         }
         for (const member of worker.members.values()) {
             if (member.state === "stopping" && now - member.stopSentAtMs > STOP_RETRY_MS) {
                 this.#attempts.enqueueStop(member);
             }
-            if (member.lateStartUntilMs > this.#tickedAtMs && member.lateStartUntilMs <= now) {
-                // The lists of this poll tell whether the member's run exists.
-                this.#context.emit({ type: "look", worker: worker.record.id });
-            }
         }
-        if (hasOverdueTask(worker, now) || isRestartPollDue(worker, now)) {
+        if (
+            hasOverdueTask(worker, now) ||
+            isRestartPollDue(worker, now) ||
+            isLateStartPollDue(worker, this.#tickedAtMs, now)
+        ) {
             worker.extraPollAtMs = now;
             this.#context.emit({ type: "look", worker: worker.record.id });
         }
@@ -571,6 +565,19 @@
     );
 }
 
+/**
+ * Returns whether a start that got no answer can no longer be executed since the last tick, so that a
+ * poll tells whether its run exists.
+ */
+function isLateStartPollDue(worker: WorkerState, tickedAtMs: number, now: number): boolean {
+    for (const { isListed, lateStartUntilMs } of worker.members.values()) {
+        if (!isListed && lateStartUntilMs > tickedAtMs && lateStartUntilMs <= now) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /** Returns whether a notice of departure fits a worker's record. */
 function isOwnDeparture(record: WorkerRecord, incarnation: Incarnation | undefined): boolean {
     if (record.incarnation === undefined || record.incarnation === incarnation) {
--- a/dispatch/worker_registry.ts
+++ b/dispatch/worker_registry.ts
@@ -485,25 +485,28 @@
     }
 
     /**
-     * Returns whether a member's run has ended for certain on a worker that does not answer. A run
+     * Lists the members whose runs have ended for certain on a worker that does not answer. A run
      * that the known incarnation has listed ends with that incarnation's leases. Any other may be in
      * progress in an incarnation that has not answered yet, under a lease from a call's arrival there,
      * and so may a second run of a member that got several start orders.
      *
      * @param worker The worker.
-     * @param member The member.
      * @param now The current monotonic time, in ms.
-     * @returns True if the member's task can be started elsewhere.
+     * @returns The members whose tasks can be started elsewhere.
      */
-    hasRunExpired(worker: WorkerState, member: MemberRun, now: number): boolean {
+    listExpiredMembers(worker: WorkerState, now: number): MemberRun[] {
         if (!this.hasLeaseExpired(worker, now)) {
-            return false;
+            return [];
         }
-        const hasOnlyKnownRuns =
-            member.isListed || now >= this.computeLatestLeaseEnd(worker.leaseSentAtMs);
-        const lateRunEndsAtMs =
-            member.lateStartUntilMs + this.#options.maxLeaseMs * SLOWEST_CLOCK_FACTOR;
-        return hasOnlyKnownRuns && member.pendingStarts === 0 && now >= lateRunEndsAtMs;
+        const hasLatestLeaseEnded = now >= this.computeLatestLeaseEnd(worker.leaseSentAtMs);
+        const longestLeaseMs = this.#options.maxLeaseMs * SLOWEST_CLOCK_FACTOR;
+        return [...worker.members.values()].filter(
+            ({ state, isListed, pendingStarts, lateStartUntilMs }) =>
+                state !== "planned" &&
+                (isListed || hasLatestLeaseEnded) &&
+                pendingStarts === 0 &&
+                now >= lateStartUntilMs + longestLeaseMs,
+        );
     }
 
     /**
