--- a/dispatch/_attempts.ts
+++ b/dispatch/_attempts.ts
@@ -294,7 +294,7 @@
         if (members !== undefined && members.size > 0) {
             if (outcome !== "done") {
                 // A gang cannot continue without one of its members.
-                members.forEach((other) => this.stopMember(other));
+                this.stopGangOf(member);
             }
             return;
         }
--- a/dispatch/_orders.ts
+++ b/dispatch/_orders.ts
@@ -58,13 +58,10 @@
         }
         const now = this.#context.clock.getNow();
         const isLeaving = worker.record.isDraining;
-        if (isLeaving && member.startSends > 0) {
-            // A repeated start would begin there after the notice if the earlier one was lost.
-            this.#ensureFenced(worker, member);
-            return undefined;
-        }
-        if (member.startSends > 0 && member.incarnation !== worker.record.incarnation) {
-            // The earlier order may still be executed by an incarnation after the known one.
+        const hasRestarted = member.incarnation !== worker.record.incarnation;
+        if (member.startSends > 0 && (isLeaving || hasRestarted)) {
+            // If the earlier start was lost, a repeated one would begin there after the notice. If it
+            // was not, an incarnation after the known one may still execute it.
             this.#ensureFenced(worker, member);
             return undefined;
         }
