--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -446,6 +446,7 @@
         labels = ["a", "r1-1"],
         capacity = { Cpu: 16_000, MemMb: 32_768, Gpu: 0 },
         handleOrder = undefined,
+        hasBorn = false,
     }) {
         Object.assign(this, {
             record,
@@ -456,6 +457,7 @@
             labels,
             capacity,
             handleOrder,
+            hasBorn,
         });
         this.starts = [];
         this.agent = new Agent({ keepAlive: true });
@@ -468,8 +470,10 @@
     async start() {
         lifeCount += 1;
         this.id = `i-${this.name}-${lifeCount}`;
+        this.born = this.hasBorn ? Date.now() : undefined;
         this.startedAtMs = performance.now();
         this.seq = 0;
+        this.refused = 0;
         this.state = "ready";
         this.highestFence = 0;
         this.leaseUntilMs = -1;
@@ -498,6 +502,24 @@
         return Math.floor(performance.now() - this.startedAtMs);
     }
 
+    /** What it says of itself. */
+    createReport() {
+        return {
+            Service: SERVICE,
+            Address: `127.0.0.1:${this.port}`,
+            Zone: this.zone,
+            Version: "v1",
+            Slots: 8,
+            State: this.state,
+            ColdLeftMs: 0,
+            Capacity: this.capacity,
+            Labels: this.labels,
+            ClockMs: this.clockMs,
+            Seq: this.seq,
+            born: this.born,
+        };
+    }
+
     /** Ends this life at once, without a word. */
     crash() {
         this.record.add(
@@ -527,19 +549,7 @@
                 path: `/poplarhead/instances/${id}`,
                 timeoutMs: 1_000,
                 agent: this.agent,
-                body: {
-                    Service: SERVICE,
-                    Address: `127.0.0.1:${this.port}`,
-                    Zone: this.zone,
-                    Version: "v1",
-                    Slots: 8,
-                    State: this.state,
-                    ColdLeftMs: 0,
-                    Capacity: this.capacity,
-                    Labels: this.labels,
-                    ClockMs: this.clockMs,
-                    Seq: this.seq,
-                },
+                body: this.createReport(),
             });
             if (!this.isUp || this.id !== id) {
                 return;
@@ -548,6 +558,7 @@
                 this.heartbeatAddress = answer.body?.HeartbeatAddr;
                 return;
             }
+            this.refused += 1;
             this.heartbeatAddress = undefined;
         }
     }
@@ -700,6 +711,7 @@
             status: 200,
             body: {
                 ClockMs: this.clockMs,
+                born: this.born,
                 Running: [...this.runs.values()].map((run) => [
                     run.task,
                     run.attempt,
