--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,59 +1,66 @@
 /* global performance */
 import {
-    HAS_TROUBLE,
+    BOUNDS,
     CannotRunError,
     createJobId,
+    HAS_TROUBLE,
+    PREFIX,
     runCase,
     sleep,
     startDeployment,
-    waitFor,
 } from "../lib-3/harness.mjs";
 
-const TASK_MS = 6_000;
-const CRASHES = 4;
+const TASK_MS = 15_000;
+const FREEZE_MS = 4_000;
+/** A client that gives up early; with `give_up`, within half of its objective. */
+const PATIENCE_MS = 300;
 
 await runCase(import.meta.url, async ({ record, onEnd }) => {
-    const { executors, client } = await startDeployment({
+    const { deployment, executors, client } = await startDeployment({
         record,
         onEnd,
-        net: 71,
-        executorCount: 8,
+        net: 81,
+        frontCount: 9,
         executor: { taskMs: () => TASK_MS },
     });
+    const [first, second] = deployment.fronts;
     const id = createJobId();
-    const job = { Spec: "preview", Steps: [{ Count: 1, Cpu: 1_000, MemMb: 256, EstMs: TASK_MS }] };
-    const statuses = await client.submit(id, job);
-    if (!statuses.some((status) => status >= 200 && status < 300)) {
-        throw new CannotRunError(`the job was not accepted: ${statuses}`);
+    const job = {
+        Spec: "composite",
+        Steps: [{ Count: 2, Cpu: 1_000, MemMb: 256, EstMs: TASK_MS }],
+    };
+    const frozenAtMs = performance.now();
+    if (HAS_TROUBLE) {
+        deployment.signal("front-1", "SIGSTOP");
+        await sleep(50);
     }
-    for (let crash = 1; HAS_TROUBLE && crash <= CRASHES; crash++) {
-        const findHost = () => executors.find((e) => e.isUp && e.runs.size > 0);
-        if (!(await waitFor(findHost, 20_000))) {
-            break;
-        }
-        await sleep(2_000);
-        const host = findHost();
-        if (host === undefined) {
-            break;
-        }
-        host.crash();
-        await sleep(2_000);
-        await host.start();
+    await client.call("POST", `${PREFIX}${id}`, job, { address: first, timeoutMs: PATIENCE_MS });
+    record.add("client: gives up, and cancels");
+    const { status } = await client.call("DELETE", `${PREFIX}${id}`, undefined, {
+        address: second,
+    });
+    if (status !== 200 && status !== 410) {
+        throw new CannotRunError(`the cancelling was not acknowledged: ${status}`);
     }
-    const deadlineMs = performance.now() + 40_000;
-    let state;
-    while (performance.now() < deadlineMs) {
-        state = await client.readState(id);
-        if (state === "failed" || state === "complete") {
-            break;
-        }
-        await sleep(500);
+    const acknowledgedAtMs = performance.now();
+    if (HAS_TROUBLE) {
+        await sleep(FREEZE_MS - (performance.now() - frozenAtMs));
+        deployment.signal("front-1", "SIGCONT");
     }
-    const failedRuns = executors
-        .flatMap((e) => e.ends ?? [])
-        .filter(([, , , how]) => how === "failed");
-    record.add(`job ${id}: ${state}; runs that ended failed: ${failedRuns.length}`);
-    return state === "failed"
-        ? `job ${id} is shown as failed, and no run of it ended failed`
+    // Long after the freeze, so that no disruption is near.
+    await sleep(8_000);
+    await client.readState(id, { address: second });
+    const late = executors
+        .flatMap((executor) => executor.starts)
+        .filter(
+            ({ task, atMs }) => task.startsWith(id) && atMs > acknowledgedAtMs + BOUNDS.cancel_ms,
+        );
+    const running = executors.flatMap((executor) => [...executor.runs.keys()]);
+    record.add(
+        `starts later than cancel_ms after the acknowledgement: ${late.length}; ` +
+            `tasks at work now: ${running.length}`,
+    );
+    return late.length > 0 || running.length > 0
+        ? `${late.length} tasks of a cancelled job started later than cancel_ms, ${running.length} run on`
         : undefined;
 });
