Refuse submissions that arrive after their cancellation was acknowledged

Callers saw: a job is submitted at a front that stands still, the caller gives up and cancels it at another front, is told 410, and seconds later the job runs. It shows as running, and nothing stops it.

Cause: the leader answered a cancellation of an id that no job has from memory, and kept nothing of it. A submission that was still on its way was then accepted like any other. Neither the freeze nor the caller's connection matters: the same happens if the caller stays connected, if a link holds the submission back, and if the leader changes between the two.

Change: such a cancellation commits a tombstone of the id, with the queue and the workspace of its caller, before it is acknowledged. A submission to which the cancellation would have applied had it come first (isOwnJob, same queue) is answered 409 with the reason; it is neither recorded nor shown, and a GET still answers 410. They are bounded; a cancellation beyond the bound is refused with 503 and a time, never acknowledged. A workspace may hold as many as are free beside its own.

--- a/control/calls.ts
+++ b/control/calls.ts
@@ -71,8 +71,15 @@
     | { readonly type: "unknownQueue" }
     /** No workspace holds the key of the call. */
     | { readonly type: "unauthenticated" }
-    /** Another workspace has submitted a job under this id. */
-    | { readonly type: "conflict" }
+    /** Another workspace has submitted a job under this id, or the id was cancelled before. */
+    | {
+          readonly type: "conflict";
+          /**
+           * Whether the id was cancelled before this submission arrived; processes of earlier
+           * releases ignore it.
+           */
+          readonly isCancelled?: boolean;
+      }
     | { readonly type: "invalid"; readonly problem: string }
     /** The job was not admitted and does not run as a result of this call. */
     | {
--- a/control/leadership.ts
+++ b/control/leadership.ts
@@ -37,6 +37,7 @@
     type MemberRun,
     type OrderAnswer,
     type SubmissionRefusal,
+    type UnknownCancellation,
 } from "../dispatch/mod.ts";
 import {
     isJobId,
@@ -116,8 +117,8 @@
  */
 const ADVICE_TIMEOUT_FACTOR = 2.5;
 const ADVICE_TIMEOUT_MARGIN_MS = 400;
-/** The interval between two updates of the metrics of workspaces and of learned durations, in ms. */
-const WORKSPACE_METRICS_INTERVAL_MS = 5_000;
+/** The interval between two updates of the metrics of the replicated state, in ms. */
+const METRICS_INTERVAL_MS = 5_000;
 /**
  * The minimum time between two placement runs, in ms. Under load, one pass over the backlog serves
  * many events; the delay is shorter than a commit.
@@ -183,7 +184,7 @@
     #isPlacementScheduled = false;
     #lastPlacementAtMs = Number.NEGATIVE_INFINITY;
     #isStopped = false;
-    #workspaceMetricsAtMs = Number.NEGATIVE_INFINITY;
+    #metricsUpdatedAtMs = Number.NEGATIVE_INFINITY;
     readonly #roundTripEstimator = new RoundTripEstimator();
     readonly #submissionQueue = new SubmissionQueue();
     readonly #proposals = new ProposalSequence();
@@ -225,7 +226,7 @@
         this.#tickSubscription = interval(TICK_INTERVAL_MS).subscribe(() => {
             this.#dispatcher.tick(!this.#effectQueue.isFull());
             this.#flushInBackground();
-            this.#updateWorkspaceMetrics();
+            this.#updateMetrics();
         });
         this.#flushInBackground();
     }
@@ -239,12 +240,13 @@
         }
     }
 
-    #updateWorkspaceMetrics(): void {
+    #updateMetrics(): void {
         const now = performance.now();
-        if (now - this.#workspaceMetricsAtMs >= WORKSPACE_METRICS_INTERVAL_MS) {
-            this.#workspaceMetricsAtMs = now;
+        if (now - this.#metricsUpdatedAtMs >= METRICS_INTERVAL_MS) {
+            this.#metricsUpdatedAtMs = now;
             this.#options.metrics?.workspaces.update(this.#dispatcher.listWorkspaceUsage());
             this.#options.metrics?.durations.update(this.#dispatcher.durationModel);
+            this.#options.metrics?.tombstones.set(this.#options.committedState.tombstones.size);
         }
     }
 
@@ -253,6 +255,7 @@
         this.#isStopped = true;
         this.#options.metrics?.workspaces.update([]);
         this.#options.metrics?.durations.update(undefined);
+        this.#options.metrics?.tombstones.set(0);
         this.#tickSubscription?.unsubscribe();
         this.#workerPoller.stop();
         this.#effectQueue.stop();
@@ -354,15 +357,17 @@
         const job = pathSuffix;
         const owner = this.#dispatcher.findJob(job);
         const isForeign = owner !== undefined && !isOwnJob(owner, access.workspace, queue);
+        if (call.type === "cancel") {
+            return owner === undefined || isForeign
+                ? this.#cancelUnknown({ job, queue: queue.name, workspace: access.workspace })
+                : this.#cancel(job);
+        }
         if (isForeign) {
             return { type: call.type === "submit" ? "conflict" : "unknownJob" };
         }
         if (call.type === "state") {
             return (await this.#options.stateReader.readState(job)) ?? { type: "unknownJob" };
         }
-        if (call.type === "cancel") {
-            return this.#cancel(job);
-        }
         return call.spec === undefined
             ? { type: "invalid", problem: call.problem }
             : this.#submit(job, queue, access.workspace, call.spec);
@@ -376,6 +381,9 @@
     ): Promise<CallerAnswer> {
         const { name, pool } = queue;
         const isRepeated = this.#dispatcher.findJob(job) !== undefined;
+        if (!isRepeated && this.#isCancelled(job, queue, workspace)) {
+            return this.#refuseCancelled({ job, queue: name, workspace });
+        }
         const refusal = this.#dispatcher.submit({ job, queue: name, pool, workspace, spec });
         if (refusal !== undefined) {
             return createRefusalAnswer(refusal);
@@ -500,10 +508,39 @@
             : { type: "unauthenticated" };
     }
 
-    async #cancel(job: JobId): Promise<CallerAnswer> {
-        if (!this.#dispatcher.cancel(job)) {
-            return { type: "unknownJob" };
+    /** Returns whether an earlier cancellation applies to a job that is submitted now. */
+    #isCancelled(job: JobId, queue: QueueConfig, workspace: WorkspaceName | undefined): boolean {
+        const submitted = { queue: queue.name, workspace };
+        return this.#dispatcher.hasTombstone(
+            job,
+            (tombstone) =>
+                tombstone.queue === queue.name && isOwnJob(submitted, tombstone.workspace, queue),
+        );
+    }
+
+    async #refuseCancelled({ job, ...fields }: UnknownCancellation): Promise<CallerAnswer> {
+        // The cancellation may be uncommitted; if it fails, the job may be accepted by the next leader.
+        await this.#flushAll();
+        this.#recordDecision("decision", "cancelled job refused", { request: job, ...fields });
+        return { type: "conflict", isCancelled: true };
+    }
+
+    /**
+     * Cancels an id that no job of the caller has. A submission may still be on its way, and must not
+     * run once the cancellation is acknowledged, also under the next leader.
+     */
+    async #cancelUnknown(cancellation: UnknownCancellation): Promise<CallerAnswer> {
+        const refusal = this.#dispatcher.addTombstone(cancellation);
+        if (refusal !== undefined) {
+            const { problem: reason, retryAfterMs } = refusal;
+            return { type: "refused", reason, retryAfterMs };
         }
+        await this.#flushAll();
+        return { type: "unknownJob" };
+    }
+
+    async #cancel(job: JobId): Promise<CallerAnswer> {
+        this.#dispatcher.cancel(job);
         // The committed state may not know the job yet, or not any more.
         await this.#flushAll();
         await this.#ensureCommitted(() => hasEnded(this.#options.committedState.jobs.get(job)));
--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -21,7 +21,16 @@
 } from "../admission/mod.ts";
 import type { Configuration, PoolName, QueueName } from "../configuration/mod.ts";
 import type { DurationModel } from "../estimation/mod.ts";
-import type { Incarnation, Job, JobId, JobSpec, WorkerId, WorkerRecord } from "../job/mod.ts";
+import type {
+    Incarnation,
+    Job,
+    JobId,
+    JobSpec,
+    StateStore,
+    Tombstone,
+    WorkerId,
+    WorkerRecord,
+} from "../job/mod.ts";
 import type { WorkspaceName, WorkspaceUsage } from "../workspace/mod.ts";
 import { checkFeasible, checkWithinQuota } from "./admission.ts";
 import { Attempts } from "./_attempts.ts";
@@ -86,6 +95,22 @@
           readonly retryAfterMs: number;
       };
 
+/** The cancellation of an id that no job of the caller has. */
+export interface UnknownCancellation {
+    readonly job: JobId;
+    /** The queue that the cancellation addressed. */
+    readonly queue: QueueName;
+    /** The workspace of the caller, if any. */
+    readonly workspace: WorkspaceName | undefined;
+}
+
+/** A cancellation of which nothing is recorded, because the instance can hold no more tombstones. */
+export interface CancellationRefusal {
+    readonly problem: string;
+    /** Whole seconds, in ms. */
+    readonly retryAfterMs: number;
+}
+
 /** Time after which a stop is resent if the worker has not reported the task's end, in ms. */
 const STOP_RETRY_MS = 400;
 /** Time between two cleanups of ended jobs, in ms. */
@@ -94,7 +119,7 @@
 const RESTART_POLL_INTERVAL_MS = 200;
 /** A worker that runs nothing and has been silent for this long is removed, in ms. */
 const IDLE_WORKER_RETENTION_MS = 120_000;
-/** The `retryAfterMs` for jobs for which the open jobs leave no room. */
+/** The `retryAfterMs` for jobs and tombstones for which the instance has no room. */
 const FULL_RETRY_SPREAD = { minMs: 5_000, seconds: 10 };
 
 /** Makes the scheduling decisions of one leader. */
@@ -317,6 +342,47 @@
         return true;
     }
 
+    /**
+     * Records that an id was cancelled that no job of the caller has, so that a submission which is
+     * still on its way can be refused.
+     *
+     * @param cancellation The id and its caller.
+     * @returns The refusal, of which nothing is recorded, or `undefined` if it is recorded.
+     */
+    addTombstone(cancellation: UnknownCancellation): CancellationRefusal | undefined {
+        const { job, queue, workspace } = cancellation;
+        const { tombstones } = this.#context.stateStore;
+        const free = this.#context.workLimits.maxTombstones - tombstones.size;
+        const isRepeated = tombstones.has(
+            job,
+            (known) => known.queue === queue && known.workspace === workspace,
+        );
+        const fields = { request: job, queue, workspace };
+        if (!isRepeated && tombstones.count(workspace) >= free) {
+            const problem = "too many cancellations of unknown jobs";
+            this.#context.recordDecision("decision", "cancellation refused", {
+                ...fields,
+                problem,
+            });
+            const retryAfterMs = computeSpreadRetryAfterMs(job, FULL_RETRY_SPREAD);
+            return { problem, retryAfterMs };
+        }
+        this.#context.recordFact({ type: "tombstoneAdded", ...cancellation });
+        this.#context.recordDecision("decision", "unknown job cancelled", fields);
+        return undefined;
+    }
+
+    /**
+     * Returns whether an id was cancelled before a submission of it arrived.
+     *
+     * @param id The id.
+     * @param isMatch Returns whether the cancellation would apply to the submission.
+     * @returns True if such a cancellation is on record.
+     */
+    hasTombstone(id: JobId, isMatch: (tombstone: Tombstone) => boolean): boolean {
+        return this.#context.stateStore.tombstones.has(id, isMatch);
+    }
+
     /**
      * Applies a validated configuration if it is newer than the current one.
      *
@@ -414,7 +480,7 @@
         this.#durations.report(now);
         if (now - this.#cleanedUpAtMs >= JOB_CLEANUP_INTERVAL_MS) {
             this.#cleanedUpAtMs = now;
-            this.#removeEndedJobs();
+            this.#removeExpired();
         }
         this.#context.isDirty = true;
         if (mayPlace) {
@@ -472,13 +538,12 @@
         }
     }
 
-    #removeEndedJobs(): void {
-        const before = this.#context.clock.getWallTimeMs() - this.#context.limits.retentionMs;
-        for (const job of this.#context.stateStore.jobs.values()) {
-            if (job.endedAt !== undefined && job.endedAt < before && job.occurrences.size === 0) {
-                this.#context.recordFact({ type: "jobsForgotten", before });
-                return;
-            }
+    /** Removes ended jobs and tombstones that have been kept for the retention time. */
+    #removeExpired(): void {
+        const { stateStore, clock, limits } = this.#context;
+        const before = clock.getWallTimeMs() - limits.retentionMs;
+        if (stateStore.tombstones.hasBefore(before) || hasJobEndedBefore(stateStore, before)) {
+            this.#context.recordFact({ type: "jobsForgotten", before });
         }
     }
 
@@ -548,6 +613,16 @@
     }
 }
 
+/** Returns whether a job that can be removed ended before a time in ms since the Unix epoch. */
+function hasJobEndedBefore({ jobs }: StateStore, time: number): boolean {
+    for (const { endedAt, occurrences } of jobs.values()) {
+        if (endedAt !== undefined && endedAt < time && occurrences.size === 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /** Rounds a prediction for the log; empty if there is none. */
 function formatPrediction(prediction: Partial<AdmissionPrediction>): Partial<AdmissionPrediction> {
     const { predictedMs, objectiveMs } = prediction;
--- a/dispatch/work_limits.ts
+++ b/dispatch/work_limits.ts
@@ -32,6 +32,11 @@
     readonly maxOpenSteps: number;
     /** Characters in the payloads, labels, names and dependencies of all open jobs. */
     readonly maxOpenCharacters: number;
+    /**
+     * Tombstones that are kept. A workspace may hold as many as are free beside its own, so that one
+     * alone fills half of them.
+     */
+    readonly maxTombstones: number;
 }
 
 /** The default bounds, for an instance with a heap of 200 MB. */
@@ -44,6 +49,7 @@
     maxOpenTasks: 200_000,
     maxOpenSteps: 10_000,
     maxOpenCharacters: 16_000_000,
+    maxTombstones: 65_536,
 };
 
 /** What a job takes of an instance's memory and time. */
--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -440,9 +440,14 @@
 /**
  * Returns whether an answer also tells the outcome of an earlier attempt. A submission that was
  * accepted may be refused when it is repeated, because its key or its queue was removed meanwhile.
+ * One that was cancelled first was never accepted: its job would be known.
  */
 function isConclusive(call: CallerCall, answer: CallerAnswer): boolean {
-    return call.type !== "submit" || answer.type === "accepted";
+    return (
+        call.type !== "submit" ||
+        answer.type === "accepted" ||
+        (answer.type === "conflict" && answer.isCancelled === true)
+    );
 }
 
 /** Returns whether a relay rejected the call because it cannot reach the leader either. */
--- a/front/daemon_test.ts
+++ b/front/daemon_test.ts
@@ -1,6 +1,7 @@
 import test, { type ExecutionContext } from "ava";
 import {
     METHODS,
+    type CallerAnswer,
     type CallerCall,
     type HelloAnswer,
     type HelloCall,
@@ -18,6 +19,14 @@
     host: "studio.example",
     path: "/p/00000000000000a1",
 };
+const SUBMIT_CALL: CallerCall = {
+    type: "submit",
+    host: "studio.example",
+    path: "/p/00000000000000a1",
+    apiKey: "removed",
+    spec: buildSpec({ count: 1 }),
+    problem: "",
+};
 /** Timeout of a caller's request, in ms. */
 const CALL_TIMEOUT_MS = 2_800;
 /** Time within which a front detects a partition and has probed its peers, in ms. */
@@ -172,9 +181,11 @@
     t.deepEqual(await held, { type: "cancelled" });
 });
 
-test("a submission that may have been accepted is not told to have been refused", async (t) => {
-    // Guards against a refusal of a repeated attempt, after a change of leaders and of the
-    // configuration, that is passed on although the first attempt's job runs.
+/** Starts a front whose leader fails after the first call, and answers the others. */
+async function startFrontOfFailedLeader(
+    t: ExecutionContext,
+    answer: CallerAnswer,
+): Promise<{ readonly front: FrontDaemon; readonly countCalls: () => number }> {
     let callCount = 0;
     const leader = await startRpcServer({
         methods: {
@@ -184,7 +195,7 @@
                 if (callCount === 1) {
                     throw new MethodError("leadership lost", OUTCOME_UNKNOWN_CODE);
                 }
-                return { type: "unauthenticated" };
+                return answer;
             },
         },
     });
@@ -195,10 +206,22 @@
         await leader.close();
     });
     await waitFor(() => front.isReady);
-    const target = { host: "studio.example", path: "/p/00000000000000a1", apiKey: "removed" };
-    const spec = buildSpec({ count: 1 });
-    const call: CallerCall = { ...target, type: "submit", spec, problem: "" };
-    t.is((await front.handleCaller(call, CALL_TIMEOUT_MS)).type, "unknown");
-    t.is((await front.handleCaller(call, CALL_TIMEOUT_MS)).type, "unauthenticated");
-    t.is(callCount, 3);
+    return { front, countCalls: () => callCount };
+}
+
+test("a submission that may have been accepted is not told to have been refused", async (t) => {
+    // Guards against a refusal of a repeated attempt, after a change of leaders and of the
+    // configuration, that is passed on although the first attempt's job runs.
+    const { front, countCalls } = await startFrontOfFailedLeader(t, { type: "unauthenticated" });
+    t.is((await front.handleCaller(SUBMIT_CALL, CALL_TIMEOUT_MS)).type, "unknown");
+    t.is((await front.handleCaller(SUBMIT_CALL, CALL_TIMEOUT_MS)).type, "unauthenticated");
+    t.is(countCalls(), 3);
+});
+
+// Guards against a caller that keeps repeating a submission which was cancelled before it arrived.
+test("a submission that is refused as cancelled is told so at its first repetition", async (t) => {
+    const cancelled: CallerAnswer = { type: "conflict", isCancelled: true };
+    const { front, countCalls } = await startFrontOfFailedLeader(t, cancelled);
+    t.deepEqual(await front.handleCaller(SUBMIT_CALL, CALL_TIMEOUT_MS), cancelled);
+    t.is(countCalls(), 2);
 });
--- a/job/facts.ts
+++ b/job/facts.ts
@@ -34,6 +34,13 @@
           readonly spec: JobSpec;
       }
     | { readonly type: "jobCancelled"; readonly job: JobId }
+    /** An id that no job had was cancelled. Earlier releases ignore this fact. */
+    | {
+          readonly type: "tombstoneAdded";
+          readonly job: JobId;
+          readonly queue: QueueName;
+          readonly workspace?: WorkspaceName | undefined;
+      }
     /** A unit reached its queue's limit of failures, or repeatedly crashed its workers. */
     | { readonly type: "jobFailed"; readonly job: JobId }
     /** Committed before any start order is sent, so that a new leader knows every attempt. */
@@ -78,7 +85,7 @@
     | { readonly type: "workerAnswered"; readonly worker: WorkerId }
     | { readonly type: "workerGone"; readonly worker: WorkerId }
     | { readonly type: "configurationSet"; readonly configuration: Configuration }
-    /** Jobs that ended before `before`, in ms since the Unix epoch, are removed. */
+    /** Jobs that ended, and tombstones added, before `before`, in ms since the Unix epoch, are removed. */
     | { readonly type: "jobsForgotten"; readonly before: number };
 
 /** Facts that are applied together, with the leader's timestamp. */
--- a/job/mod.ts
+++ b/job/mod.ts
@@ -12,4 +12,5 @@
 export * from "./crash_history.ts";
 export * from "./facts.ts";
 export * from "./state_store.ts";
+export * from "./tombstones.ts";
 export * from "./types.ts";
--- a/job/state_store.ts
+++ b/job/state_store.ts
@@ -29,6 +29,7 @@
     type StoredJob,
     type StoredOccurrence,
 } from "./_stored_job.ts";
+import { Tombstones, type EncodedTombstone, type ReadonlyTombstones } from "./tombstones.ts";
 import type {
     CrashedAttempt,
     Incarnation,
@@ -63,6 +64,8 @@
     readonly lapses?: readonly (readonly [WorkerId, readonly CrashedAttempt[]])[];
     readonly gone: readonly EncodedRemoval[];
     readonly jobs: readonly EncodedJob[];
+    /** Absent in snapshots of earlier releases. */
+    readonly tombstones?: readonly EncodedTombstone[];
 }
 
 /**
@@ -93,6 +96,7 @@
     /** The configured workspaces, and removed ones that still have open jobs. */
     readonly workspaces = new Map<WorkspaceName, WorkspacePolicy>();
     readonly #jobs = new Map<JobId, StoredJob>();
+    #tombstones = new Tombstones();
     readonly workers = new Map<WorkerId, WorkerRecord>();
     /** Each worker's own clock at its last recorded capacity report, in ms. */
     readonly lastReportClocksMs = new Map<WorkerId, number>();
@@ -113,6 +117,11 @@
         return this.#jobs;
     }
 
+    /** The cancellations of ids that no job had. */
+    get tombstones(): ReadonlyTombstones {
+        return this.#tombstones;
+    }
+
     /**
      * Applies a batch of facts in order.
      *
@@ -195,6 +204,7 @@
             lapses: [...this.attemptsOnExpiredLeases],
             gone: [...this.#removedWorkers].map(([id, removed]) => encodeRemoval(id, removed)),
             jobs: [...this.#jobs.values()].map((job) => encodeJob(job)),
+            tombstones: this.#tombstones.encode(),
         };
         return JSON.stringify(state);
     }
@@ -233,6 +243,7 @@
         state.gone.forEach((removal) => this.#removedWorkers.set(...decodeRemoval(removal)));
         this.#jobs.clear();
         state.jobs.forEach((job) => this.#jobs.set(job.job.id, decodeJob(job)));
+        this.#tombstones.restore(state.tombstones ?? []);
     }
 
     /**
@@ -255,6 +266,7 @@
         );
         this.#removedWorkers.forEach((removed, id) => copy.#removedWorkers.set(id, removed));
         this.#jobs.forEach((job, id) => copy.#jobs.set(id, isImmutable(job) ? job : copyJob(job)));
+        copy.#tombstones = this.#tombstones.copy();
         return copy;
     }
 
@@ -266,6 +278,13 @@
             case "jobCancelled":
                 this.#endJob(this.#jobs.get(fact.job), "cancel");
                 return;
+            case "tombstoneAdded":
+                this.#tombstones.add(fact.job, {
+                    queue: fact.queue,
+                    workspace: fact.workspace,
+                    cancelledAt: this.lastBatchAtMs,
+                });
+                return;
             case "jobFailed":
                 this.#endJob(this.#jobs.get(fact.job), "fail");
                 return;
@@ -298,6 +317,7 @@
                 return;
             case "jobsForgotten":
                 this.#removeEndedJobs(fact.before);
+                this.#tombstones.removeBefore(fact.before);
                 return;
         }
     }
--- a/telemetry/control_metrics.ts
+++ b/telemetry/control_metrics.ts
@@ -42,6 +42,8 @@
     /** Durations for which the event loop was blocked. */
     readonly eventLoopBlockedSeconds: Histogram;
     readonly eventLoopDelaySeconds: Gauge;
+    /** Cancellations of unknown jobs that the leader keeps. */
+    readonly tombstones: Gauge;
     readonly cpuSeconds: Gauge;
     readonly residentBytes: Gauge;
     readonly workspaces: WorkspaceMetrics;
@@ -151,6 +153,10 @@
             "poplarhead_event_loop_delay_seconds",
             "How late the last one-second timer was.",
         ),
+        tombstones: createGauge(
+            "poplarhead_tombstones",
+            "Cancellations of unknown jobs that this leader keeps.",
+        ),
         cpuSeconds: createGauge("poplarhead_cpu_seconds", "Processor time used so far."),
         residentBytes: createGauge("poplarhead_resident_bytes", "Resident memory."),
         workspaces: new WorkspaceMetrics(registry),
--- a/telemetry/explain.ts
+++ b/telemetry/explain.ts
@@ -86,6 +86,8 @@
             causes.push(describeKeyRefusal(event));
         } else if (event.message === "job refused") {
             causes.push(`it was refused: ${String(event["problem"])}`);
+        } else if (event.message === "cancelled job refused") {
+            causes.push("it was cancelled before a submission of it arrived, which was refused");
         } else if (event.message === "step waits for quota") {
             causes.push(
                 `step ${String(event["step"])} waited: workspace ${String(event["workspace"])} was at its limit`,
--- a/telemetry/explain_test.ts
+++ b/telemetry/explain_test.ts
@@ -52,3 +52,13 @@
         "step s waited 4000 ms for a worker",
     ]);
 });
+
+test("explains a submission that arrived after its cancellation", (t) => {
+    const events = [
+        buildEvent(1, "unknown job cancelled", { request: REQUEST }),
+        buildEvent(4_000, "cancelled job refused", { request: REQUEST }),
+    ];
+    t.deepEqual(explainRequest(events, REQUEST).causes, [
+        "it was cancelled before a submission of it arrived, which was refused",
+    ]);
+});
