Bound how long a front forwards a submission or a cancellation

A submission that a front held back for longer than 240 s could run a job again that had ended, or was cancelled, and been removed meanwhile.

Change: submissions and cancellations are forwarded for 120 s at most, half of the time for which jobs and tombstones are kept. The caller is told 503 or 504 and a time then, as at any deadline. Reads are unchanged.

--- a/control/timings.ts
+++ b/control/timings.ts
@@ -36,6 +36,13 @@
     return toleratedFailures >= LARGE_GROUP_FAILURES ? LARGE_TIMINGS : SMALL_TIMINGS;
 }
 
+/**
+ * How long a front forwards a submission or a cancellation, in ms, however long its caller waits.
+ * Half of the time for which ended jobs and tombstones are kept: a submission that is forwarded for
+ * longer could run a job again that has ended and was removed meanwhile.
+ */
+export const MAX_FORWARDING_MS = 120_000;
+
 /** The margin of the failover timeout over the election timeout, in ms. */
 const FAILOVER_MARGIN_MS = 100;
 
--- a/control/timings_test.ts
+++ b/control/timings_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
-import { selectFailoverTimeoutMs, selectTimings } from "./timings.ts";
+import { DEFAULT_DISPATCH_LIMITS } from "../dispatch/mod.ts";
+import { MAX_FORWARDING_MS, selectFailoverTimeoutMs, selectTimings } from "./timings.ts";
 
 test("large groups share one longer election timeout", (t) => {
     const small = selectTimings(1);
@@ -19,3 +20,9 @@
         ),
     );
 });
+
+// Guards against a finished job that runs again: its submission was held back by a front until the job
+// was removed.
+test("fronts forward no submission for as long as jobs and tombstones are kept", (t) => {
+    t.true(2 * MAX_FORWARDING_MS <= DEFAULT_DISPATCH_LIMITS.retentionMs);
+});
--- a/front/daemon.ts
+++ b/front/daemon.ts
@@ -28,7 +28,7 @@
     type ReachabilityAnswer,
     type RelayCall,
 } from "../control/calls.ts";
-import { selectFailoverTimeoutMs } from "../control/timings.ts";
+import { MAX_FORWARDING_MS, selectFailoverTimeoutMs } from "../control/timings.ts";
 // Imported directly, since `job/mod.ts` would load the state charts, which a front does not need.
 import { isJobId } from "../job/types.ts";
 import type { ControlMetrics } from "../telemetry/control_metrics.ts";
@@ -62,6 +62,8 @@
     /** Number of control instances that may fail at once; 1 by default. */
     readonly toleratedFailures?: number;
     readonly adviceCalls: AdviceCalls;
+    /** How long submissions and cancellations are forwarded, in ms; {@link MAX_FORWARDING_MS} by default. */
+    readonly maxForwardingMs?: number;
     readonly metrics?: ControlMetrics;
     readonly log: Logger;
 }
@@ -210,7 +212,7 @@
 
     /**
      * Forwards a call to the leader, with retries until a leader answers or the budget is used up.
-     * Every call is idempotent.
+     * Every call is idempotent, a submission as long as its job is kept: so it has a limit of its own.
      *
      * @param call The call.
      * @param budgetMs How long the caller waits, in ms.
@@ -218,10 +220,7 @@
      */
     async handleCaller(call: CallerCall, budgetMs: number): Promise<CallOutcome> {
         const startedAtMs = performance.now();
-        const effectiveBudgetMs = isJobCall(call)
-            ? budgetMs
-            : Math.min(budgetMs, QUEUE_QUERY_TIMEOUT_MS);
-        const outcome = await this.#forwardCall(call, effectiveBudgetMs);
+        const outcome = await this.#forwardCall(call, this.#computeBudgetMs(call, budgetMs));
         const durationMs = performance.now() - startedAtMs;
         this.#callSummaryLog.recordOutcome(call.type, outcome.type, durationMs);
         this.#options.metrics?.callSeconds.observe(
@@ -231,6 +230,14 @@
         return outcome;
     }
 
+    #computeBudgetMs(call: CallerCall, budgetMs: number): number {
+        if (!isJobCall(call)) {
+            return Math.min(budgetMs, QUEUE_QUERY_TIMEOUT_MS);
+        }
+        const { maxForwardingMs = MAX_FORWARDING_MS } = this.#options;
+        return call.type === "state" ? budgetMs : Math.min(budgetMs, maxForwardingMs);
+    }
+
     async #forwardCall(call: CallerCall, budgetMs: number): Promise<CallOutcome> {
         const startedAtMs = performance.now();
         const replicaAnswer = call.type === "state" ? await this.#readState(call) : undefined;
--- a/front/daemon_test.ts
+++ b/front/daemon_test.ts
@@ -12,7 +12,7 @@
 import { MethodError, startRpcServer, type RpcServer } from "../rpc/mod.ts";
 import { FaultRelay } from "../standin/fault_relay.ts";
 import { createLogger, LogSink } from "../telemetry/mod.ts";
-import { FrontDaemon } from "./daemon.ts";
+import { FrontDaemon, type FrontDaemonOptions } from "./daemon.ts";
 
 const CANCEL_CALL: CallerCall = {
     type: "cancel",
@@ -42,7 +42,11 @@
 }
 
 /** Starts a fake leader and two fronts; with `isOtherDirect` zone b bypasses the fault relay. */
-async function startFronts(t: ExecutionContext, isOtherDirect: boolean): Promise<Fixture> {
+async function startFronts(
+    t: ExecutionContext,
+    isOtherDirect: boolean,
+    options: Partial<FrontDaemonOptions> = {},
+): Promise<Fixture> {
     const [address, otherAddress] = [await findFreeAddress(), await findFreeAddress()];
     const peers: PeerFront[] = [{ address: otherAddress, zone: "b" }];
     let callCount = 0;
@@ -57,7 +61,7 @@
     });
     const faultRelay = await FaultRelay.start();
     faultRelay.setTarget(leader.address);
-    const front = buildFront("a", address, faultRelay.address);
+    const front = buildFront("a", address, faultRelay.address, options);
     const otherFront = buildFront(
         "b",
         otherAddress,
@@ -89,7 +93,12 @@
 /** Time within which the load balancer has moved the callers of an isolated front, in ms. */
 const BALANCER_FAILOVER_MS = 3_400;
 
-function buildFront(zone: string, address: string, seed: string): FrontDaemon {
+function buildFront(
+    zone: string,
+    address: string,
+    seed: string,
+    options: Partial<FrontDaemonOptions> = {},
+): FrontDaemon {
     const sink = new LogSink({ writeBytes: (_fd, bytes, done) => done(null, bytes.length) });
     return new FrontDaemon({
         address,
@@ -97,6 +106,7 @@
         listSeeds: () => [seed],
         adviceCalls: { advise: () => Promise.resolve(undefined) },
         log: createLogger({ process: `front-${zone}`, zone, sink }),
+        ...options,
     });
 }
 
@@ -147,6 +157,18 @@
     t.deepEqual(await answer, { type: "cancelled" });
 });
 
+// Guards against a finished job that runs again: its submission was held back by a front until the job
+// was removed.
+test("a submission is not forwarded for longer than its limit, whatever its deadline", async (t) => {
+    const fixture = await startFronts(t, false, { maxForwardingMs: 400 });
+    fixture.faultRelay.setMode("refuse");
+    await wait(ISOLATION_DETECTION_MS);
+    const startedAtMs = performance.now();
+    t.is((await fixture.front.handleCaller(SUBMIT_CALL, CALL_TIMEOUT_MS)).type, "unreached");
+    t.is((await fixture.front.handleCaller(CANCEL_CALL, CALL_TIMEOUT_MS)).type, "unreached");
+    t.true(performance.now() - startedAtMs < CALL_TIMEOUT_MS / 2);
+});
+
 test("an isolated front rejects calls early, with a retry delay until the load balancer's failover", async (t) => {
     const fixture = await startFronts(t, false);
     fixture.faultRelay.close();
