Cancellations apply to the same callers' jobs in both orders: an exhaustive test

Compares, for public and other queues and every pair of callers, a cancellation that comes before the submission with one that comes after it. No fault found; the comment on the retention time names its second reason.

--- a/control/cancelled_submission_test.ts
+++ b/control/cancelled_submission_test.ts
@@ -198,3 +198,36 @@
     t.deepEqual(await cluster.front.handleCaller(submission, 5_000), CANCELLED);
     t.deepEqual(cluster.startedTasks, []);
 });
+
+/** Submits and cancels a job in one order, and returns whether it is left to run. */
+async function isLeftToRun(
+    t: ExecutionContext,
+    { isPublic, owner, canceller }: { isPublic: boolean; owner: string; canceller: string },
+    order: readonly ("submit" | "cancel")[],
+): Promise<boolean> {
+    const { leadership, committedState } = await startLeadership(t, {
+        configuration: buildSharedConfiguration({ isPublic }),
+    });
+    for (const type of order) {
+        await (type === "submit"
+            ? submit(leadership, owner)
+            : callJob(leadership, "cancel", canceller));
+    }
+    return [...committedState.jobs.values()].some(({ endedAt }) => endedAt === undefined);
+}
+
+// Guards against a rule for cancellations that come first which differs from the one for those that
+// come second.
+test("a cancellation applies to the same callers' jobs whether it comes first or second", async (t) => {
+    const keys = [ACME_KEY, OTHER_KEY, ""];
+    for (const isPublic of [false, true]) {
+        for (const [owner, canceller] of keys.flatMap((a) => keys.map((b) => [a, b] as const))) {
+            const callers = { isPublic, owner, canceller };
+            t.is(
+                await isLeftToRun(t, callers, ["cancel", "submit"]),
+                await isLeftToRun(t, callers, ["submit", "cancel"]),
+                JSON.stringify(callers),
+            );
+        }
+    }
+});
--- a/dispatch/_context.ts
+++ b/dispatch/_context.ts
@@ -63,7 +63,8 @@
     maxLeaseMs: 10_000,
     // A call that is given up is reset; this bounds what the network and the worker still hold of it.
     maxCallDelayMs: 3_000,
-    // Twice the time for which a job's state must stay readable.
+    // Twice the time for which a job's state must stay readable, and for which a front forwards a
+    // submission (`MAX_FORWARDING_MS`).
     retentionMs: 240_000,
     // Bounds how long a lost poll goes unnoticed.
     pollWaitMs: 1_500,
