--- a/dispatch/dispatcher.ts
+++ b/dispatch/dispatcher.ts
@@ -21,15 +21,17 @@
 } from "../admission/mod.ts";
 import type { Configuration, PoolName, QueueName } from "../configuration/mod.ts";
 import type { DurationModel } from "../estimation/mod.ts";
-import type {
-    Incarnation,
-    Job,
-    JobId,
-    JobSpec,
-    StateStore,
-    Tombstone,
-    WorkerId,
-    WorkerRecord,
+import {
+    isSameScope,
+    type CancellationScope,
+    type Incarnation,
+    type Job,
+    type JobId,
+    type JobSpec,
+    type StateStore,
+    type Tombstone,
+    type WorkerId,
+    type WorkerRecord,
 } from "../job/mod.ts";
 import type { WorkspaceName, WorkspaceUsage } from "../workspace/mod.ts";
 import { checkFeasible, checkWithinQuota } from "./admission.ts";
@@ -96,12 +98,8 @@
       };
 
 /** The cancellation of an id that no job of the caller has. */
-export interface UnknownCancellation {
+export interface UnknownCancellation extends CancellationScope {
     readonly job: JobId;
-    /** The queue that the cancellation addressed. */
-    readonly queue: QueueName;
-    /** The workspace of the caller, if any. */
-    readonly workspace: WorkspaceName | undefined;
 }
 
 /** A cancellation of which nothing is recorded, because the instance can hold no more tombstones. */
@@ -353,10 +351,7 @@
         const { job, queue, workspace } = cancellation;
         const { tombstones } = this.#context.stateStore;
         const free = this.#context.workLimits.maxTombstones - tombstones.size;
-        const isRepeated = tombstones.has(
-            job,
-            (known) => known.queue === queue && known.workspace === workspace,
-        );
+        const isRepeated = tombstones.has(job, (known) => isSameScope(known, cancellation));
         const fields = { request: job, queue, workspace };
         if (!isRepeated && tombstones.count(workspace) >= free) {
             const problem = "too many cancellations of unknown jobs";
--- a/job/facts.ts
+++ b/job/facts.ts
@@ -85,7 +85,7 @@
     | { readonly type: "workerAnswered"; readonly worker: WorkerId }
     | { readonly type: "workerGone"; readonly worker: WorkerId }
     | { readonly type: "configurationSet"; readonly configuration: Configuration }
-    /** Jobs that ended, and tombstones added, before `before`, in ms since the Unix epoch, are removed. */
+    /** Ended jobs and tombstones from before `before`, in ms since the Unix epoch, are removed. */
     | { readonly type: "jobsForgotten"; readonly before: number };
 
 /** Facts that are applied together, with the leader's timestamp. */
--- a/job/tombstones.ts
+++ b/job/tombstones.ts
@@ -17,12 +17,16 @@
 import type { WorkspaceName } from "../workspace/types.ts";
 import type { JobId } from "./types.ts";
 
-/** The cancellation of a job id by one workspace in one queue. */
-export interface Tombstone {
+/** Whose cancellation it is. */
+export interface CancellationScope {
     /** The queue that the cancellation addressed. */
     readonly queue: QueueName;
     /** The workspace of the caller; `undefined` for an anonymous one. */
     readonly workspace: WorkspaceName | undefined;
+}
+
+/** The cancellation of a job id by one workspace in one queue. */
+export interface Tombstone extends CancellationScope {
     /** When it was last cancelled, in ms since the Unix epoch. */
     readonly cancelledAt: number;
 }
@@ -173,7 +177,13 @@
     }
 }
 
-/** Returns whether two tombstones of one id are of the same workspace and queue. */
-function isSameScope(a: Tombstone, b: Tombstone): boolean {
+/**
+ * Returns whether two cancellations of one id are of the same workspace and queue.
+ *
+ * @param a One cancellation.
+ * @param b The other one.
+ * @returns True if the later one replaces the earlier one.
+ */
+export function isSameScope(a: CancellationScope, b: CancellationScope): boolean {
     return a.queue === b.queue && a.workspace === b.workspace;
 }
