--- a/control/cancelled_submission_test.ts
+++ b/control/cancelled_submission_test.ts
@@ -150,7 +150,8 @@
     t.deepEqual(await submit(leadership, OTHER_KEY), CANCELLED);
 });
 
-// Guards against the same while another workspace's job holds the id.
+// Guards against a cancellation that is acknowledged without a record because another workspace's job
+// holds the id.
 test("a cancellation of another workspace's job applies to the caller's own submission", async (t) => {
     const { leadership, committedState } = await startLeadership(t, {
         configuration: buildSharedConfiguration(),
